--- /dev/null
+++ b/rig/src/command.rs
@@ -0,0 +1,133 @@
+//! The subcommands of the stand-ins' command line.
+
+use {
+  crate::{
+    answer, demo,
+    engine::{Engine, Traits},
+    load,
+    plain::Plain,
+    platform::Platform,
+  },
+  anyhow::Context,
+  argh::FromArgs,
+  std::{fs, net::SocketAddr, path::PathBuf, time::Duration},
+  tokio::net::TcpListener,
+};
+
+/// Stand-ins, load and a demonstration for yuccarudder.
+#[derive(Debug, FromArgs)]
+pub struct Command {
+  #[argh(subcommand)]
+  subcommand: Subcommand,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Subcommand {
+  Demo(demo::Demo),
+  Engine(ServeEngine),
+  Load(load::Load),
+  Plain(ServePlain),
+  Platform(ServePlatform),
+}
+
+/// serve a stand-in for a model engine
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "engine")]
+struct ServeEngine {
+  /// where to listen
+  #[argh(option)]
+  listen: SocketAddr,
+
+  /// tokens that fit in memory
+  #[argh(option, default = "64_000")]
+  memory: u64,
+
+  /// milliseconds that one step takes
+  #[argh(option, default = "5")]
+  step_ms: u64,
+}
+
+/// serve a stand-in for a plain service
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "plain")]
+struct ServePlain {
+  /// where to listen
+  #[argh(option)]
+  listen: SocketAddr,
+}
+
+/// serve a stand-in for the platform's configuration service
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "platform")]
+struct ServePlatform {
+  /// the first list of hosts
+  #[argh(option)]
+  hosts: PathBuf,
+
+  /// where to listen
+  #[argh(option)]
+  listen: SocketAddr,
+
+  /// the first settings tree
+  #[argh(option)]
+  tree: PathBuf,
+}
+
+impl Command {
+  /// Runs the subcommand.
+  ///
+  /// # Errors
+  ///
+  /// Fails with a message that tells the user what to do.
+  pub async fn run(self) -> anyhow::Result<()> {
+    match self.subcommand {
+      Subcommand::Demo(demo) => demo.run().await,
+      Subcommand::Engine(engine) => engine.run().await,
+      Subcommand::Load(load) => load.run().await,
+      Subcommand::Plain(plain) => plain.run().await,
+      Subcommand::Platform(platform) => platform.run().await,
+    }
+  }
+}
+
+impl ServeEngine {
+  async fn run(self) -> anyhow::Result<()> {
+    let engine = Engine::new(Traits {
+      memory: self.memory,
+      step: Duration::from_millis(self.step_ms.max(1)),
+      ..Traits::default()
+    });
+    tokio::spawn(engine.clone().run());
+    let listener = bind(self.listen).await?;
+    answer::serve(listener, move |request| engine.clone().handle(request)).await;
+    Ok(())
+  }
+}
+
+impl ServePlain {
+  async fn run(self) -> anyhow::Result<()> {
+    let plain = Plain::default();
+    let listener = bind(self.listen).await?;
+    answer::serve(listener, move |request| plain.clone().handle(request)).await;
+    Ok(())
+  }
+}
+
+impl ServePlatform {
+  async fn run(self) -> anyhow::Result<()> {
+    let read = |path: PathBuf| {
+      fs::read_to_string(&path).with_context(|| format!("cannot read {}", path.display()))
+    };
+    let platform = Platform::new(read(self.tree)?, read(self.hosts)?);
+    let listener = bind(self.listen).await?;
+    answer::serve(listener, move |request| platform.clone().handle(request)).await;
+    Ok(())
+  }
+}
+
+async fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
+  TcpListener::bind(address)
+    .await
+    .with_context(|| format!("cannot listen on {address}; is it free?"))
+}
--- /dev/null
+++ b/rig/src/engine/mod.rs
@@ -0,0 +1,15 @@
+//! A stand-in for a model engine.
+//!
+//! It batches continuously, preempts when its memory is full, resumes and
+//! cancels streams, reports its load with a lag, and misbehaves on demand.
+
+mod batch;
+mod engine;
+mod faults;
+mod stream;
+mod text;
+
+pub use batch::{Batch, Load, Traits};
+pub use engine::Engine;
+pub use faults::Faults;
+pub use text::token;
--- /dev/null
+++ b/rig/src/fleet.rs
@@ -0,0 +1,403 @@
+//! A whole fleet on loopback: platform, engines, a plain service and entry hosts.
+//!
+//! Each host runs on a runtime of its own, so that it can be killed with all its tasks.
+
+use {
+  crate::{
+    address, answer,
+    engine::{Engine, Traits},
+    plain::Plain,
+    platform::Platform,
+  },
+  anyhow::Context,
+  base64::{Engine as _, engine::general_purpose::STANDARD},
+  hyper::{Request, Response, body::Incoming},
+  std::{collections::BTreeMap, fmt::Write, net::SocketAddr, time::Duration},
+  tokio::{net::TcpListener, runtime::Runtime, sync::oneshot, task::JoinHandle, time},
+  yuccarudder::{
+    caller::Client,
+    clock::Clock,
+    host::Host,
+    http::Body,
+    server::{self, Server},
+    settings::{self, LogFormat},
+    tree::Account,
+  },
+};
+
+/// The bearer credential of the fleet's client account.
+pub const CREDENTIAL: &str = "sk-parents";
+/// The data centres of the fleet.
+pub const DATA_CENTRES: [&str; 3] = ["east-dist", "north-dist", "xiangshan"];
+/// The engine service of the fleet.
+pub const MODEL: &str = "assistant-llm";
+/// The plain service of the fleet.
+pub const SERVICE: &str = "booking-app";
+
+const READY_POLL: Duration = Duration::from_millis(10);
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How large a fleet is and what its operator sets.
+#[derive(Clone, Debug)]
+pub struct Options {
+  /// Number of engines.
+  pub engines: usize,
+  /// Number of entry hosts.
+  pub hosts: usize,
+  /// Lines under `overrides` of the operator, such as `entries_keep: 1s`.
+  pub overrides: Vec<String>,
+  /// Number of plain servers.
+  pub plains: usize,
+  /// What the engines are like.
+  pub traits: Traits,
+}
+
+impl Default for Options {
+  fn default() -> Self {
+    Self {
+      engines: 3,
+      hosts: 3,
+      overrides: vec!["entries_keep: 1s".into(), "ticket_life: 3s".into()],
+      plains: 2,
+      traits: Traits::default(),
+    }
+  }
+}
+
+/// A runtime whose tasks and connections end at once when it is dropped.
+struct Owned(Option<Runtime>);
+
+impl Owned {
+  fn new() -> anyhow::Result<Self> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+      .worker_threads(1)
+      .enable_all()
+      .build()
+      .context("cannot start a runtime")?;
+    Ok(Self(Some(runtime)))
+  }
+
+  fn spawn<T: Send + 'static>(
+    &self,
+    future: impl Future<Output = T> + Send + 'static,
+  ) -> Option<JoinHandle<T>> {
+    Some(self.0.as_ref()?.spawn(future))
+  }
+}
+
+impl Drop for Owned {
+  fn drop(&mut self) {
+    if let Some(runtime) = self.0.take() {
+      runtime.shutdown_background();
+    }
+  }
+}
+
+/// A stand-in and where it listens.
+pub struct Running<T> {
+  /// Where it listens.
+  pub address: SocketAddr,
+  runtime: Owned,
+  /// The stand-in.
+  pub stand_in: T,
+}
+
+impl<T> Running<T> {
+  /// Ends the stand-in and all its connections at once.
+  pub fn kill(&mut self) {
+    self.runtime = Owned(None);
+  }
+}
+
+struct Process {
+  done: JoinHandle<()>,
+  host: Host,
+  _runtime: Owned,
+  stop: oneshot::Sender<()>,
+}
+
+/// One entry host and its process, if it runs.
+pub struct Entry {
+  process: Option<Process>,
+  /// Its settings file.
+  pub settings: settings::Host,
+}
+
+impl Entry {
+  /// Returns the state of the running process.
+  pub fn host(&self) -> Option<&Host> {
+    self.process.as_ref().map(|process| &process.host)
+  }
+
+  /// Ends the process and all its connections at once.
+  pub fn kill(&mut self) {
+    self.process = None;
+  }
+
+  /// Starts a new process.
+  ///
+  /// # Errors
+  ///
+  /// Fails when an address cannot be bound.
+  pub async fn start(&mut self) -> anyhow::Result<()> {
+    const OPEN: &str = "the runtime is open";
+    let runtime = Owned::new()?;
+    let settings = self.settings.clone();
+    let bound = runtime
+      .spawn(Server::bind(settings, Clock::system()))
+      .context(OPEN)?;
+    let server = bound.await??;
+    let host = server.host().clone();
+    let (stop, stopped) = oneshot::channel::<()>();
+    let stopped = async {
+      let _ = stopped.await;
+    };
+    let done = runtime.spawn(server::run(server, stopped)).context(OPEN)?;
+    let ready = host.clone();
+    self.process = Some(Process {
+      done,
+      host,
+      _runtime: runtime,
+      stop,
+    });
+    wait_ready(&ready).await
+  }
+
+  /// Asks the process to stop and waits until it has.
+  pub async fn stop(&mut self) {
+    if let Some(process) = self.process.take() {
+      let _ = process.stop.send(());
+      let _ = process.done.await;
+    }
+  }
+}
+
+/// A whole fleet.
+pub struct Fleet {
+  /// The model engines.
+  pub engines: Vec<Running<Engine>>,
+  /// The entry hosts.
+  pub hosts: Vec<Entry>,
+  /// The operator's overrides.
+  overrides: Vec<String>,
+  /// The plain servers.
+  pub plains: Vec<Running<Plain>>,
+  /// The platform.
+  pub platform: Running<Platform>,
+}
+
+impl Fleet {
+  /// Returns a caller that knows all hosts.
+  pub fn client(&self) -> Client {
+    let hosts = self
+      .hosts
+      .iter()
+      .map(|host| host.settings.callers)
+      .collect();
+    Client::new(Clock::system(), hosts, CREDENTIAL)
+  }
+
+  /// Renders the list of hosts; `leaving` are shown as leaving.
+  pub fn host_list(&self, leaving: &[usize]) -> String {
+    let hosts = self.hosts.iter().map(|host| &host.settings);
+    host_list(hosts, leaving)
+  }
+
+  /// Returns how often each job ran, over all plain servers.
+  pub fn runs(&self) -> BTreeMap<String, u64> {
+    let mut total = BTreeMap::new();
+    for plain in &self.plains {
+      for (job, runs) in plain.stand_in.runs() {
+        *total.entry(job).or_default() += runs;
+      }
+    }
+    total
+  }
+
+  /// Starts a fleet and waits until every host is ready.
+  ///
+  /// # Errors
+  ///
+  /// Fails when an address cannot be bound or a host does not get ready.
+  pub async fn start(options: Options) -> anyhow::Result<Self> {
+    let mut fleet = Self::surroundings(options).await?;
+    for entry in &mut fleet.hosts {
+      entry.start().await?;
+    }
+    Ok(fleet)
+  }
+
+  /// Starts all but the hosts.
+  ///
+  /// # Errors
+  ///
+  /// Fails when an address cannot be bound.
+  pub async fn surroundings(options: Options) -> anyhow::Result<Self> {
+    let mut engines = Vec::new();
+    for _ in 0..options.engines {
+      engines.push(start_engine(options.traits).await?);
+    }
+    let mut plains = Vec::new();
+    for _ in 0..options.plains {
+      plains.push(start_plain().await?);
+    }
+    let platform_address = address::unused();
+    let settings: Vec<settings::Host> = (0..options.hosts)
+      .map(|index| host_settings(index, platform_address))
+      .collect();
+    let tree = tree(&options.overrides, &engines, &plains, &[]);
+    let hosts = host_list(settings.iter(), &[]);
+    let platform = Platform::new(tree, hosts);
+    let platform = start(platform_address, platform, |platform, request| {
+      platform.handle(request)
+    })
+    .await?;
+    let hosts = settings.into_iter().map(|settings| Entry {
+      process: None,
+      settings,
+    });
+    Ok(Self {
+      engines,
+      hosts: hosts.collect(),
+      overrides: options.overrides,
+      plains,
+      platform,
+    })
+  }
+
+  /// Renders the settings tree; the data centres named in `out` are out of service.
+  pub fn tree(&self, out: &[&str]) -> String {
+    tree(&self.overrides, &self.engines, &self.plains, out)
+  }
+}
+
+fn host_list<'a>(hosts: impl Iterator<Item = &'a settings::Host>, leaving: &[usize]) -> String {
+  let mut text = String::from("hosts:\n");
+  for (index, host) in hosts.enumerate() {
+    let state = if leaving.contains(&index) {
+      "leaving"
+    } else {
+      "live"
+    };
+    let (callers, peers, data_centre) = (host.callers, host.peers, &host.data_centre);
+    let _ = writeln!(
+      text,
+      "- {{callers: \"{callers}\", peers: \"{peers}\", data_centre: {data_centre}, state: {state}}}"
+    );
+  }
+  text
+}
+
+fn host_settings(index: usize, platform: SocketAddr) -> settings::Host {
+  settings::Host {
+    callers: address::unused(),
+    data_centre: DATA_CENTRES[index % DATA_CENTRES.len()].into(),
+    log: LogFormat::Text,
+    operators: address::unused(),
+    peers: address::unused(),
+    platform,
+    poll: Duration::from_secs(2),
+  }
+}
+
+async fn start_engine(traits: Traits) -> anyhow::Result<Running<Engine>> {
+  let engine = Engine::new(traits);
+  let running = start(address::unused(), engine.clone(), |engine, request| {
+    engine.handle(request)
+  });
+  let running = running.await?;
+  running.runtime.spawn(engine.run());
+  Ok(running)
+}
+
+async fn start_plain() -> anyhow::Result<Running<Plain>> {
+  start(address::unused(), Plain::default(), |plain, request| {
+    plain.handle(request)
+  })
+  .await
+}
+
+/// Starts a stand-in on a runtime of its own.
+async fn start<T, F>(
+  address: SocketAddr,
+  stand_in: T,
+  handle: impl Fn(T, Request<Incoming>) -> F + Clone + Send + 'static,
+) -> anyhow::Result<Running<T>>
+where
+  T: Clone + Send + Sync + 'static,
+  F: Future<Output = Response<Body>> + Send + 'static,
+{
+  let listener = TcpListener::bind(address).await?.into_std()?;
+  let runtime = Owned::new()?;
+  let state = stand_in.clone();
+  runtime.spawn(async move {
+    let listener = TcpListener::from_std(listener).expect("the listener is open");
+    answer::serve(listener, move |request| handle(state.clone(), request)).await;
+  });
+  Ok(Running {
+    address,
+    runtime,
+    stand_in,
+  })
+}
+
+fn targets<T>(text: &mut String, running: &[Running<T>]) {
+  let _ = writeln!(text, "    targets:");
+  for (index, target) in running.iter().enumerate() {
+    let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()];
+    let address = target.address;
+    let _ = writeln!(
+      text,
+      "      t{index}: {{address: \"{address}\", data_centre: {data_centre}}}"
+    );
+  }
+}
+
+fn tree(
+  overrides: &[String],
+  engines: &[Running<Engine>],
+  plains: &[Running<Plain>],
+  out: &[&str],
+) -> String {
+  let secret = STANDARD.encode([7; 32]);
+  let mut text = format!("operator: rig\nkeys:\n- {{id: k1, secret: {secret}}}\n");
+  text.push_str("overrides:\n");
+  for line in overrides {
+    let _ = writeln!(text, "  {line}");
+  }
+  text.push_str("data_centres:\n");
+  for name in DATA_CENTRES {
+    let state = if out.contains(&name) { "out" } else { "in" };
+    let _ = writeln!(text, "  {name}: {{state: {state}}}");
+  }
+  let _ = writeln!(
+    text,
+    "services:\n  {MODEL}:\n    kind: engine\n    traits: {{resume: true}}"
+  );
+  targets(&mut text, engines);
+  let _ = writeln!(text, "  {SERVICE}:\n    kind: plain");
+  text.push_str("    repeatable:\n    - {method: GET, path: /slots}\n");
+  targets(&mut text, plains);
+  let digest = base16ct::lower::encode_string(&Account::digest(CREDENTIAL));
+  let _ = writeln!(
+    text,
+    "accounts:\n  parents: {{credentials: [\"{digest}\"]}}"
+  );
+  text
+}
+
+async fn wait_ready(host: &Host) -> anyhow::Result<()> {
+  let ready = async {
+    loop {
+      let view = host.view.borrow().clone();
+      let targets = host.targets.lock().rows().len();
+      if view.hosts.accepted.is_some() && targets > 0 {
+        return;
+      }
+      time::sleep(READY_POLL).await;
+    }
+  };
+  time::timeout(READY_TIMEOUT, ready)
+    .await
+    .context("the host did not get ready in time")
+}
--- /dev/null
+++ b/rig/src/lib.rs
@@ -0,0 +1,14 @@
+//! Stand-ins for what surrounds the system, a load driver and a demonstration.
+//!
+//! Nothing of this package ships in the product.
+
+pub mod address;
+pub mod answer;
+pub mod command;
+pub mod demo;
+pub mod engine;
+pub mod fleet;
+pub mod load;
+pub mod plain;
+pub mod platform;
+pub mod tally;
--- /dev/null
+++ b/rig/src/plain.rs
@@ -0,0 +1,104 @@
+//! A stand-in for a plain service that counts every run of each request.
+
+use {
+  crate::answer,
+  hyper::{Method, Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE},
+  serde::{Deserialize, Serialize},
+  std::{
+    collections::BTreeMap,
+    future,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+  },
+  tokio::time,
+  yuccarudder::http::{self, Body},
+};
+
+/// How the service misbehaves.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
+pub struct Faults {
+  /// Time that each request takes.
+  pub delay_ms: u64,
+  /// Whether it runs each request and never answers.
+  pub swallow: bool,
+}
+
+/// A plain service.
+///
+/// A request to `/bookings` runs the job that its body names; `/slots` only reads.
+#[derive(Clone, Default)]
+pub struct Plain {
+  faults: Arc<Mutex<Faults>>,
+  runs: Arc<Mutex<BTreeMap<String, u64>>>,
+}
+
+impl Plain {
+  async fn book(&self, request: Request<Incoming>) -> Response<Body> {
+    let Some(name) = answer::body(request).await else {
+      return answer::status(StatusCode::BAD_REQUEST);
+    };
+    let name = String::from_utf8_lossy(&name).into_owned();
+    let run = {
+      let mut runs = lock(&self.runs);
+      let run = runs.entry(name.clone()).or_default();
+      *run += 1;
+      *run
+    };
+    self.misbehave().await;
+    let mut response = http::text(StatusCode::CREATED, format!("booked {name} run {run}\n"));
+    let kind = "text/plain".parse().expect("the value is valid");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+  }
+
+  /// Answers one request.
+  pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+    match (request.method(), request.uri().path()) {
+      (&Method::GET, "/runs") => answer::json(&self.runs()),
+      (&Method::GET, "/slots") => {
+        self.misbehave().await;
+        answer::json(&["09:00", "10:30"])
+      }
+      (&Method::POST, "/bookings") => self.book(request).await,
+      (&Method::POST, "/echo") => {
+        let mut response = Response::new(http::incoming(request.into_body()));
+        let kind = "application/octet-stream"
+          .parse()
+          .expect("the value is valid");
+        response.headers_mut().insert(CONTENT_TYPE, kind);
+        response
+      }
+      (&Method::PUT, "/faults") => match answer::parse(request).await {
+        Some(faults) => {
+          self.set_faults(faults);
+          answer::status(StatusCode::NO_CONTENT)
+        }
+        None => answer::status(StatusCode::BAD_REQUEST),
+      },
+      _ => answer::status(StatusCode::NOT_FOUND),
+    }
+  }
+
+  async fn misbehave(&self) {
+    let faults = *lock(&self.faults);
+    if faults.swallow {
+      future::pending::<()>().await;
+    }
+    time::sleep(Duration::from_millis(faults.delay_ms)).await;
+  }
+
+  /// Returns how often each job ran.
+  pub fn runs(&self) -> BTreeMap<String, u64> {
+    lock(&self.runs).clone()
+  }
+
+  /// Sets how the service misbehaves.
+  pub fn set_faults(&self, faults: Faults) {
+    *lock(&self.faults) = faults;
+  }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+  mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/yuccarudder/src/caller/mod.rs
@@ -0,0 +1,12 @@
+//! A caller of the system: finds entries, follows streams, repeats keys.
+
+mod client;
+mod failure;
+mod stream;
+
+pub use client::{Call, Called, Client};
+pub use failure::Failure;
+pub use stream::{Generation, Token};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/yuccarudder/src/command/command.rs
@@ -0,0 +1,45 @@
+use {
+  super::{ask::Ask, check::Check, explain::Explain, serve::Serve, status::Status},
+  argh::FromArgs,
+};
+
+/// Serve, check and inspect the entry hosts of a marketplace of generation work.
+#[derive(Debug, FromArgs)]
+pub struct Command {
+  #[argh(subcommand)]
+  subcommand: Subcommand,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Subcommand {
+  Ask(Ask),
+  Check(Check),
+  Explain(Explain),
+  Serve(Serve),
+  Status(Status),
+}
+
+impl Command {
+  /// Runs the subcommand.
+  ///
+  /// # Errors
+  ///
+  /// Fails with a message that tells the user what to do.
+  pub fn run(self) -> anyhow::Result<()> {
+    match self.subcommand {
+      Subcommand::Ask(ask) => ask.run(),
+      Subcommand::Check(check) => check.run(),
+      Subcommand::Explain(explain) => explain.run(),
+      Subcommand::Serve(serve) => serve.run(),
+      Subcommand::Status(status) => status.run(),
+    }
+  }
+}
+
+pub(super) fn block_on<T>(future: impl Future<Output = anyhow::Result<T>>) -> anyhow::Result<T> {
+  tokio::runtime::Builder::new_multi_thread()
+    .enable_all()
+    .build()?
+    .block_on(future)
+}
--- /dev/null
+++ b/yuccarudder/src/command/mod.rs
@@ -0,0 +1,10 @@
+//! The subcommands of the daemon's command line.
+
+mod ask;
+mod check;
+mod command;
+mod explain;
+mod serve;
+mod status;
+
+pub use command::Command;
--- /dev/null
+++ b/yuccarudder/src/command/serve.rs
@@ -0,0 +1,74 @@
+use {
+  super::command::block_on,
+  crate::{
+    clock::Clock,
+    server::{self, Server},
+    settings::{self, LogFormat},
+  },
+  anyhow::{Context, bail},
+  argh::FromArgs,
+  logforth::{
+    append::Stderr,
+    filter::rustlog::RustLogFilterBuilder,
+    layout::{JsonLayout, TextLayout},
+  },
+  std::{fs, path::PathBuf},
+  tokio::signal::unix::{SignalKind, signal},
+};
+
+const DEFAULT_LEVELS: &str = "info,tarpc=warn";
+
+/// serve callers as one entry host, until SIGTERM or until the host list shows it leaving
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "serve")]
+pub struct Serve {
+  /// the settings file of this host
+  #[argh(option)]
+  settings: PathBuf,
+}
+
+impl Serve {
+  pub(super) fn run(self) -> anyhow::Result<()> {
+    let source = self.settings.display().to_string();
+    let text = fs::read_to_string(&self.settings)
+      .with_context(|| format!("cannot read {source}; name the settings file of this host"))?;
+    let settings = match settings::Host::parse(&source, &text) {
+      Ok(settings) => settings,
+      Err(faults) => {
+        for fault in &faults {
+          eprintln!("{fault}");
+        }
+        bail!(
+          "{source} has {} faults; mend them and start again",
+          faults.len()
+        );
+      }
+    };
+    start_logs(settings.log);
+    block_on(async {
+      let server = Server::bind(settings, Clock::system()).await?;
+      let mut interrupt = signal(SignalKind::interrupt())?;
+      let mut terminate = signal(SignalKind::terminate())?;
+      let stop = async {
+        tokio::select! {
+          _ = interrupt.recv() => {}
+          _ = terminate.recv() => {}
+        }
+      };
+      server::run(server, stop).await;
+      Ok(())
+    })
+  }
+}
+
+/// Starts the logs on standard error; `RUST_LOG` sets the levels of the parts.
+fn start_logs(format: LogFormat) {
+  let append = match format {
+    LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
+    LogFormat::Text => Stderr::default().with_layout(TextLayout::default().no_color()),
+  };
+  let filter = RustLogFilterBuilder::from_default_env_or(DEFAULT_LEVELS).build();
+  logforth::starter_log::builder()
+    .dispatch(|dispatch| dispatch.filter(filter).append(append))
+    .apply();
+}
--- /dev/null
+++ b/yuccarudder/src/generation/id.rs
@@ -0,0 +1,24 @@
+use {
+  serde::{Deserialize, Serialize},
+  serde_with::{hex::Hex, serde_as},
+  std::fmt,
+};
+
+/// Names one run of one job at one engine.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(transparent)]
+pub struct Id(#[serde_as(as = "Hex")] pub [u8; 16]);
+
+impl Id {
+  /// Draws a new id.
+  pub fn random() -> Self {
+    Self(rand::random())
+  }
+}
+
+impl fmt::Display for Id {
+  fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    f.write_str(&base16ct::lower::encode_string(&self.0))
+  }
+}
--- /dev/null
+++ b/yuccarudder/src/generation/session.rs
@@ -0,0 +1,376 @@
+use {
+  super::{
+    Assembly, Attachment, Id, Input, Job, Limits, Link, Opened, Step,
+    engine::{self, Engine},
+  },
+  crate::{
+    host::Host,
+    metrics::Retry,
+    refusal::{Ran, Reason, Refusal},
+    target::{Choice, Chosen, Key},
+    tree::Knobs,
+    upstream::{Error, Permit},
+  },
+  rand::RngExt,
+  std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+  },
+  tokio::time,
+};
+
+const BUSY_RETRY: Duration = Duration::from_millis(500);
+const MAX_RESUME_DELAY: Duration = Duration::from_secs(1);
+const MAX_TARGETS: usize = 8;
+const MIN_RESUME_DELAY: Duration = Duration::from_millis(50);
+
+/// What a session hands on.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Piece {
+  /// The generation is whole.
+  End {
+    /// Why the engine ended it.
+    finish_reason: String,
+  },
+  /// Everything handed on so far is void; the job runs again.
+  Restart,
+  /// The next token.
+  Token {
+    /// Its index.
+    index: u64,
+    /// Its text.
+    text: String,
+  },
+}
+
+/// Drives one job through its engines and hands on its tokens in order.
+///
+/// Dropping an unfinished session cancels its generation at the engine, unless
+/// its caller may reattach.
+pub struct Session {
+  assembly: Assembly,
+  chosen: Option<Chosen>,
+  finished: bool,
+  host: Host,
+  job: Job,
+  knobs: Knobs,
+  link: Option<Link>,
+  pending: Option<Input>,
+  prompt_tokens: u64,
+  ran: Ran,
+  tried: Vec<Key>,
+}
+
+impl Session {
+  fn abandon(&mut self) {
+    self.link = None;
+    let Some(chosen) = self.chosen.take() else {
+      return;
+    };
+    let cancel = engine::cancel(
+      self.host.pool.clone(),
+      chosen.address,
+      self.assembly.generation(),
+      self.knobs.connect_timeout,
+    );
+    tokio::spawn(cancel);
+  }
+
+  async fn advance(&mut self) -> Result<Piece, Refusal> {
+    loop {
+      let input = self.read().await;
+      self.count(&input);
+      match self.assembly.apply(input) {
+        Step::Deliver { index, text } => {
+          self.host.metrics.tokens.inc();
+          return Ok(Piece::Token { index, text });
+        }
+        Step::End { finish_reason } => {
+          self.finished = true;
+          return Ok(Piece::End { finish_reason });
+        }
+        Step::Fail(refusal) => return Err(refusal),
+        Step::Ignore => {}
+        Step::Rerun => {
+          self.host.metrics.retry(Retry::GenerationLost);
+          self.abandon();
+          self.assembly.restart(Id::random());
+          self.start().await?;
+          return Ok(Piece::Restart);
+        }
+        Step::Resume { from } => self.resume(from).await,
+      }
+    }
+  }
+
+  /// Goes on with a generation from the token after those its caller has seen.
+  ///
+  /// # Errors
+  ///
+  /// Refuses when the settings no longer have its engine.
+  pub fn attach(host: Host, job: Job, attachment: &Attachment, from: u64) -> Result<Self, Refusal> {
+    let lost = Refusal::failed(Reason::GenerationLost);
+    let chosen = host
+      .targets
+      .admit_at(&attachment.service, attachment.target)
+      .ok_or(lost)?;
+    let knobs = job.knobs_at(&chosen);
+    let assembly = Assembly::attach(attachment.generation, from, limits(&job));
+    let mut session = Self::build(host, job, assembly);
+    session.chosen = Some(chosen);
+    session.knobs = knobs;
+    session.pending = Some(Input::LinkLost);
+    session.ran = Ran::Unknown;
+    Ok(session)
+  }
+
+  fn build(host: Host, job: Job, assembly: Assembly) -> Self {
+    Self {
+      assembly,
+      chosen: None,
+      finished: false,
+      host,
+      knobs: job.knobs,
+      job,
+      link: None,
+      pending: None,
+      prompt_tokens: 0,
+      ran: Ran::NotRun,
+      tried: Vec::new(),
+    }
+  }
+
+  fn count(&self, input: &Input) {
+    match input {
+      Input::LinkLost => self.host.metrics.retry(Retry::LinkLost),
+      Input::Stalled => self.host.metrics.retry(Retry::Stalled),
+      Input::Event(_) | Input::Gone => {}
+    }
+  }
+
+  fn exhausted(&self, choice: Choice) -> Refusal {
+    let reason = match choice {
+      Choice::Busy => Reason::TargetsBusy,
+      Choice::Chosen(_) | Choice::None if self.tried.is_empty() => Reason::NoTarget,
+      Choice::Chosen(_) | Choice::None | Choice::Unreachable => Reason::TargetsUnreachable,
+    };
+    Refusal::new(self.ran, reason).with_retry_after(BUSY_RETRY)
+  }
+
+  /// Returns the generation in hand.
+  pub fn generation(&self) -> Id {
+    self.assembly.generation()
+  }
+
+  /// Returns the address of the engine in hand.
+  pub fn target(&self) -> Option<SocketAddr> {
+    self.chosen.as_ref().map(|chosen| chosen.address)
+  }
+
+  /// Returns the job.
+  pub fn job(&self) -> &Job {
+    &self.job
+  }
+
+  /// Returns the next piece.
+  ///
+  /// # Errors
+  ///
+  /// Ends the job with a refusal; the session is of no more use.
+  pub async fn next(&mut self) -> Result<Piece, Refusal> {
+    let deadline = self.job.deadline.into();
+    match time::timeout_at(deadline, self.advance()).await {
+      Ok(result) => result,
+      Err(_) => Err(Refusal::new(self.ran, Reason::DeadlinePassed)),
+    }
+  }
+
+  /// Starts a job at an engine.
+  ///
+  /// # Errors
+  ///
+  /// Refuses when no engine takes it.
+  pub async fn open(host: Host, job: Job) -> Result<Self, Refusal> {
+    let assembly = Assembly::new(Id::random(), job.streamed, limits(&job));
+    let mut session = Self::build(host, job, assembly);
+    let deadline = session.job.deadline.into();
+    match time::timeout_at(deadline, session.start()).await {
+      Ok(result) => result?,
+      Err(_) => return Err(Refusal::new(session.ran, Reason::DeadlinePassed)),
+    }
+    Ok(session)
+  }
+
+  fn permit(&self, chosen: &Chosen) -> Permit {
+    let clock = self.host.clock.clone();
+    let deadline = self.job.deadline;
+    let key = chosen.in_hand.key();
+    let targets = self.host.targets.clone();
+    Box::new(move || permit(clock.now(), deadline, targets.lock().is_open(key)))
+  }
+
+  /// Returns the number of prompt tokens that the engine reported.
+  pub fn prompt_tokens(&self) -> u64 {
+    self.prompt_tokens
+  }
+
+  async fn read(&mut self) -> Input {
+    if let Some(input) = self.pending.take() {
+      return input;
+    }
+    let timeout = match self.assembly.next() {
+      0 => self.knobs.first_token_timeout,
+      _ => self.knobs.stall_timeout,
+    };
+    let Some(link) = &mut self.link else {
+      return Input::LinkLost;
+    };
+    let input = link.next(timeout).await;
+    if let Input::Event(event) = &input {
+      self.prompt_tokens = event.prompt_tokens.unwrap_or(self.prompt_tokens);
+    }
+    input
+  }
+
+  async fn resume(&mut self, from: u64) {
+    self.link = None;
+    let Some(address) = self.chosen.as_ref().map(|chosen| chosen.address) else {
+      self.pending = Some(Input::Gone);
+      return;
+    };
+    if !self.job.traits.resume {
+      self.pending = Some(Input::Gone);
+      return;
+    }
+    if self.assembly.resumes() > 1 {
+      time::sleep(resume_delay(self.assembly.resumes())).await;
+    }
+    let engine = Engine {
+      address,
+      knobs: self.knobs,
+      pool: &self.host.pool,
+    };
+    match engine.resume(self.assembly.generation(), from).await {
+      Opened::Gone => self.pending = Some(Input::Gone),
+      Opened::Link(link) => self.link = Some(link),
+      Opened::Stalled => self.pending = Some(Input::Stalled),
+      Opened::Busy | Opened::Refused(_) | Opened::Unsent(_) => {
+        self.pending = Some(Input::LinkLost);
+      }
+    }
+  }
+
+  async fn start(&mut self) -> Result<(), Refusal> {
+    for _ in 0..MAX_TARGETS {
+      let chosen = self.host.targets.admit(
+        self.job.service_name(),
+        &self.tried,
+        self.host.clock.now(),
+        rand::random(),
+      );
+      let chosen = chosen.map_err(|choice| self.exhausted(choice))?;
+      if self.try_target(chosen).await? {
+        return Ok(());
+      }
+    }
+    Err(self.exhausted(Choice::Unreachable))
+  }
+
+  /// Sends the job to one target; returns whether it may have it.
+  async fn try_target(&mut self, chosen: Chosen) -> Result<bool, Refusal> {
+    let key = chosen.in_hand.key();
+    self.tried.push(key);
+    self.knobs = self.job.knobs_at(&chosen);
+    let engine = Engine {
+      address: chosen.address,
+      knobs: self.knobs,
+      pool: &self.host.pool,
+    };
+    let permit = self.permit(&chosen);
+    let before = self.ran;
+    // A dropped future counts as sent.
+    self.ran = Ran::Unknown;
+    let opened = engine
+      .start(self.assembly.generation(), &self.job.body, permit)
+      .await;
+    let connected = !matches!(opened, Opened::Unsent(Error::NotSent { .. }));
+    self
+      .host
+      .targets
+      .lock()
+      .connected(key, connected, self.host.clock.now());
+    match opened {
+      Opened::Link(link) => self.link = Some(link),
+      Opened::Stalled => self.pending = Some(Input::Stalled),
+      Opened::Unsent(Error::Sent(_)) => self.pending = Some(Input::LinkLost),
+      Opened::Busy => {
+        self.ran = worse(before, Ran::Failed);
+        self.host.metrics.retry(Retry::TargetRefused);
+        return Ok(false);
+      }
+      Opened::Unsent(Error::Denied(refusal)) => {
+        self.ran = before;
+        return match refusal.reason {
+          Reason::NoTarget => Ok(false),
+          reason => Err(Refusal::new(before, reason)),
+        };
+      }
+      Opened::Unsent(Error::NotSent { .. }) => {
+        self.ran = before;
+        self.host.metrics.retry(Retry::Connect);
+        return Ok(false);
+      }
+      Opened::Gone | Opened::Refused(_) => {
+        return Err(Refusal::new(
+          worse(before, Ran::Failed),
+          Reason::TargetRefused,
+        ));
+      }
+    }
+    self.chosen = Some(chosen);
+    Ok(true)
+  }
+}
+
+impl Drop for Session {
+  fn drop(&mut self) {
+    if !self.finished && !self.job.reattachable && tokio::runtime::Handle::try_current().is_ok() {
+      self.abandon();
+    }
+  }
+}
+
+fn limits(job: &Job) -> Limits {
+  Limits {
+    reruns: job.knobs.reruns,
+    resumes: job.knobs.resumes,
+  }
+}
+
+/// Decides whether the first byte of a job may go out now.
+fn permit(now: Instant, deadline: Instant, open: bool) -> Result<(), Refusal> {
+  if now >= deadline {
+    return Err(Refusal::not_run(Reason::DeadlinePassed));
+  }
+  if !open {
+    return Err(Refusal::not_run(Reason::NoTarget));
+  }
+  Ok(())
+}
+
+fn resume_delay(resumes: u64) -> Duration {
+  let doublings = u32::try_from(resumes.min(16)).unwrap_or(16);
+  let delay = MIN_RESUME_DELAY
+    .saturating_mul(1 << doublings)
+    .min(MAX_RESUME_DELAY);
+  delay.mul_f64(rand::rng().random_range(0.5..1.0))
+}
+
+/// Returns the weaker of two claims about whether a job ran.
+fn worse(a: Ran, b: Ran) -> Ran {
+  match (a, b) {
+    (Ran::Unknown, _) | (_, Ran::Unknown) => Ran::Unknown,
+    (Ran::Failed, _) | (_, Ran::Failed) => Ran::Failed,
+    _ => Ran::NotRun,
+  }
+}
--- /dev/null
+++ b/yuccarudder/src/http.rs
@@ -0,0 +1,104 @@
+//! Bodies and responses shared by the HTTP servers and clients.
+
+use {
+  crate::refusal::{Ran, Refusal},
+  bytes::Bytes,
+  http_body_util::{BodyExt, Empty, Full, Limited, combinators::UnsyncBoxBody},
+  hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+  },
+  std::time::Duration,
+};
+
+/// An error of a body.
+pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
+
+/// A body of any origin.
+pub type Body = UnsyncBoxBody<Bytes, BodyError>;
+
+/// Reads a body of up to `limit` bytes; `None` when it is larger or breaks off.
+pub async fn collect<B>(body: B, limit: u64) -> Option<Bytes>
+where
+  B: hyper::body::Body<Data = Bytes>,
+  B::Error: Into<BodyError>,
+{
+  let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+  let collected = Limited::new(body, limit).collect().await.ok()?;
+  Some(collected.to_bytes())
+}
+
+/// An empty body.
+pub fn empty() -> Body {
+  Empty::new().map_err(|never| match never {}).boxed_unsync()
+}
+
+/// A body that is known whole.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+  Full::new(bytes.into())
+    .map_err(|never| match never {})
+    .boxed_unsync()
+}
+
+/// A body that arrives on a connection.
+pub fn incoming(body: Incoming) -> Body {
+  body.map_err(Into::into).boxed_unsync()
+}
+
+/// A JSON response.
+pub fn json(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
+  let mut response = Response::new(full(text));
+  *response.status_mut() = status;
+  response
+    .headers_mut()
+    .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+  response
+}
+
+/// A body that breaks off beyond `limit` bytes.
+pub fn limited(body: Incoming, limit: u64) -> Body {
+  let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+  Limited::new(body, limit).boxed_unsync()
+}
+
+/// Returns the value of a parameter of the query, unescaped values only.
+pub fn query<'a, B>(request: &'a Request<B>, name: &str) -> Option<&'a str> {
+  request.uri().query()?.split('&').find_map(|pair| {
+    let (key, value) = pair.split_once('=')?;
+    (key == name).then_some(value)
+  })
+}
+
+/// The response to a refused job.
+///
+/// Client libraries of the completions API honour `x-should-retry` and
+/// `retry-after-ms`, so a job that may have run is not sent again by them.
+pub fn refuse(refusal: &Refusal) -> Response<Body> {
+  let mut response = json(refusal.reason.status(), refusal.json());
+  let headers = response.headers_mut();
+  headers.insert(
+    "yuccarudder-ran",
+    HeaderValue::from_static(refusal.ran.name()),
+  );
+  let retry = refusal.ran == Ran::NotRun && refusal.retry_after.is_some();
+  let retry = if retry { "true" } else { "false" };
+  headers.insert("x-should-retry", HeaderValue::from_static(retry));
+  if let Some(after) = refusal.retry_after {
+    headers.insert(RETRY_AFTER, HeaderValue::from(seconds(after)));
+    let ms = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
+    headers.insert("retry-after-ms", HeaderValue::from(ms));
+  }
+  response
+}
+
+fn seconds(duration: Duration) -> u64 {
+  duration.as_secs() + u64::from(duration.subsec_nanos() > 0)
+}
+
+/// A plain-text response.
+pub fn text(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
+  let mut response = Response::new(full(text));
+  *response.status_mut() = status;
+  response
+}
--- /dev/null
+++ b/yuccarudder/src/lib.rs
@@ -0,0 +1,28 @@
+//! A serving system for generations of unknown length on crowded engines.
+//!
+//! The library is split into slices by duty. Each slice holds its own state,
+//! messages and tests; the daemon in `main.rs` only parses the command line.
+
+pub mod caller;
+pub mod clock;
+pub mod command;
+pub mod drain;
+pub mod entries;
+pub mod generation;
+pub mod host;
+pub mod http;
+pub mod limit;
+pub mod metrics;
+pub mod once;
+pub mod peer;
+pub mod plain;
+pub mod platform;
+pub mod refusal;
+pub mod server;
+pub mod settings;
+pub mod target;
+pub mod ticket;
+pub mod tree;
+pub mod upstream;
+pub mod view;
+pub mod yaml;
--- /dev/null
+++ b/yuccarudder/src/main.rs
@@ -0,0 +1,7 @@
+//! The daemon and command line of yuccarudder.
+
+use yuccarudder::command::Command;
+
+fn main() -> anyhow::Result<()> {
+  argh::from_env::<Command>().run()
+}
--- /dev/null
+++ b/yuccarudder/src/platform/mod.rs
@@ -0,0 +1,7 @@
+//! Reading and watching the platform's configuration service.
+
+mod client;
+mod watcher;
+
+pub use client::{Client, Document, Key, REVISION_HEADER};
+pub use watcher::{Watch, watch};
--- /dev/null
+++ b/yuccarudder/src/server/callers.rs
@@ -0,0 +1,124 @@
+use {
+  super::models,
+  crate::{
+    entries,
+    generation::{self, Ask, REATTACH_HEADER, Shape},
+    host::Host,
+    http::{self, Body},
+    plain::{self, Inbound},
+    refusal::{Ran, Reason, Refusal},
+    tree::{AccountKey, Tree},
+  },
+  hyper::{Method, Request, Response, StatusCode, Uri, body::Incoming},
+  std::sync::Arc,
+};
+
+const GENERATIONS: &str = "/v1/generations/";
+const LAST_EVENT_ID: &str = "last-event-id";
+const SERVICES: &str = "/v1/services/";
+
+/// Answers one request of a caller.
+pub async fn handle(host: Host, request: Request<Incoming>) -> Response<Body> {
+  let keyed = plain::has_key(request.headers());
+  match route(&host, request, keyed).await {
+    Ok(response) => response,
+    Err(refusal) => {
+      host.metrics.refuse(&refusal);
+      http::refuse(&refusal)
+    }
+  }
+}
+
+async fn route(
+  host: &Host,
+  request: Request<Incoming>,
+  keyed: bool,
+) -> Result<Response<Body>, Refusal> {
+  let tree = host.tree().map_err(|refusal| before_home(refusal, keyed))?;
+  let account = host
+    .authenticate(&tree, request.headers())
+    .map_err(|refusal| before_home(refusal, keyed))?;
+  let path = request.uri().path();
+  match (request.method(), path) {
+    (&Method::GET, "/v1/entries") => {
+      let answer = entries::answer(host, &tree);
+      let text = serde_json::to_string(&answer).expect("an answer is serializable");
+      Ok(http::json(StatusCode::OK, text))
+    }
+    (&Method::GET, "/v1/models") => Ok(http::json(StatusCode::OK, models::render(&tree))),
+    (&Method::POST, "/v1/chat/completions") => {
+      generate(host, tree, account, Shape::Chat, request).await
+    }
+    (&Method::POST, "/v1/completions") => generate(host, tree, account, Shape::Text, request).await,
+    (&Method::GET, path) if path.starts_with(GENERATIONS) => {
+      let token = path[GENERATIONS.len()..].to_owned();
+      let last = header(&request, LAST_EVENT_ID).and_then(|id| id.parse().ok());
+      generation::attach(host, tree, account, &token, last).await
+    }
+    (_, path) if path.starts_with(SERVICES) => call(host, tree, account, request).await,
+    _ => Err(before_home(Refusal::not_run(Reason::NotFound), keyed)),
+  }
+}
+
+/// Weakens `not_run`, which only the home may say of a job with a key.
+fn before_home(refusal: Refusal, keyed: bool) -> Refusal {
+  let ran = if keyed { Ran::Unknown } else { refusal.ran };
+  Refusal { ran, ..refusal }
+}
+
+async fn call(
+  host: &Host,
+  tree: Arc<Tree>,
+  account: AccountKey,
+  request: Request<Incoming>,
+) -> Result<Response<Body>, Refusal> {
+  let keyed = plain::has_key(request.headers());
+  let (service, uri) =
+    target(request.uri()).ok_or_else(|| before_home(Refusal::not_run(Reason::NotFound), keyed))?;
+  let inbound = Inbound {
+    account,
+    request,
+    service,
+    tree,
+    uri,
+  };
+  plain::call(host, inbound).await
+}
+
+async fn generate(
+  host: &Host,
+  tree: Arc<Tree>,
+  account: AccountKey,
+  shape: Shape,
+  request: Request<Incoming>,
+) -> Result<Response<Body>, Refusal> {
+  let knobs = tree.knobs(None, None, Some(account));
+  let reattachable = header(&request, REATTACH_HEADER).is_some();
+  let body = http::collect(request.into_body(), knobs.body_bytes)
+    .await
+    .ok_or_else(|| Refusal::not_run(Reason::BodyTooLarge))?;
+  let ask = Ask {
+    account,
+    body,
+    reattachable,
+    shape,
+    tree,
+  };
+  generation::respond(host, ask).await
+}
+
+fn header<'a>(request: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
+  request.headers().get(name)?.to_str().ok()
+}
+
+/// Splits `/v1/services/{service}/{path}` into the service and the target's own URI.
+fn target(uri: &Uri) -> Option<(String, Uri)> {
+  let rest = uri.path().strip_prefix(SERVICES)?;
+  let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+  let query = uri
+    .query()
+    .map(|query| format!("?{query}"))
+    .unwrap_or_default();
+  let uri = format!("/{path}{query}").parse().ok()?;
+  Some((service.into(), uri))
+}
--- /dev/null
+++ b/yuccarudder/src/server/connections.rs
@@ -0,0 +1,59 @@
+use {
+  crate::http::Body,
+  hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn},
+  hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+  },
+  std::{convert::Infallible, time::Duration},
+  tokio::{net::TcpListener, time},
+  tokio_util::sync::CancellationToken,
+};
+
+const ACCEPT_DELAY: Duration = Duration::from_millis(50);
+const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
+const MAX_HEADER_BYTES: usize = 64 << 10;
+const PREFIX: &str = "server";
+
+/// Serves HTTP until `stop` is cancelled, then lets the connections finish.
+pub async fn serve<H, F>(listener: TcpListener, handle: H, stop: CancellationToken)
+where
+  H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+  F: Future<Output = Response<Body>> + Send + 'static,
+{
+  let graceful = GracefulShutdown::new();
+  loop {
+    let stream = tokio::select! {
+      () = stop.cancelled() => break,
+      accepted = listener.accept() => match accepted {
+        Ok((stream, _)) => stream,
+        Err(error) => {
+          log::warn!(target: PREFIX, "Cannot accept a connection: {error}.");
+          time::sleep(ACCEPT_DELAY).await;
+          continue;
+        }
+      },
+    };
+    if stream.set_nodelay(true).is_err() {
+      continue;
+    }
+    let handle = handle.clone();
+    let service = service_fn(move |request| {
+      let response = handle(request);
+      async move { Ok::<_, Infallible>(response.await) }
+    });
+    let connection = http1::Builder::new()
+      .timer(TokioTimer::new())
+      .header_read_timeout(HEADER_TIMEOUT)
+      .max_buf_size(MAX_HEADER_BYTES)
+      .serve_connection(TokioIo::new(stream), service);
+    let connection = graceful.watch(connection);
+    tokio::spawn(async move {
+      if let Err(error) = connection.await {
+        log::debug!(target: PREFIX, "A connection ended: {error}.");
+      }
+    });
+  }
+  drop(listener);
+  graceful.shutdown().await;
+}
--- /dev/null
+++ b/yuccarudder/src/server/mod.rs
@@ -0,0 +1,12 @@
+//! The HTTP servers of a host: one for callers, one for operators.
+
+mod callers;
+mod connections;
+mod models;
+mod operators;
+mod run;
+mod status;
+
+pub use connections::serve;
+pub use run::{Server, run};
+pub use status::Status;
--- /dev/null
+++ b/yuccarudder/src/server/operators.rs
@@ -0,0 +1,67 @@
+use {
+  super::Status,
+  crate::{
+    drain::Phase,
+    host::Host,
+    http::{self, Body},
+  },
+  hyper::{Method, Request, Response, StatusCode, body::Incoming},
+  std::time::Instant,
+};
+
+/// Answers one request of an operator.
+pub async fn handle(host: Host, request: Request<Incoming>) -> Response<Body> {
+  match (request.method(), request.uri().path()) {
+    (&Method::GET, "/live") => http::text(StatusCode::OK, "live\n"),
+    (&Method::GET, "/metrics") => {
+      refresh(&host);
+      http::text(StatusCode::OK, host.metrics.render())
+    }
+    (&Method::GET, "/ready") => ready(&host),
+    (&Method::GET, "/status") => {
+      let text =
+        serde_json::to_string_pretty(&Status::new(&host)).expect("a status is serializable");
+      http::json(StatusCode::OK, text)
+    }
+    _ => http::text(
+      StatusCode::NOT_FOUND,
+      "see /live, /metrics, /ready and /status\n",
+    ),
+  }
+}
+
+fn ready(host: &Host) -> Response<Body> {
+  if host.drain.phase(host.clock.now()) > Phase::Serving {
+    return http::text(StatusCode::SERVICE_UNAVAILABLE, "leaving\n");
+  }
+  match host.tree() {
+    Ok(_) => http::text(StatusCode::OK, "ready\n"),
+    Err(_) => http::text(StatusCode::SERVICE_UNAVAILABLE, "no settings yet\n"),
+  }
+}
+
+fn refresh(host: &Host) {
+  let now = host.clock.now();
+  let view = host.view.borrow();
+  let metrics = &host.metrics;
+  metrics
+    .in_hand
+    .set(i64::try_from(host.limits.total()).unwrap_or(i64::MAX));
+  metrics.hosts_age.set(age(view.hosts.confirmed, now));
+  metrics.settings_age.set(age(view.settings.confirmed, now));
+  let revision = view
+    .settings
+    .accepted
+    .as_ref()
+    .map_or(0, |accepted| accepted.revision);
+  metrics
+    .settings_revision
+    .set(i64::try_from(revision).unwrap_or(i64::MAX));
+}
+
+/// Returns the age in seconds, infinite before the first confirmation.
+fn age(confirmed: Option<Instant>, now: Instant) -> f64 {
+  confirmed.map_or(f64::INFINITY, |confirmed| {
+    now.saturating_duration_since(confirmed).as_secs_f64()
+  })
+}
--- /dev/null
+++ b/yuccarudder/src/ticket/seal.rs
@@ -0,0 +1,67 @@
+use {
+  crate::tree::Secret,
+  base64::{Engine, engine::general_purpose::URL_SAFE_NO_PAD},
+  hmac::{Hmac, KeyInit, Mac},
+  prost::Message,
+  sha2::Sha256,
+};
+
+/// What a signed value is for; a value of one domain is not valid in another.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Domain {
+  /// The proof that a connection comes from another host.
+  Peer,
+  /// The right to reattach to a generation.
+  Reattach,
+  /// The home of a caller's keys.
+  Ticket,
+}
+
+impl Domain {
+  fn label(self) -> &'static [u8] {
+    match self {
+      Self::Peer => b"yuccarudder peer 1\0",
+      Self::Reattach => b"yuccarudder reattach 1\0",
+      Self::Ticket => b"yuccarudder ticket 1\0",
+    }
+  }
+}
+
+/// Returns the authentication code (HMAC-SHA-256) of `bytes` under a secret.
+pub fn code(secret: &Secret, domain: Domain, bytes: &[u8]) -> Hmac<Sha256> {
+  let mut mac = Hmac::<Sha256>::new_from_slice(&secret.bytes).expect("any key length fits");
+  mac.update(domain.label());
+  mac.update(bytes);
+  mac
+}
+
+/// Signs a message with the first secret, as `secret.payload.code` in base64.
+///
+/// Returns `None` without a secret.
+pub fn seal(secrets: &[Secret], domain: Domain, message: &impl Message) -> Option<String> {
+  let secret = secrets.first()?;
+  let payload = message.encode_to_vec();
+  let code = code(secret, domain, &payload).finalize().into_bytes();
+  Some(format!(
+    "{}.{}.{}",
+    secret.id,
+    URL_SAFE_NO_PAD.encode(&payload),
+    URL_SAFE_NO_PAD.encode(code)
+  ))
+}
+
+/// Opens a signed message, if one of the secrets signed it.
+pub fn open<T: Message + Default>(secrets: &[Secret], domain: Domain, text: &str) -> Option<T> {
+  let mut parts = text.split('.');
+  let (id, payload, signature) = (parts.next()?, parts.next()?, parts.next()?);
+  if parts.next().is_some() {
+    return None;
+  }
+  let secret = secrets.iter().find(|secret| secret.id == id)?;
+  let payload = URL_SAFE_NO_PAD.decode(payload).ok()?;
+  let signature = URL_SAFE_NO_PAD.decode(signature).ok()?;
+  code(secret, domain, &payload)
+    .verify_slice(&signature)
+    .ok()?;
+  T::decode(payload.as_slice()).ok()
+}
--- /dev/null
+++ b/yuccarudder/src/tree/secret.rs
@@ -0,0 +1,53 @@
+use {
+  crate::yaml::Node,
+  base64::{Engine, engine::general_purpose::STANDARD},
+  std::fmt,
+};
+
+const MIN_SECRET_BYTES: usize = 32;
+
+/// A key that the hosts share to sign tickets and to know each other.
+#[derive(Clone, Eq, PartialEq)]
+pub struct Secret {
+  /// The secret bytes.
+  pub bytes: Vec<u8>,
+  /// Its public name.
+  pub id: String,
+}
+
+impl Secret {
+  pub(super) fn read(node: &Node<'_, '_>) -> Option<Self> {
+    let mut map = node.map()?;
+    let id = map.require("id", "a name").and_then(|node| {
+      node.parse("1 to 32 letters, digits, `-` or `_`", |text| {
+        let fits = (1..=32).contains(&text.len())
+          && text
+            .bytes()
+            .all(|byte| byte.is_ascii_alphanumeric() || b"-_".contains(&byte));
+        fits.then(|| text.to_owned())
+      })
+    });
+    let bytes = map.require("secret", "base64").and_then(|node| {
+      // The found value stays out of the fault: it is a secret.
+      let bytes = STANDARD
+        .decode(node.string()?)
+        .ok()
+        .filter(|bytes| bytes.len() >= MIN_SECRET_BYTES);
+      if bytes.is_none() {
+        node.fault("a secret that does not fit", "at least 32 bytes as base64");
+      }
+      bytes
+    });
+    map.finish();
+    Some(Self {
+      bytes: bytes?,
+      id: id?,
+    })
+  }
+}
+
+impl fmt::Debug for Secret {
+  fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    write!(f, "Secret({})", self.id)
+  }
+}
--- /dev/null
+++ b/yuccarudder/src/tree/tree.rs
@@ -0,0 +1,244 @@
+use {
+  super::{
+    Account, AccountKey, DataCentre, DataCentreKey, Kind, Knobs, Level, Overrides, Secret, Service,
+    ServiceKey, State, Target, TargetKey,
+  },
+  crate::yaml::{self, Fault, Node},
+  slotmap::SlotMap,
+  std::collections::{BTreeMap, HashMap},
+};
+
+const MAX_BYTES: usize = 1 << 20;
+
+/// An accepted settings tree.
+#[derive(Clone, Debug, Default)]
+pub struct Tree {
+  /// Client accounts.
+  pub accounts: SlotMap<AccountKey, Account>,
+  accounts_by_digest: HashMap<[u8; 32], AccountKey>,
+  accounts_by_name: HashMap<String, AccountKey>,
+  /// Data centres.
+  pub data_centres: SlotMap<DataCentreKey, DataCentre>,
+  data_centres_by_name: BTreeMap<String, DataCentreKey>,
+  /// Name of the operator.
+  pub operator: String,
+  /// The operator's own overrides.
+  pub overrides: Overrides,
+  /// Keys shared by the hosts; the first signs and all verify.
+  pub secrets: Vec<Secret>,
+  /// Services.
+  pub services: SlotMap<ServiceKey, Service>,
+  services_by_name: BTreeMap<String, ServiceKey>,
+  /// Targets of all services.
+  pub targets: SlotMap<TargetKey, Target>,
+}
+
+impl Tree {
+  /// Accepts or refuses a published document.
+  ///
+  /// The outcome depends on `text` alone, so every host decides alike.
+  ///
+  /// # Errors
+  ///
+  /// Returns every fault found.
+  pub fn accept(source: &str, text: &str) -> Result<Self, Vec<Fault>> {
+    yaml::read(source, text, |root| {
+      if text.len() > MAX_BYTES {
+        root.fault(
+          format!("{} bytes", text.len()),
+          format!("up to {MAX_BYTES} bytes"),
+        );
+      }
+      let mut map = root.map()?;
+      let mut tree = Self::default();
+      let operator = map
+        .require("operator", "a name")
+        .and_then(|node| node.string());
+      let overrides = Overrides::read(map.get("overrides"), Level::Operator);
+      let secrets = map.require("keys", "a list of keys");
+      let data_centres = map.require("data_centres", "a mapping of data centres");
+      let services = map.require("services", "a mapping of services");
+      let accounts = map.require("accounts", "a mapping of client accounts");
+      map.finish();
+      tree.read_secrets(secrets);
+      tree.read_data_centres(data_centres);
+      tree.read_services(services);
+      tree.read_accounts(accounts);
+      tree.operator = operator?.into();
+      tree.overrides = overrides?;
+      tree.check_times(&root);
+      Some(tree)
+    })
+  }
+
+  /// Returns the client account that holds a bearer credential.
+  pub fn account(&self, credential: &str) -> Option<AccountKey> {
+    self
+      .accounts_by_digest
+      .get(&Account::digest(credential))
+      .copied()
+  }
+
+  /// Returns the client account with a name.
+  pub fn account_named(&self, name: &str) -> Option<AccountKey> {
+    self.accounts_by_name.get(name).copied()
+  }
+
+  fn check_times(&self, root: &Node<'_, '_>) {
+    let knobs = Knobs::default().overridden(&self.overrides);
+    if knobs.ticket_life < 2 * knobs.entries_keep {
+      root.fault(
+        "a ticket_life below twice entries_keep",
+        "a ticket_life of at least twice entries_keep, so that a key can be sent again",
+      );
+    }
+  }
+
+  /// Returns the data centre with a name.
+  pub fn data_centre(&self, name: &str) -> Option<DataCentreKey> {
+    self.data_centres_by_name.get(name).copied()
+  }
+
+  /// Returns the effective knobs at one place of the tree.
+  pub fn knobs(
+    &self,
+    service: Option<ServiceKey>,
+    data_centre: Option<DataCentreKey>,
+    account: Option<AccountKey>,
+  ) -> Knobs {
+    self
+      .levels(service, data_centre, account)
+      .fold(Knobs::default(), |knobs, (_, overrides)| {
+        knobs.overridden(overrides)
+      })
+  }
+
+  /// Returns the levels that apply at one place, from the weakest to the strongest.
+  pub fn levels(
+    &self,
+    service: Option<ServiceKey>,
+    data_centre: Option<DataCentreKey>,
+    account: Option<AccountKey>,
+  ) -> impl Iterator<Item = (Level, &Overrides)> {
+    let service = service
+      .and_then(|key| self.services.get(key))
+      .map(|item| &item.overrides);
+    let data_centre = data_centre
+      .and_then(|key| self.data_centres.get(key))
+      .map(|item| &item.overrides);
+    let account = account
+      .and_then(|key| self.accounts.get(key))
+      .map(|item| &item.overrides);
+    [
+      (Level::Operator, Some(&self.overrides)),
+      (Level::Service, service),
+      (Level::DataCentre, data_centre),
+      (Level::Account, account),
+    ]
+    .into_iter()
+    .filter_map(|(level, overrides)| Some((level, overrides?)))
+  }
+
+  /// Returns the knobs that hold for the whole operator.
+  pub fn operator_knobs(&self) -> Knobs {
+    self.knobs(None, None, None)
+  }
+
+  fn read_accounts(&mut self, node: Option<Node<'_, '_>>) {
+    for (name, node) in entries(node) {
+      let Some(account) = Account::read(name, &node) else {
+        continue;
+      };
+      let digests = account.credentials.clone();
+      let name = account.name.clone();
+      let key = self.accounts.insert(account);
+      self.accounts_by_name.insert(name, key);
+      for digest in digests {
+        if self.accounts_by_digest.insert(digest, key).is_some() {
+          node.fault("a credential that is listed twice", "each credential once");
+        }
+      }
+    }
+  }
+
+  fn read_data_centres(&mut self, node: Option<Node<'_, '_>>) {
+    for (name, node) in entries(node) {
+      if let Some(data_centre) = DataCentre::read(name.clone(), &node) {
+        let key = self.data_centres.insert(data_centre);
+        self.data_centres_by_name.insert(name, key);
+      }
+    }
+  }
+
+  fn read_secrets(&mut self, node: Option<Node<'_, '_>>) {
+    let Some(node) = node else {
+      return;
+    };
+    let items = node.list().unwrap_or_default();
+    self.secrets = items.iter().filter_map(Secret::read).collect();
+    if items.is_empty() {
+      node.fault("no key", "at least one key");
+    }
+  }
+
+  fn read_services(&mut self, node: Option<Node<'_, '_>>) {
+    for (name, node) in entries(node) {
+      let Some((service, targets)) = Service::read(name.clone(), &node) else {
+        continue;
+      };
+      if service.kind == Kind::Engine && !service.repeatable.is_empty() {
+        node.fault(
+          "`repeatable` at an engine",
+          "`repeatable` at a plain service",
+        );
+      }
+      let key = self.services.insert(service);
+      self.services_by_name.insert(name, key);
+      for (name, node) in entries(targets) {
+        self.read_target(key, name, &node);
+      }
+    }
+  }
+
+  fn read_target(&mut self, service: ServiceKey, name: String, node: &Node<'_, '_>) -> Option<()> {
+    let mut map = node.map()?;
+    let address = map
+      .require("address", "an IP address and port")
+      .and_then(|node| node.address());
+    let data_centre = map
+      .require("data_centre", "a data centre")
+      .and_then(|node| {
+        node.parse("the name of a data centre of this tree", |name| {
+          self.data_centre(name)
+        })
+      });
+    let state = State::read(map.get("state"));
+    map.finish();
+    self.targets.insert(Target {
+      address: address?,
+      data_centre: data_centre?,
+      name,
+      service,
+      state: state?,
+    });
+    Some(())
+  }
+
+  /// Returns the service with a name.
+  pub fn service(&self, name: &str) -> Option<ServiceKey> {
+    self.services_by_name.get(name).copied()
+  }
+
+  /// Returns whether a target may get new work.
+  pub fn takes_work(&self, target: &Target) -> bool {
+    let data_centre = self.data_centres.get(target.data_centre);
+    target.state == State::In && data_centre.is_some_and(|item| item.state == State::In)
+  }
+}
+
+fn entries<'a, 'b>(node: Option<Node<'a, 'b>>) -> Vec<(String, Node<'a, 'b>)> {
+  node
+    .and_then(|node| node.map())
+    .map(|map| map.entries())
+    .unwrap_or_default()
+}
--- /dev/null
+++ b/yuccarudder/src/upstream/call.rs
@@ -0,0 +1,28 @@
+use {
+  crate::{http::Body, refusal::Refusal},
+  hyper::Request,
+  std::{fmt, net::SocketAddr, time::Duration},
+};
+
+/// Decides immediately before the first byte goes out whether it may.
+pub type Permit = Box<dyn FnOnce() -> Result<(), Refusal> + Send>;
+
+/// One request to one address.
+pub struct Call {
+  /// Where to send it.
+  pub address: SocketAddr,
+  /// Longest wait for a connection.
+  pub connect_timeout: Duration,
+  /// Whether to open a new connection instead of reusing an idle one.
+  pub fresh: bool,
+  /// Decides immediately before the first byte goes out.
+  pub permit: Permit,
+  /// What to send.
+  pub request: Request<Body>,
+}
+
+impl fmt::Debug for Call {
+  fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    write!(f, "Call({}, {})", self.address, self.request.uri())
+  }
+}
--- /dev/null
+++ b/yuccarudder/src/yaml/reader.rs
@@ -0,0 +1,79 @@
+use {
+  super::{Fault, Node},
+  saphyr::{LoadableYamlNode, MarkedYaml},
+  std::cell::RefCell,
+};
+
+/// Collects the faults of one document.
+#[derive(Debug)]
+pub struct Reader<'a> {
+  faults: RefCell<Vec<Fault>>,
+  source: &'a str,
+}
+
+impl<'a> Reader<'a> {
+  /// Records a fault.
+  pub fn fault(
+    &self,
+    line: usize,
+    key: &str,
+    found: impl Into<String>,
+    allowed: impl Into<String>,
+  ) {
+    self.faults.borrow_mut().push(Fault {
+      allowed: allowed.into(),
+      found: found.into(),
+      key: key.into(),
+      line,
+      source: self.source.into(),
+    });
+  }
+
+  fn finish<T>(self, value: Option<T>) -> Result<T, Vec<Fault>> {
+    let mut faults = self.faults.into_inner();
+    faults.sort_by(|a, b| (a.line, &a.key).cmp(&(b.line, &b.key)));
+    match value {
+      Some(value) if faults.is_empty() => Ok(value),
+      _ => Err(faults),
+    }
+  }
+}
+
+/// Parses `text` and hands its root to `read`.
+///
+/// # Errors
+///
+/// Returns every fault found, in line order.
+pub fn read<T>(
+  source: &str,
+  text: &str,
+  read: impl FnOnce(Node<'_, '_>) -> Option<T>,
+) -> Result<T, Vec<Fault>> {
+  let reader = Reader {
+    faults: RefCell::default(),
+    source,
+  };
+  let documents = match MarkedYaml::load_from_str(text) {
+    Ok(documents) => documents,
+    Err(error) => {
+      reader.fault(
+        error.marker().line(),
+        "",
+        error.info(),
+        "a well-formed YAML document",
+      );
+      return reader.finish(None);
+    }
+  };
+  let [root] = documents.as_slice() else {
+    reader.fault(
+      1,
+      "",
+      format!("{} documents", documents.len()),
+      "exactly one YAML document",
+    );
+    return reader.finish(None);
+  };
+  let value = read(Node::root(&reader, root));
+  reader.finish(value)
+}
