--- a/yuccarudder/src/caller/tests.rs
+++ b/yuccarudder/src/caller/tests.rs
@@ -1,1 +1,19 @@
+use {
+  super::*,
+  crate::refusal::{Ran, Reason, Refusal},
+  std::time::Duration,
+};
 
+#[test]
+fn failure_is_read_as_it_was_refused() {
+  let refusal = Refusal::not_run(Reason::HostLeaving).with_retry_after(Duration::from_millis(20));
+  let failure = Failure::parse(refusal.json().as_bytes()).unwrap();
+  assert_eq!(failure.code, "host_leaving");
+  assert_eq!(failure.ran, Ran::NotRun);
+  assert_eq!(failure.retry_after, refusal.retry_after);
+}
+
+#[test]
+fn other_bodies_are_no_failures() {
+  assert_eq!(Failure::parse(b"{\"error\": \"no\"}"), None);
+}
--- a/yuccarudder/src/target/tests.rs
+++ b/yuccarudder/src/target/tests.rs
@@ -1,1 +1,155 @@
+use {
+  super::*,
+  crate::tree::Tree,
+  proptest::prelude::*,
+  slotmap::SlotMap,
+  std::time::{Duration, Instant},
+};
 
+fn candidate(key: Key, in_hand: u64) -> Candidate {
+  Candidate {
+    in_hand,
+    key,
+    limit: 4,
+    retry_at: None,
+  }
+}
+
+fn keys(count: usize) -> Vec<Key> {
+  let mut slots: SlotMap<Key, ()> = SlotMap::with_key();
+  (0..count).map(|_| slots.insert(())).collect()
+}
+
+/// Names a case: jobs in hand, seconds until each target may be tried, and the choice.
+macro_rules! case {
+  ($name:ident, [$(($in_hand:expr, $wait:expr)),* $(,)?], $expected:expr) => {
+    #[test]
+    fn $name() {
+      let now = Instant::now();
+      let loads: Vec<(u64, u64)> = vec![$(($in_hand, $wait)),*];
+      let keys = keys(loads.len());
+      let candidates = loads.iter().zip(&keys).map(|((in_hand, wait), key)| Candidate {
+        retry_at: (*wait > 0).then(|| now + Duration::from_secs(*wait)),
+        ..candidate(*key, *in_hand)
+      });
+      let expected: fn(&[Key]) -> Choice = $expected;
+      assert_eq!(choose(candidates, now, 1), expected(&keys));
+    }
+  };
+}
+
+case!(fewest_in_hand, [(2, 0), (1, 0), (3, 0)], |keys| {
+  Choice::Chosen(keys[1])
+});
+case!(full_targets, [(4, 0), (9, 0)], |_| Choice::Busy);
+case!(none, [], |_| Choice::None);
+case!(room_behind_a_failed_connection, [(4, 0), (0, 1)], |_| {
+  Choice::Unreachable
+});
+case!(skips_a_failed_connection, [(0, 1), (3, 0)], |keys| {
+  Choice::Chosen(keys[1])
+});
+
+#[test]
+fn ties_spread() {
+  let now = Instant::now();
+  let keys = keys(4);
+  let mut counts = [0; 4];
+  for random in 0..4000 {
+    let candidates = keys.iter().map(|key| candidate(*key, 0));
+    let Choice::Chosen(key) = choose(candidates, now, random) else {
+      panic!("every target has room");
+    };
+    counts[keys.iter().position(|other| *other == key).unwrap()] += 1;
+  }
+  assert!(
+    counts.iter().all(|count| (800..1200).contains(count)),
+    "{counts:?}"
+  );
+}
+
+fn tree(state: &str, targets: &str) -> Tree {
+  let text = format!(
+    "operator: rig\nkeys: [{{id: k, secret: BwcHBwcHBwcHBwcHBwcHBwcHBwcHBwcHBwcHBwcHBwc=}}]\n\
+     data_centres: {{kochi: {{state: {state}}}}}\n\
+     services: {{s: {{kind: plain, overrides: {{in_hand: 2}}, targets: {{{targets}}}}}}}\naccounts: {{}}\n"
+  );
+  Tree::accept("tree", &text).unwrap()
+}
+
+const ONE: &str = "a: {address: \"10.0.0.1:1\", data_centre: kochi}";
+const OTHER: &str = "b: {address: \"10.0.0.2:1\", data_centre: kochi}";
+
+#[test]
+fn limit_holds_and_ends_with_the_jobs() {
+  let targets = Targets::default();
+  targets.lock().reconcile(&tree("in", ONE));
+  let now = Instant::now();
+  let admit = || targets.admit("s", &[], now, 0);
+  let first = admit().unwrap();
+  let _second = admit().unwrap();
+  assert_eq!(admit().unwrap_err(), Choice::Busy);
+  drop(first);
+  admit().unwrap();
+}
+
+#[test]
+fn data_centre_out_takes_no_new_work() {
+  let targets = Targets::default();
+  targets.lock().reconcile(&tree("in", ONE));
+  let chosen = targets.admit("s", &[], Instant::now(), 0).unwrap();
+  targets.lock().reconcile(&tree("out", ONE));
+  assert_eq!(
+    targets.admit("s", &[], Instant::now(), 0).unwrap_err(),
+    Choice::None
+  );
+  assert!(!targets.lock().is_open(chosen.in_hand.key()));
+}
+
+#[test]
+fn removed_target_is_forgotten_after_its_last_job() {
+  let targets = Targets::default();
+  targets.lock().reconcile(&tree("in", ONE));
+  let chosen = targets.admit("s", &[], Instant::now(), 0).unwrap();
+  targets.lock().reconcile(&tree("in", OTHER));
+  assert_eq!(targets.lock().rows().len(), 2);
+  drop(chosen);
+  targets.lock().reconcile(&tree("in", OTHER));
+  assert_eq!(targets.lock().rows().len(), 1);
+}
+
+#[test]
+fn failed_connections_are_tried_again_later() {
+  let targets = Targets::default();
+  targets.lock().reconcile(&tree("in", ONE));
+  let now = Instant::now();
+  let key = targets.admit("s", &[], now, 0).unwrap().in_hand.key();
+  targets.lock().connected(key, false, now);
+  assert_eq!(
+    targets.admit("s", &[], now, 0).unwrap_err(),
+    Choice::Unreachable
+  );
+  targets
+    .admit("s", &[], now + Duration::from_secs(1), 0)
+    .unwrap();
+}
+
+proptest! {
+  #[test]
+  fn chosen_target_has_room_and_the_fewest(loads in prop::collection::vec(0_u64..8, 0..20), random: u64) {
+    let keys = keys(loads.len());
+    let candidates = keys.iter().zip(&loads).map(|(key, load)| candidate(*key, *load));
+    let least = loads.iter().copied().filter(|load| *load < 4).min();
+    match choose(candidates, Instant::now(), random) {
+      Choice::Chosen(key) => {
+        let at = keys.iter().position(|other| *other == key).unwrap();
+        prop_assert_eq!(Some(loads[at]), least);
+      }
+      choice => {
+        prop_assert_eq!(least, None);
+        let expected = if loads.is_empty() { Choice::None } else { Choice::Busy };
+        prop_assert_eq!(choice, expected);
+      }
+    }
+  }
+}
