--- a/rig/src/demo.rs
+++ b/rig/src/demo.rs
@@ -79,7 +79,7 @@
     let load = tokio::spawn(drive(fleet.client(), mix, self.callers, until));
     time::sleep(third).await;
     println!("killing host {}", fleet.hosts[0].settings.callers);
-    fleet.hosts[0].kill();
+    fleet.hosts[0].kill().await;
     time::sleep(third / 2).await;
     println!("starting host {} again", fleet.hosts[0].settings.callers);
     fleet.hosts[0].start().await?;
--- a/rig/src/engine/engine.rs
+++ b/rig/src/engine/engine.rs
@@ -90,6 +90,9 @@
         })
       }
       (&Method::GET, _, Some(id)) => {
+        if lock(&self.faults).forget {
+          return answer::status(StatusCode::NOT_FOUND);
+        }
         let from = http::query(&request, "from").and_then(|from| from.parse().ok());
         self.read(id, from.unwrap_or_default()).await
       }
--- a/rig/src/engine/faults.rs
+++ b/rig/src/engine/faults.rs
@@ -8,6 +8,8 @@
   pub cut_after: u64,
   /// Whether events of one generation are sent on the links of another.
   pub cross: bool,
+  /// Whether it has none of the generations that are read again.
+  pub forget: bool,
   /// Whether it answers that it takes no work.
   pub refuse: bool,
   /// Whether the batch stands still.
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -12,8 +12,14 @@
   anyhow::Context,
   base64::{Engine as _, engine::general_purpose::STANDARD},
   hyper::{Request, Response, body::Incoming},
-  std::{collections::BTreeMap, fmt::Write, net::SocketAddr, time::Duration},
-  tokio::{net::TcpListener, runtime::Runtime, sync::oneshot, task::JoinHandle, time},
+  std::{collections::BTreeMap, fmt::Write, mem, net::SocketAddr, time::Duration},
+  tokio::{
+    net::TcpListener,
+    runtime::Runtime,
+    sync::oneshot,
+    task::{self, JoinHandle},
+    time,
+  },
   yuccarudder::{
     caller::Client,
     clock::Clock,
@@ -34,6 +40,7 @@
 /// The plain service of the fleet.
 pub const SERVICE: &str = "booking-app";
 
+const END_TIMEOUT: Duration = Duration::from_secs(5);
 const READY_POLL: Duration = Duration::from_millis(10);
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -77,6 +84,14 @@
     Ok(Self(Some(runtime)))
   }
 
+  /// Ends all tasks and connections and waits until they have ended.
+  async fn end(mut self) {
+    if let Some(runtime) = self.0.take() {
+      let ended = task::spawn_blocking(|| runtime.shutdown_timeout(END_TIMEOUT));
+      let _ = ended.await;
+    }
+  }
+
   fn spawn<T: Send + 'static>(
     &self,
     future: impl Future<Output = T> + Send + 'static,
@@ -104,15 +119,15 @@
 
 impl<T> Running<T> {
   /// Ends the stand-in and all its connections at once.
-  pub fn kill(&mut self) {
-    self.runtime = Owned(None);
+  pub async fn kill(&mut self) {
+    mem::replace(&mut self.runtime, Owned(None)).end().await;
   }
 }
 
 struct Process {
   done: JoinHandle<()>,
   host: Host,
-  _runtime: Owned,
+  runtime: Owned,
   stop: oneshot::Sender<()>,
 }
 
@@ -130,8 +145,10 @@
   }
 
   /// Ends the process and all its connections at once.
-  pub fn kill(&mut self) {
-    self.process = None;
+  pub async fn kill(&mut self) {
+    if let Some(process) = self.process.take() {
+      process.runtime.end().await;
+    }
   }
 
   /// Starts a new process.
@@ -157,7 +174,7 @@
     self.process = Some(Process {
       done,
       host,
-      _runtime: runtime,
+      runtime,
       stop,
     });
     wait_ready(&ready).await
@@ -168,6 +185,7 @@
     if let Some(process) = self.process.take() {
       let _ = process.stop.send(());
       let _ = process.done.await;
+      process.runtime.end().await;
     }
   }
 }
--- a/yuccarudder/src/caller/client.rs
+++ b/yuccarudder/src/caller/client.rs
@@ -95,7 +95,8 @@
         Ok(called) => return Ok(called),
         Err(failure) => failure,
       };
-      if failure.ran != Ran::NotRun {
+      // An entry that was not reached says nothing of what the others did.
+      if failure.code != UNREACHABLE {
         ran = failure.ran;
       }
       let again = match failure.ran {
--- a/yuccarudder/src/http.rs
+++ b/yuccarudder/src/http/mod.rs
@@ -1,5 +1,9 @@
 //! Bodies and responses shared by the HTTP servers and clients.
 
+mod lingering;
+
+pub use lingering::Lingering;
+
 use {
   crate::refusal::{Ran, Refusal},
   bytes::Bytes,
@@ -57,7 +61,7 @@
 }
 
 /// A body that breaks off beyond `limit` bytes.
-pub fn limited(body: Incoming, limit: u64) -> Body {
+pub fn limited(body: Lingering, limit: u64) -> Body {
   let limit = usize::try_from(limit).unwrap_or(usize::MAX);
   Limited::new(body, limit).boxed_unsync()
 }
--- a/yuccarudder/src/plain/call.rs
+++ b/yuccarudder/src/plain/call.rs
@@ -3,14 +3,14 @@
   crate::{
     drain::Phase,
     host::Host,
-    http::{self, Body},
+    http::{self, Body, Lingering},
     once::Key,
     peer,
     refusal::{Reason, Refusal},
     ticket::Ticket,
     tree::{AccountKey, Kind, Knobs, ServiceKey, Tree},
   },
-  hyper::{HeaderMap, Request, Response, Uri, body::Incoming, header::CONTENT_LENGTH},
+  hyper::{HeaderMap, Request, Response, Uri, header::CONTENT_LENGTH},
   std::sync::Arc,
 };
 
@@ -23,7 +23,7 @@
   /// The account that asked.
   pub account: AccountKey,
   /// The request as it came.
-  pub request: Request<Incoming>,
+  pub request: Request<Lingering>,
   /// The name of the service.
   pub service: String,
   /// The settings under which the call was let in.
@@ -140,7 +140,7 @@
 
 /// Holds a body that may have to be sent again, and streams any other.
 async fn source(
-  body: Incoming,
+  body: Lingering,
   headers: &HeaderMap,
   knobs: &Knobs,
   repeatable: bool,
--- a/yuccarudder/src/server/callers.rs
+++ b/yuccarudder/src/server/callers.rs
@@ -4,7 +4,7 @@
     entries,
     generation::{self, Ask, REATTACH_HEADER, Shape},
     host::Host,
-    http::{self, Body},
+    http::{self, Body, Lingering},
     plain::{self, Inbound},
     refusal::{Ran, Reason, Refusal},
     tree::{AccountKey, Tree},
@@ -15,10 +15,12 @@
 
 const GENERATIONS: &str = "/v1/generations/";
 const LAST_EVENT_ID: &str = "last-event-id";
+const MODELS: &str = "/v1/models/";
 const SERVICES: &str = "/v1/services/";
 
 /// Answers one request of a caller.
 pub async fn handle(host: Host, request: Request<Incoming>) -> Response<Body> {
+  let request = request.map(Lingering::new);
   let keyed = plain::has_key(request.headers());
   match route(&host, request, keyed).await {
     Ok(response) => response,
@@ -31,7 +33,7 @@
 
 async fn route(
   host: &Host,
-  request: Request<Incoming>,
+  request: Request<Lingering>,
   keyed: bool,
 ) -> Result<Response<Body>, Refusal> {
   let tree = host.tree().map_err(|refusal| before_home(refusal, keyed))?;
@@ -46,6 +48,12 @@
       Ok(http::json(StatusCode::OK, text))
     }
     (&Method::GET, "/v1/models") => Ok(http::json(StatusCode::OK, models::render(&tree))),
+    (&Method::GET, path) if path.starts_with(MODELS) => {
+      let name = &path[MODELS.len()..];
+      let model = models::render_one(&tree, name);
+      let model = model.ok_or_else(|| Refusal::not_run(Reason::NotFound))?;
+      Ok(http::json(StatusCode::OK, model))
+    }
     (&Method::POST, "/v1/chat/completions") => {
       generate(host, tree, account, Shape::Chat, request).await
     }
@@ -70,7 +78,7 @@
   host: &Host,
   tree: Arc<Tree>,
   account: AccountKey,
-  request: Request<Incoming>,
+  request: Request<Lingering>,
 ) -> Result<Response<Body>, Refusal> {
   let keyed = plain::has_key(request.headers());
   let (service, uri) =
@@ -90,7 +98,7 @@
   tree: Arc<Tree>,
   account: AccountKey,
   shape: Shape,
-  request: Request<Incoming>,
+  request: Request<Lingering>,
 ) -> Result<Response<Body>, Refusal> {
   let knobs = tree.knobs(None, None, Some(account));
   let reattachable = header(&request, REATTACH_HEADER).is_some();
@@ -107,7 +115,7 @@
   generation::respond(host, ask).await
 }
 
-fn header<'a>(request: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
+fn header<'a>(request: &'a Request<Lingering>, name: &str) -> Option<&'a str> {
   request.headers().get(name)?.to_str().ok()
 }
 
--- a/yuccarudder/src/server/models.rs
+++ b/yuccarudder/src/server/models.rs
@@ -1,5 +1,5 @@
 use {
-  crate::tree::{Kind, Tree},
+  crate::tree::{Kind, Service, Tree},
   serde::Serialize,
 };
 
@@ -17,21 +17,33 @@
   object: &'a str,
 }
 
-/// Renders the engine services as the models of the completions API.
-pub fn render(tree: &Tree) -> String {
-  let services = tree
-    .services
-    .values()
-    .filter(|service| service.kind == Kind::Engine);
-  let data = services.map(|service| Model {
+fn model<'a>(tree: &'a Tree, service: &'a Service) -> Model<'a> {
+  Model {
     created: 0,
     id: &service.name,
     object: "model",
     owned_by: &tree.operator,
-  });
+  }
+}
+
+fn services(tree: &Tree) -> impl Iterator<Item = &Service> {
+  tree
+    .services
+    .values()
+    .filter(|service| service.kind == Kind::Engine)
+}
+
+/// Renders the engine services as the models of the completions API.
+pub fn render(tree: &Tree) -> String {
   let models = Models {
-    data: data.collect(),
+    data: services(tree).map(|service| model(tree, service)).collect(),
     object: "list",
   };
   serde_json::to_string(&models).expect("the models are serializable")
 }
+
+/// Renders one engine service, if there is one with the name.
+pub fn render_one(tree: &Tree, name: &str) -> Option<String> {
+  let service = services(tree).find(|service| service.name == name)?;
+  Some(serde_json::to_string(&model(tree, service)).expect("a model is serializable"))
+}
