Prove cut answers, silent targets and announced leaves

Cause: three promises had no end-to-end test: a cut plain answer, a call without a key at a silent target, and the news of a leave reaching the other hosts. Change: one test each; the planned stop must also hand long streams over.

--- a/rig/src/plain.rs
+++ b/rig/src/plain.rs
@@ -2,7 +2,14 @@
 
 use {
   crate::answer,
-  hyper::{Method, Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE},
+  bytes::Bytes,
+  futures::stream,
+  http_body_util::{BodyExt, StreamBody},
+  hyper::{
+    Method, Request, Response, StatusCode,
+    body::{Frame, Incoming},
+    header::CONTENT_TYPE,
+  },
   serde::{Deserialize, Serialize},
   std::{
     collections::BTreeMap,
@@ -11,13 +18,17 @@
     time::Duration,
   },
   tokio::time,
-  yuccarudder::http::{self, Body},
+  yuccarudder::http::{self, Body, BodyError},
 };
 
+const SLOTS: &str = r#"["09:00","10:30"]"#;
+
 /// How the service misbehaves.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default)]
 pub struct Faults {
+  /// Whether each answer to `/slots` breaks off half way.
+  pub cut: bool,
   /// Time that each request takes.
   pub delay_ms: u64,
   /// Whether it runs each request and never answers.
@@ -58,7 +69,7 @@
       (&Method::GET, "/runs") => answer::json(&self.runs()),
       (&Method::GET, "/slots") => {
         self.misbehave().await;
-        answer::json(&["09:00", "10:30"])
+        if lock(&self.faults).cut { cut(SLOTS) } else { http::json(StatusCode::OK, SLOTS) }
       }
       (&Method::POST, "/bookings") => self.book(request).await,
       (&Method::POST, "/echo") => {
@@ -99,6 +110,13 @@
   }
 }
 
+/// Answers with the first half of a text and breaks off.
+fn cut(text: &'static str) -> Response<Body> {
+  let half = Bytes::from_static(text.as_bytes()).slice(..text.len() / 2);
+  let frames = [Ok(Frame::data(half)), Err(BodyError::from("cut"))];
+  Response::new(StreamBody::new(stream::iter(frames)).boxed_unsync())
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
   mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/yuccarudder/tests/processes.rs
+++ b/yuccarudder/tests/processes.rs
@@ -107,7 +107,7 @@
   for plain in &processes.fleet.plains {
     plain.stand_in.set_faults(plain::Faults {
       delay_ms: 2000,
-      swallow: false,
+      ..plain::Faults::default()
     });
   }
   let client = processes.fleet.client();
@@ -169,8 +169,8 @@
   let processes = Processes::start(options).await;
   for plain in &processes.fleet.plains {
     plain.stand_in.set_faults(plain::Faults {
-      delay_ms: 0,
       swallow: true,
+      ..plain::Faults::default()
     });
   }
   let client = processes.fleet.client();
@@ -197,5 +197,7 @@
   processes.hosts[0].signal(Signal::SIGTERM);
   finish_generation(&mut generation, &mut check).await;
   assert_eq!((check.tokens(), check.faults()), (2 * LONG, 0));
+  // The job outlives the bound, so its caller was told to go elsewhere.
+  assert!(generation.reattached > 0);
   assert!(processes.hosts[0].wait().await.success());
 }
--- a/yuccarudder/tests/promises.rs
+++ b/yuccarudder/tests/promises.rs
@@ -60,8 +60,14 @@
   }
 }
 
+/// The usual options with some of the operator's overrides replaced or added.
 fn options(overrides: &[&str]) -> Options {
   let mut options = Options::default();
+  let knob = |line: &str| line.split(':').next().map(str::to_owned);
+  let replaced: Vec<_> = overrides.iter().map(|line| knob(line)).collect();
+  options
+    .overrides
+    .retain(|line| !replaced.contains(&knob(line)));
   options
     .overrides
     .extend(overrides.iter().map(ToString::to_string));
@@ -353,6 +359,69 @@
   );
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_answer_is_never_taken_for_whole() {
+  let fleet = Fleet::start(Options::default()).await.unwrap();
+  for plain in &fleet.plains {
+    plain.stand_in.set_faults(plain::Faults {
+      cut: true,
+      ..plain::Faults::default()
+    });
+  }
+  let slots = Call {
+    body: Bytes::new(),
+    method: Method::GET,
+    nonce: None,
+    path: "slots".into(),
+    service: SERVICE.into(),
+  };
+  let failure = fleet.client().call(&slots).await.unwrap_err();
+  assert_eq!(failure.ran, Ran::Unknown, "{failure}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn call_without_a_key_to_a_silent_target_is_unknown() {
+  let fleet = Fleet::start(options(&["deadline: 300ms"])).await.unwrap();
+  for plain in &fleet.plains {
+    plain.stand_in.set_faults(plain::Faults {
+      swallow: true,
+      ..plain::Faults::default()
+    });
+  }
+  let call = Call {
+    nonce: None,
+    ..booking("seat 3")
+  };
+  let failure = fleet.client().call(&call).await.unwrap_err();
+  assert_eq!(
+    (failure.ran, failure.code.as_str()),
+    (Ran::Unknown, "deadline_passed")
+  );
+  assert_eq!(fleet.runs()["seat 3"], 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_host_is_named_no_more() {
+  let mut fleet = Fleet::start(options(&["ticket_life: 20s"])).await.unwrap();
+  let leaving = fleet.hosts[0].settings.callers;
+  let others = [client_of(&fleet, 1), client_of(&fleet, 2)];
+  let drain = fleet.hosts[0].host().unwrap().drain.clone();
+  let mut host = fleet.hosts.remove(0);
+  tokio::spawn(async move { host.stop().await });
+  drain.begun().await;
+  for client in others {
+    let begun = Instant::now();
+    while client.entries().await.unwrap().entries.contains(&leaving) {
+      assert!(
+        begun.elapsed() < Duration::from_secs(5),
+        "the host is still named"
+      );
+      client.forget_entries();
+      time::sleep(POLL).await;
+    }
+  }
+}
+
 /// Bookings through kills: each runs at most once, and none that was said not to run has run.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_answer_lies_while_hosts_and_targets_are_killed() {
@@ -362,7 +431,7 @@
   for plain in &fleet.plains {
     plain.stand_in.set_faults(plain::Faults {
       delay_ms: 30,
-      swallow: false,
+      ..plain::Faults::default()
     });
   }
   let names: Vec<String> = (0..120).map(|index| format!("booking {index}")).collect();
