--- a/rig/src/engine/batch.rs
+++ b/rig/src/engine/batch.rs
@@ -114,9 +114,7 @@
   pub fn attach(&mut self, id: Id) -> Option<(watch::Receiver<Progress>, u64)> {
     let generation = self.generations.get_mut(&id)?;
     generation.orphaned = None;
-    generation
-      .progress
-      .send_modify(|progress| progress.reader += 1);
+    generation.progress.send_modify(|progress| progress.reader += 1);
     Some((generation.progress.subscribe(), generation.prompt_tokens))
   }
 
@@ -143,12 +141,7 @@
 
   /// Reports the load.
   pub fn load(&self) -> Load {
-    let active = || {
-      self
-        .generations
-        .values()
-        .filter(|item| !item.progress.borrow().ended)
-    };
+    let active = || self.generations.values().filter(|item| !item.progress.borrow().ended);
     let running = active().filter(|item| item.running);
     Load {
       incarnation: self.incarnation,
@@ -238,9 +231,7 @@
 
   fn drop_orphans(&mut self, now: Instant) {
     self.generations.retain(|_, generation| {
-      let left = generation
-        .orphaned
-        .is_none_or(|since| now < since + generation.keep);
+      let left = generation.orphaned.is_none_or(|since| now < since + generation.keep);
       if !left {
         generation.progress.send_modify(|progress| {
           progress.cancelled = true;
@@ -254,11 +245,8 @@
   /// Takes the newest generations of the lowest priority out while memory is short.
   fn preempt(&mut self) {
     let traits = self.traits;
-    let mut running: Vec<&mut Generation> = self
-      .generations
-      .values_mut()
-      .filter(|item| item.running)
-      .collect();
+    let mut running: Vec<&mut Generation> =
+      self.generations.values_mut().filter(|item| item.running).collect();
     let mut used: u64 = running.iter().map(|item| item.memory() + 1).sum();
     running.sort_by_key(|item| (item.priority, u64::MAX - item.started));
     for generation in running {
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -167,9 +167,7 @@
     const OPEN: &str = "the runtime is open";
     let runtime = Owned::new(HOST_THREADS, self.threads)?;
     let settings = self.settings.clone();
-    let bound = runtime
-      .spawn(Server::bind(settings, Clock::system()))
-      .context(OPEN)?;
+    let bound = runtime.spawn(Server::bind(settings, Clock::system())).context(OPEN)?;
     let server = bound.await??;
     let host = server.host().clone();
     let (stop, stopped) = oneshot::channel::<()>();
@@ -214,11 +212,7 @@
 impl Fleet {
   /// Returns a caller that knows all hosts.
   pub fn client(&self) -> Client {
-    let hosts = self
-      .hosts
-      .iter()
-      .map(|host| host.settings.callers)
-      .collect();
+    let hosts = self.hosts.iter().map(|host| host.settings.callers).collect();
     Client::new(Clock::system(), hosts, CREDENTIAL)
   }
 
@@ -267,9 +261,8 @@
       plains.push(start_plain().await?);
     }
     let platform_address = address::unused();
-    let settings: Vec<settings::Host> = (0..options.hosts)
-      .map(|index| host_settings(index, platform_address))
-      .collect();
+    let settings: Vec<settings::Host> =
+      (0..options.hosts).map(|index| host_settings(index, platform_address)).collect();
     let tree = tree(&options.overrides, &engines, &plains, &[]);
     let hosts = host_list(settings.iter(), &[]);
     let platform = Platform::new(tree, hosts);
@@ -423,7 +416,5 @@
       time::sleep(READY_POLL).await;
     }
   };
-  time::timeout(READY_TIMEOUT, ready)
-    .await
-    .context("the host did not get ready in time")
+  time::timeout(READY_TIMEOUT, ready).await.context("the host did not get ready in time")
 }
--- a/rig/src/load.rs
+++ b/rig/src/load.rs
@@ -165,12 +165,7 @@
   let begun = Instant::now();
   match client.call(call).await {
     Ok(called) if called.status.is_success() => tally.whole += 1,
-    Ok(called) => {
-      *tally
-        .refused
-        .entry(format!("status {}", called.status))
-        .or_default() += 1
-    }
+    Ok(called) => *tally.refused.entry(format!("status {}", called.status)).or_default() += 1,
     Err(failure) => tally.refuse(&failure),
   }
   record(&mut tally.calls, begun.elapsed());
--- a/rig/src/overhead.rs
+++ b/rig/src/overhead.rs
@@ -212,9 +212,7 @@
     let request = Request::get(&path).header(AUTHORIZATION, format!("Bearer {CREDENTIAL}"));
     let begun = Instant::now();
     let response = send(&pool, address, request.body(http::empty())?).await?;
-    http::collect(response.into_body(), 1000)
-      .await
-      .context("the answer broke off")?;
+    http::collect(response.into_body(), 1000).await.context("the answer broke off")?;
     times.record(u64::try_from(begun.elapsed().as_micros())?)?;
   }
   Ok(times)
@@ -229,9 +227,7 @@
     let Ok(value) = serde_json::from_str::<Value>(&data) else {
       continue;
     };
-    let text = value["text"]
-      .as_str()
-      .or(value["choices"][0]["text"].as_str());
+    let text = value["text"].as_str().or(value["choices"][0]["text"].as_str());
     if let Some(sent) = text.and_then(|text| text.parse::<u64>().ok()) {
       latency.record(engine::stamp().saturating_sub(sent) / 1000)?;
     }
@@ -251,10 +247,7 @@
     permit: Box::new(|| Ok(())),
     request,
   };
-  let response = pool
-    .send(call)
-    .await
-    .map_err(|error| anyhow::anyhow!("{error:?}"))?;
+  let response = pool.send(call).await.map_err(|error| anyhow::anyhow!("{error:?}"))?;
   ensure!(
     response.status() == StatusCode::OK,
     "{address} answered {}",
--- a/rig/src/plain.rs
+++ b/rig/src/plain.rs
@@ -79,9 +79,7 @@
       (&Method::POST, "/bookings") => self.book(request).await,
       (&Method::POST, "/echo") => {
         let mut response = Response::new(http::incoming(request.into_body()));
-        let kind = "application/octet-stream"
-          .parse()
-          .expect("the value is valid");
+        let kind = "application/octet-stream".parse().expect("the value is valid");
         response.headers_mut().insert(CONTENT_TYPE, kind);
         response
       }
--- a/rig/src/platform.rs
+++ b/rig/src/platform.rs
@@ -116,16 +116,12 @@
     } else {
       http::text(StatusCode::OK, document.text)
     };
-    response
-      .headers_mut()
-      .insert(REVISION_HEADER, document.revision.into());
+    response.headers_mut().insert(REVISION_HEADER, document.revision.into());
     response
   }
 
   async fn replace(&self, key: Key, request: Request<Incoming>) -> Response<Body> {
-    let text = answer::body(request)
-      .await
-      .and_then(|bytes| String::from_utf8(bytes.into()).ok());
+    let text = answer::body(request).await.and_then(|bytes| String::from_utf8(bytes.into()).ok());
     let Some(text) = text else {
       return answer::status(StatusCode::BAD_REQUEST);
     };
--- a/yuccarudder/src/caller/client.rs
+++ b/yuccarudder/src/caller/client.rs
@@ -124,9 +124,7 @@
       .method(call.method.clone())
       .uri(format!("/v1/services/{}/{}", call.service, call.path));
     if let (Some(nonce), Some(ticket)) = (&call.nonce, ticket) {
-      request = request
-        .header("idempotency-key", nonce)
-        .header("yuccarudder-ticket", ticket);
+      request = request.header("idempotency-key", nonce).header("yuccarudder-ticket", ticket);
     }
     let request = request
       .body(http::full(call.body.clone()))
@@ -174,9 +172,7 @@
   }
 
   async fn entries_at(&self, entry: SocketAddr) -> Result<Answer, Failure> {
-    let request = Request::get("/v1/entries")
-      .body(http::empty())
-      .expect("the request is valid");
+    let request = Request::get("/v1/entries").body(http::empty()).expect("the request is valid");
     let response = self.send(entry, request).await?;
     let body = http::collect(response.into_body(), MAX_ANSWER_BYTES)
       .await
@@ -321,9 +317,7 @@
     return Ok(response);
   }
   let status = response.status();
-  let body = http::collect(response.into_body(), MAX_ANSWER_BYTES)
-    .await
-    .unwrap_or_default();
+  let body = http::collect(response.into_body(), MAX_ANSWER_BYTES).await.unwrap_or_default();
   Err(Failure::parse(&body).unwrap_or_else(|| {
     Failure::local(
       Ran::Unknown,
--- a/yuccarudder/src/caller/stream.rs
+++ b/yuccarudder/src/caller/stream.rs
@@ -137,12 +137,7 @@
     while self.reattached < MAX_REATTACHES {
       let mut entries = named.clone();
       if entries.is_empty() {
-        entries = self
-          .client
-          .entries()
-          .await
-          .map(|answer| answer.entries)
-          .unwrap_or_default();
+        entries = self.client.entries().await.map(|answer| answer.entries).unwrap_or_default();
       }
       for entry in entries {
         self.reattached += 1;
@@ -163,10 +158,7 @@
   }
 
   fn take_up(&mut self, response: Response<Incoming>) {
-    let token = response
-      .headers()
-      .get(REATTACH_HEADER)
-      .and_then(|value| value.to_str().ok());
+    let token = response.headers().get(REATTACH_HEADER).and_then(|value| value.to_str().ok());
     self.token = token.map(str::to_owned).or(self.token.take());
     let events = response.into_body().into_data_stream().eventsource();
     self.events = events.map(Result::ok).boxed();
--- a/yuccarudder/src/clock.rs
+++ b/yuccarudder/src/clock.rs
@@ -37,10 +37,7 @@
 
   /// Returns the time since the Unix epoch, zero when the clock is before it.
   pub fn unix(&self) -> Duration {
-    self
-      .wall()
-      .duration_since(UNIX_EPOCH)
-      .unwrap_or(Duration::ZERO)
+    self.wall().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO)
   }
 
   /// Returns the wall time.
--- a/yuccarudder/src/command/command.rs
+++ b/yuccarudder/src/command/command.rs
@@ -38,8 +38,5 @@
 }
 
 pub(super) fn block_on<T>(future: impl Future<Output = anyhow::Result<T>>) -> anyhow::Result<T> {
-  tokio::runtime::Builder::new_multi_thread()
-    .enable_all()
-    .build()?
-    .block_on(future)
+  tokio::runtime::Builder::new_multi_thread().enable_all().build()?.block_on(future)
 }
--- a/yuccarudder/src/drain/drain.rs
+++ b/yuccarudder/src/drain/drain.rs
@@ -24,10 +24,7 @@
   pub async fn begun(&self) -> Plan {
     let mut plan = self.plan.subscribe();
     let plan = plan.wait_for(Option::is_some).await.map(|plan| *plan);
-    plan
-      .ok()
-      .flatten()
-      .expect("the sender lives as long as self")
+    plan.ok().flatten().expect("the sender lives as long as self")
   }
 
   /// Waits until long jobs are to be handed over.
--- a/yuccarudder/src/entries/answer.rs
+++ b/yuccarudder/src/entries/answer.rs
@@ -30,12 +30,9 @@
   let now = host.clock.now();
   let this = host.settings.callers;
   let hosts = host.view.borrow().hosts.accepted.clone();
-  let hosts = hosts
-    .map(|accepted| accepted.document.hosts.clone())
-    .unwrap_or_default();
-  let listed_leaving = hosts
-    .iter()
-    .any(|entry| entry.callers == this && entry.state == HostState::Leaving);
+  let hosts = hosts.map(|accepted| accepted.document.hosts.clone()).unwrap_or_default();
+  let listed_leaving =
+    hosts.iter().any(|entry| entry.callers == this && entry.state == HostState::Leaving);
   let named = host.drain.phase(now) == Phase::Serving && !listed_leaving;
   let ticket = Ticket {
     expires: now.saturating_duration_since(host.started) + knobs.ticket_life,
--- a/yuccarudder/src/generation/engine.rs
+++ b/yuccarudder/src/generation/engine.rs
@@ -91,12 +91,8 @@
   /// Opens a new link to a generation from a token index.
   pub async fn resume(&self, generation: Id, from: u64) -> Opened {
     let uri = format!("/v1/generations/{generation}?from={from}");
-    let request = Request::get(uri)
-      .body(http::empty())
-      .expect("the request is valid");
-    self
-      .open(request, Box::new(|| Ok(())), self.knobs.stall_timeout)
-      .await
+    let request = Request::get(uri).body(http::empty()).expect("the request is valid");
+    self.open(request, Box::new(|| Ok(())), self.knobs.stall_timeout).await
   }
 
   /// Starts a generation.
@@ -111,9 +107,7 @@
       .header(CONTENT_TYPE, "application/json")
       .body(http::full(bytes))
       .expect("the request is valid");
-    self
-      .open(request, permit, self.knobs.first_token_timeout)
-      .await
+    self.open(request, permit, self.knobs.first_token_timeout).await
   }
 }
 
--- a/yuccarudder/src/generation/job.rs
+++ b/yuccarudder/src/generation/job.rs
@@ -1,6 +1,6 @@
 use {
   crate::{
-    limit,
+    limit::{Place, Reserved},
     target::Chosen,
     tree::{AccountKey, Knobs, ServiceKey, Traits, Tree},
   },
@@ -20,7 +20,9 @@
   /// The knobs of the service and account.
   pub knobs: Knobs,
   /// The job's place in its account's limit.
-  pub place: limit::Place,
+  pub place: Place,
+  /// The room of its request.
+  pub reserved: Option<Reserved>,
   /// Whether the caller may come back for the rest after losing its connection.
   pub reattachable: bool,
   /// The service.
@@ -37,9 +39,7 @@
   /// Returns the knobs at the data centre of a target.
   pub fn knobs_at(&self, chosen: &Chosen) -> Knobs {
     let data_centre = self.tree.data_centre(&chosen.data_centre);
-    self
-      .tree
-      .knobs(Some(self.service), data_centre, Some(self.account))
+    self.tree.knobs(Some(self.service), data_centre, Some(self.account))
   }
 
   /// Returns the name of the service.
--- a/yuccarudder/src/generation/request.rs
+++ b/yuccarudder/src/generation/request.rs
@@ -61,10 +61,7 @@
 
   /// Returns whether a streamed answer ends with usage counts.
   pub fn include_usage(&self) -> bool {
-    self
-      .stream_options
-      .as_ref()
-      .is_some_and(|options| options.include_usage)
+    self.stream_options.as_ref().is_some_and(|options| options.include_usage)
   }
 
   fn output_tokens(&self, bound: u64) -> u64 {
--- a/yuccarudder/src/generation/respond.rs
+++ b/yuccarudder/src/generation/respond.rs
@@ -4,10 +4,10 @@
     drain::Phase,
     host::Host,
     http::Body,
+    limit::Held,
     refusal::{Ran, Reason, Refusal},
     tree::{AccountKey, Kind, ServiceKey, Tree},
   },
-  bytes::Bytes,
   hyper::Response,
   std::{sync::Arc, time::Duration},
 };
@@ -17,7 +17,7 @@
   /// The account that asked.
   pub account: AccountKey,
   /// The body of the request.
-  pub body: Bytes,
+  pub body: Held,
   /// Whether the caller may come back for the rest after losing its connection.
   pub reattachable: bool,
   /// Which call was made.
@@ -75,13 +75,14 @@
 ///
 /// Refuses with what is known about whether the job ran.
 pub async fn respond(host: &Host, ask: Ask) -> Result<Response<Body>, Refusal> {
-  let request = Request::parse(ask.shape, &ask.body)?;
+  let request = Request::parse(ask.shape, &ask.body.bytes)?;
   let service = ask
     .tree
     .service(&request.model)
     .filter(|key| ask.tree.services[*key].kind == Kind::Engine)
     .ok_or_else(|| Refusal::not_run(Reason::NotFound))?;
   let mut job = admit(host, &ask.tree, ask.account, service)?;
+  job.reserved = Some(ask.body.reserved);
   job.body = request.engine_body(job.knobs.output_tokens);
   job.reattachable = ask.reattachable && request.stream && job.traits.resume;
   job.streamed = request.stream;
@@ -90,7 +91,7 @@
   if !request.stream {
     return whole::response(host, session, ask.shape, request.model, created).await;
   }
-  streamed(host, session, &ask, request, created).await
+  streamed(host, session, ask.shape, request, created).await
 }
 
 fn admit(
@@ -111,6 +112,7 @@
     knobs,
     place,
     reattachable: false,
+    reserved: None,
     service,
     streamed: false,
     traits: tree.services[service].traits,
@@ -122,7 +124,7 @@
 async fn streamed(
   host: &Host,
   mut session: Session,
-  ask: &Ask,
+  shape: Shape,
   request: Request,
   created: Duration,
 ) -> Result<Response<Body>, Refusal> {
@@ -131,21 +133,19 @@
     first = session.next().await?;
   }
   let lost = || Refusal::unknown(Reason::GenerationLost);
-  let left = session
-    .job()
-    .deadline
-    .saturating_duration_since(host.clock.now());
+  let job = session.job();
+  let left = job.deadline.saturating_duration_since(host.clock.now());
   let attachment = Attachment {
-    account: ask.tree.accounts[ask.account].name.clone(),
+    account: job.tree.accounts[job.account].name.clone(),
     created,
     deadline: host.clock.unix() + left,
     generation: session.generation(),
     include_usage: request.include_usage(),
     service: request.model.clone(),
-    shape: ask.shape,
+    shape,
     target: session.target().ok_or_else(lost)?,
   };
-  let render = Render::new(ask.shape, session.generation(), request.model, created);
+  let render = Render::new(shape, session.generation(), request.model, created);
   Ok(stream::response(
     host, session, render, attachment, 0, first,
   ))
--- a/yuccarudder/src/generation/session.rs
+++ b/yuccarudder/src/generation/session.rs
@@ -85,10 +85,7 @@
   /// Refuses when the settings no longer have its engine.
   pub fn attach(host: Host, job: Job, attachment: &Attachment, from: u64) -> Result<Self, Refusal> {
     let lost = Refusal::failed(Reason::GenerationLost);
-    let chosen = host
-      .targets
-      .admit_at(&attachment.service, attachment.target)
-      .ok_or(lost)?;
+    let chosen = host.targets.admit_at(&attachment.service, attachment.target).ok_or(lost)?;
     let knobs = job.knobs_at(&chosen);
     let assembly = Assembly::attach(attachment.generation, from, limits(&job));
     let mut session = Self::build(host, job, assembly);
@@ -331,15 +328,9 @@
     // A future that is dropped while it waits counts as sent.
     self.chosen = Some(chosen);
     self.ran = Ran::Unknown;
-    let opened = engine
-      .start(self.assembly.generation(), &self.job.body, permit)
-      .await;
+    let opened = engine.start(self.assembly.generation(), &self.job.body, permit).await;
     let connected = !matches!(opened, Opened::Unsent(Error::NotSent { .. }));
-    self
-      .host
-      .targets
-      .lock()
-      .connected(key, connected, self.host.clock.now());
+    self.host.targets.lock().connected(key, connected, self.host.clock.now());
     match opened {
       Opened::Link(link) => self.link = Some(link),
       Opened::Stalled => self.pending = Some(Input::Stalled),
@@ -404,9 +395,7 @@
 
 fn resume_delay(resumes: u64) -> Duration {
   let doublings = u32::try_from(resumes.min(16)).unwrap_or(16);
-  let delay = MIN_RESUME_DELAY
-    .saturating_mul(1 << doublings)
-    .min(MAX_RESUME_DELAY);
+  let delay = MIN_RESUME_DELAY.saturating_mul(1 << doublings).min(MAX_RESUME_DELAY);
   delay.mul_f64(rand::rng().random_range(0.5..1.0))
 }
 
--- a/yuccarudder/src/generation/stream.rs
+++ b/yuccarudder/src/generation/stream.rs
@@ -45,13 +45,8 @@
 impl Stream {
   fn end(&mut self, finish_reason: &str) {
     if let Some(session) = self.session.take() {
-      let prompt_tokens = self
-        .attachment
-        .include_usage
-        .then(|| session.prompt_tokens());
-      self
-        .queue
-        .push_back(self.render.end(self.tokens, finish_reason, prompt_tokens));
+      let prompt_tokens = self.attachment.include_usage.then(|| session.prompt_tokens());
+      self.queue.push_back(self.render.end(self.tokens, finish_reason, prompt_tokens));
       self.host.metrics.answered.inc();
     }
   }
@@ -59,9 +54,7 @@
   fn fail(&mut self, refusal: &Refusal) {
     self.session = None;
     self.host.metrics.refuse(refusal);
-    self
-      .queue
-      .push_back(format!("data: {}\n\n", refusal.json()).into());
+    self.queue.push_back(format!("data: {}\n\n", refusal.json()).into());
   }
 
   fn hand_over(&mut self) {
@@ -76,9 +69,7 @@
       reattach,
     };
     let data = serde_json::to_string(&moved).expect("the message is serializable");
-    self
-      .queue
-      .push_back(format!("event: moved\ndata: {data}\n\n").into());
+    self.queue.push_back(format!("event: moved\ndata: {data}\n\n").into());
     self.session = None;
   }
 
--- a/yuccarudder/src/generation/whole.rs
+++ b/yuccarudder/src/generation/whole.rs
@@ -10,6 +10,7 @@
 };
 
 const MAX_BYTES: usize = 16 << 20;
+const STEP_BYTES: usize = 64 << 10;
 
 /// Gathers a generation and answers with all of it.
 pub async fn response(
@@ -19,6 +20,7 @@
   model: String,
   created: Duration,
 ) -> Result<Response<Body>, Refusal> {
+  let mut reserved = Vec::new();
   let mut text = String::new();
   let mut tokens = 0;
   let finish_reason = loop {
@@ -36,6 +38,10 @@
     if text.len() > MAX_BYTES {
       return Err(Refusal::failed(Reason::AnswerTooLarge));
     }
+    if text.len() > reserved.len() * STEP_BYTES {
+      let step = host.memory.reserve(STEP_BYTES as u64);
+      reserved.push(step.map_err(|refusal| Refusal::failed(refusal.reason))?);
+    }
   };
   let render = Render::new(shape, session.generation(), model, created);
   let body = render.whole(&text, tokens, &finish_reason, session.prompt_tokens());
--- a/yuccarudder/src/host/host.rs
+++ b/yuccarudder/src/host/host.rs
@@ -3,7 +3,7 @@
     clock::Clock,
     drain::Drain,
     entries::Leaving,
-    limit::{Limits, Place},
+    limit::{Limits, Memory, Place},
     metrics::Metrics,
     once::{Bounds, Registry},
     peer,
@@ -23,6 +23,7 @@
 };
 
 const ACCOUNT_RETRY: Duration = Duration::from_millis(500);
+const HELD_BYTES: u64 = 64 << 20;
 const ONCE_BOUNDS: Bounds = Bounds {
   bytes: 16 << 20,
   keys: 65_536,
@@ -42,6 +43,8 @@
   pub leaving: Leaving,
   /// Jobs in hand per client account.
   pub limits: Limits,
+  /// Room for bodies and answers that are held whole.
+  pub memory: Memory,
   /// Metrics.
   pub metrics: Arc<Metrics>,
   once: Arc<Mutex<Registry>>,
@@ -62,12 +65,10 @@
   ///
   /// # Errors
   ///
-  /// Refuses when the account has its full number of jobs in hand.
+  /// Refuses when the account or the host has its full number of jobs in hand.
   pub fn admit(&self, account: &str, knobs: &Knobs) -> Result<Place, Refusal> {
-    self
-      .limits
-      .admit(account, knobs.concurrent_jobs)
-      .ok_or_else(|| Refusal::not_run(Reason::AccountBusy).with_retry_after(ACCOUNT_RETRY))
+    let place = self.limits.admit(account, knobs.concurrent_jobs);
+    place.map_err(|reason| Refusal::not_run(reason).with_retry_after(ACCOUNT_RETRY))
   }
 
   /// Returns the account whose bearer credential a request carries.
@@ -102,6 +103,7 @@
       clock,
       incarnation: rand::random(),
       limits: Limits::default(),
+      memory: Memory::new(HELD_BYTES),
       metrics: Arc::default(),
       settings: Arc::new(settings),
       targets: Targets::default(),
--- a/yuccarudder/src/http/lingering.rs
+++ b/yuccarudder/src/http/lingering.rs
@@ -49,11 +49,7 @@
   }
 
   fn size_hint(&self) -> SizeHint {
-    self
-      .body
-      .as_ref()
-      .map(Incoming::size_hint)
-      .unwrap_or_default()
+    self.body.as_ref().map(Incoming::size_hint).unwrap_or_default()
   }
 }
 
--- a/yuccarudder/src/http/mod.rs
+++ b/yuccarudder/src/http/mod.rs
@@ -9,9 +9,9 @@
   bytes::Bytes,
   http_body_util::{BodyExt, Empty, Full, Limited, combinators::UnsyncBoxBody},
   hyper::{
-    Request, Response, StatusCode,
+    HeaderMap, Request, Response, StatusCode,
     body::Incoming,
-    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+    header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
   },
   std::time::Duration,
 };
@@ -33,6 +33,12 @@
   Some(collected.to_bytes())
 }
 
+/// Returns the bytes that a body announces, or at most may have.
+pub fn announced(headers: &HeaderMap, limit: u64) -> u64 {
+  let length = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse().ok());
+  length.unwrap_or(limit)
+}
+
 /// An empty body.
 pub fn empty() -> Body {
   Empty::new().map_err(|never| match never {}).boxed_unsync()
@@ -40,9 +46,7 @@
 
 /// A body that is known whole.
 pub fn full(bytes: impl Into<Bytes>) -> Body {
-  Full::new(bytes.into())
-    .map_err(|never| match never {})
-    .boxed_unsync()
+  Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
 /// A body that arrives on a connection.
@@ -54,9 +58,7 @@
 pub fn json(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
   let mut response = Response::new(full(text));
   *response.status_mut() = status;
-  response
-    .headers_mut()
-    .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+  response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
   response
 }
 
--- /dev/null
+++ b/yuccarudder/src/limit/memory.rs
@@ -0,0 +1,43 @@
+use {
+  crate::refusal::{Reason, Refusal},
+  std::{sync::Arc, time::Duration},
+  tokio::sync::{OwnedSemaphorePermit, Semaphore},
+};
+
+const RETRY: Duration = Duration::from_millis(500);
+const UNIT_BYTES: u64 = 1024;
+
+/// Memory of one host for bodies and answers that it holds whole.
+#[derive(Clone, Debug)]
+pub struct Memory {
+  units: Arc<Semaphore>,
+}
+
+impl Memory {
+  /// Builds a memory of `bytes`.
+  pub fn new(bytes: u64) -> Self {
+    let units = usize::try_from(bytes / UNIT_BYTES).unwrap_or(Semaphore::MAX_PERMITS);
+    Self {
+      units: Arc::new(Semaphore::new(units)),
+    }
+  }
+
+  /// Reserves room for `bytes`, rounded up to whole KiB.
+  ///
+  /// # Errors
+  ///
+  /// Refuses when there is not enough room left.
+  pub fn reserve(&self, bytes: u64) -> Result<Reserved, Refusal> {
+    let units = u32::try_from(bytes.div_ceil(UNIT_BYTES)).ok();
+    units
+      .and_then(|units| Arc::clone(&self.units).try_acquire_many_owned(units).ok())
+      .map(|units| Reserved { _units: units })
+      .ok_or_else(|| Refusal::not_run(Reason::HostBusy).with_retry_after(RETRY))
+  }
+}
+
+/// Room that is given back when it is dropped.
+#[derive(Debug)]
+pub struct Reserved {
+  _units: OwnedSemaphorePermit,
+}
--- a/yuccarudder/src/metrics.rs
+++ b/yuccarudder/src/metrics.rs
@@ -118,10 +118,7 @@
 
   /// Counts a refusal.
   pub fn refuse(&self, refusal: &Refusal) {
-    self
-      .refusals
-      .with_label_values(&[refusal.reason.name(), refusal.ran.name()])
-      .inc();
+    self.refusals.with_label_values(&[refusal.reason.name(), refusal.ran.name()]).inc();
   }
 
   fn register(&self) {
@@ -142,9 +139,7 @@
     }
     for reason in Reason::ALL {
       for ran in [Ran::Failed, Ran::NotRun, Ran::Unknown] {
-        self
-          .refusals
-          .with_label_values(&[reason.name(), ran.name()]);
+        self.refusals.with_label_values(&[reason.name(), ran.name()]);
       }
     }
     for retry in Retry::ALL {
--- a/yuccarudder/src/once/outcome.rs
+++ b/yuccarudder/src/once/outcome.rs
@@ -30,10 +30,7 @@
   pub(super) fn bytes(&self) -> usize {
     match self {
       Self::Answer(answer) => {
-        let headers = answer
-          .headers
-          .iter()
-          .map(|(name, value)| name.as_str().len() + value.len());
+        let headers = answer.headers.iter().map(|(name, value)| name.as_str().len() + value.len());
         answer.body.len() + headers.sum::<usize>()
       }
       Self::NotKept => 0,
--- a/yuccarudder/src/peer/control.rs
+++ b/yuccarudder/src/peer/control.rs
@@ -60,12 +60,8 @@
     return;
   };
   let hosts = host.view.borrow().hosts.accepted.clone();
-  let hosts = hosts
-    .map(|accepted| accepted.document.hosts.clone())
-    .unwrap_or_default();
-  let others = hosts
-    .iter()
-    .filter(|entry| entry.callers != host.settings.callers);
+  let hosts = hosts.map(|accepted| accepted.document.hosts.clone()).unwrap_or_default();
+  let others = hosts.iter().filter(|entry| entry.callers != host.settings.callers);
   let calls = others.map(|entry| async {
     if let Err(error) = call(host, &tree.secrets, entry, notice).await {
       log::warn!(target: PREFIX, "Cannot tell {} that this host is {notice:?}: {error:#}.", entry.callers);
@@ -85,14 +81,10 @@
     let (transport, _) = connect(entry.peers, this, Purpose::Control, secrets).await?;
     let transport = serde_transport::new(transport, Json::default());
     let client = ControlClient::new(client::Config::default(), transport).spawn();
-    client
-      .announce(context::current(), this.host, notice)
-      .await?;
+    client.announce(context::current(), this.host, notice).await?;
     Ok(())
   };
-  time::timeout(ANNOUNCE_TIMEOUT, called)
-    .await
-    .context("no answer in time")?
+  time::timeout(ANNOUNCE_TIMEOUT, called).await.context("no answer in time")?
 }
 
 pub(super) async fn serve(host: &Host, transport: Transport, other: Identity) {
--- a/yuccarudder/src/peer/forward.rs
+++ b/yuccarudder/src/peer/forward.rs
@@ -128,6 +128,7 @@
   };
   let call = Call {
     account: keyed.key.account.to_string(),
+    body_bytes: keyed.body.bytes.len() as u64,
     headers: encode_headers(&keyed.headers),
     method: keyed.method.to_string(),
     nonce: keyed.key.nonce.to_string(),
@@ -136,9 +137,9 @@
     uri: keyed.uri.to_string(),
   };
   send(transport, Message::Call(call)).await?;
-  for start in (0..keyed.body.len()).step_by(CHUNK_BYTES) {
-    let end = keyed.body.len().min(start + CHUNK_BYTES);
-    send(transport, Message::Data(keyed.body.slice(start..end))).await?;
+  for start in (0..keyed.body.bytes.len()).step_by(CHUNK_BYTES) {
+    let end = keyed.body.bytes.len().min(start + CHUNK_BYTES);
+    send(transport, Message::Data(keyed.body.bytes.slice(start..end))).await?;
   }
   send(transport, Message::End(End {})).await
 }
--- a/yuccarudder/src/peer/frame.rs
+++ b/yuccarudder/src/peer/frame.rs
@@ -59,6 +59,9 @@
   /// The name of the account.
   #[prost(string, tag = "1")]
   pub account: String,
+  /// Number of bytes of the body that follows.
+  #[prost(uint64, tag = "8")]
+  pub body_bytes: u64,
   /// The headers, ready for a target.
   #[prost(message, repeated, tag = "2")]
   pub headers: Vec<Header>,
--- a/yuccarudder/src/peer/handshake.rs
+++ b/yuccarudder/src/peer/handshake.rs
@@ -158,10 +158,7 @@
 
 fn identity(hello: &Hello) -> anyhow::Result<Identity> {
   Ok(Identity {
-    host: hello
-      .host
-      .parse()
-      .context("the other host's address cannot be read")?,
+    host: hello.host.parse().context("the other host's address cannot be read")?,
     incarnation: hello.incarnation,
   })
 }
@@ -180,9 +177,7 @@
 }
 
 fn prove(secret: &Secret, role: &[u8], connecting: &Hello, accepting: &Hello) -> Message {
-  let code = code(secret, role, connecting, accepting)
-    .finalize()
-    .into_bytes();
+  let code = code(secret, role, connecting, accepting).finalize().into_bytes();
   Message::Proof(Proof {
     code: Bytes::copy_from_slice(&code),
   })
@@ -194,10 +189,7 @@
 ///
 /// Fails when the connection ends or the message cannot be read.
 pub async fn receive(transport: &mut Transport) -> anyhow::Result<Message> {
-  let bytes = transport
-    .next()
-    .await
-    .context("the other host closed the connection")??;
+  let bytes = transport.next().await.context("the other host closed the connection")??;
   Frame::decode_message(&bytes)
 }
 
@@ -227,7 +219,5 @@
 }
 
 async fn within<T>(future: impl Future<Output = anyhow::Result<T>>) -> anyhow::Result<T> {
-  time::timeout(TIMEOUT, future)
-    .await
-    .context("the other host did not answer in time")?
+  time::timeout(TIMEOUT, future).await.context("the other host did not answer in time")?
 }
--- a/yuccarudder/src/peer/serve.rs
+++ b/yuccarudder/src/peer/serve.rs
@@ -7,12 +7,13 @@
   crate::{
     host::Host,
     http::Body,
+    limit::Held,
     once::Key,
     plain::{self, Keyed},
-    refusal::{Reason, Refusal},
+    refusal::{Ran, Reason, Refusal},
     ticket::Ticket,
   },
-  anyhow::{Context, bail},
+  anyhow::{Context, bail, ensure},
   bytes::{Bytes, BytesMut},
   http_body_util::BodyExt,
   hyper::Response,
@@ -85,13 +86,17 @@
   let tree = host.tree()?;
   let account = tree.account_named(&call.account);
   let knobs = tree.knobs(tree.service(&call.service), None, account);
-  let limit = usize::try_from(knobs.body_bytes).unwrap_or(usize::MAX);
-  let Some(body) = read_body(transport, limit).await? else {
+  if call.body_bytes > knobs.body_bytes {
     return Ok(Err(Refusal::unknown(Reason::BodyTooLarge)));
+  }
+  let reserved = match host.memory.reserve(call.body_bytes) {
+    Ok(reserved) => reserved,
+    Err(refusal) => return Ok(Err(Refusal::new(Ran::Unknown, refusal.reason))),
   };
+  let bytes = read_body(transport, usize::try_from(call.body_bytes)?).await?;
   let ticket = Ticket::open(&tree.secrets, &call.ticket).context("the ticket is not ours")?;
   Ok(Ok(Keyed {
-    body,
+    body: Held { bytes, reserved },
     headers: decode_headers(&call.headers)?,
     key: Key {
       account: call.account.into(),
@@ -105,15 +110,18 @@
   }))
 }
 
-async fn read_body(transport: &mut Transport, limit: usize) -> anyhow::Result<Option<Bytes>> {
+async fn read_body(transport: &mut Transport, length: usize) -> anyhow::Result<Bytes> {
   let mut body = BytesMut::new();
   loop {
     match receive(transport).await? {
-      Message::Data(bytes) if body.len() + bytes.len() > limit => return Ok(None),
       Message::Data(bytes) => body.extend_from_slice(&bytes),
-      Message::End(_) => return Ok(Some(body.freeze())),
+      Message::End(_) if body.len() == length => return Ok(body.freeze()),
       _ => bail!("the other host sent an unexpected message"),
     }
+    ensure!(
+      body.len() <= length,
+      "the other host sent more than it announced"
+    );
   }
 }
 
--- a/yuccarudder/src/peer/tests.rs
+++ b/yuccarudder/src/peer/tests.rs
@@ -78,10 +78,7 @@
       version: 9,
       version_min: 8,
     };
-    transport
-      .send(Frame::encode_message(Message::Hello(hello)))
-      .await
-      .unwrap();
+    transport.send(Frame::encode_message(Message::Hello(hello))).await.unwrap();
     while transport.next().await.is_some_and(|frame| frame.is_ok()) {}
   };
   let accepting = async {
--- a/yuccarudder/src/plain/call.rs
+++ b/yuccarudder/src/plain/call.rs
@@ -6,11 +6,11 @@
     http::{self, Body, Lingering},
     once::Key,
     peer,
-    refusal::{Reason, Refusal},
+    refusal::{Ran, Reason, Refusal},
     ticket::Ticket,
     tree::{AccountKey, Kind, Knobs, ServiceKey, Tree},
   },
-  hyper::{HeaderMap, Request, Response, Uri, header::CONTENT_LENGTH},
+  hyper::{HeaderMap, Request, Response, Uri},
   std::sync::Arc,
 };
 
@@ -70,9 +70,7 @@
   service: ServiceKey,
 ) -> Result<Response<Body>, Refusal> {
   let unknown = |reason| Refusal::unknown(reason);
-  let knobs = inbound
-    .tree
-    .knobs(Some(service), None, Some(inbound.account));
+  let knobs = inbound.tree.knobs(Some(service), None, Some(inbound.account));
   let (mut head, body) = inbound.request.into_parts();
   let text = |name| head.headers.get(name).and_then(|value| value.to_str().ok());
   let ticket = text(TICKET_HEADER)
@@ -82,9 +80,11 @@
     .filter(|nonce| (1..=MAX_NONCE_BYTES).contains(&nonce.len()))
     .ok_or_else(|| unknown(Reason::BadRequest))?
     .into();
-  let body = http::collect(body, knobs.body_bytes)
-    .await
-    .ok_or_else(|| unknown(Reason::BodyTooLarge))?;
+  let body =
+    host.memory.hold(&head.headers, body, knobs.body_bytes).await.map_err(|refusal| Refusal {
+      ran: Ran::Unknown,
+      ..refusal
+    })?;
   strip_request(&mut head.headers);
   let account = inbound.tree.accounts[inbound.account].name.as_str().into();
   let keyed = Keyed {
@@ -119,7 +119,7 @@
   let knobs = tree.knobs(Some(service), None, Some(inbound.account));
   let place = host.admit(&tree.accounts[inbound.account].name, &knobs)?;
   let (mut head, body) = inbound.request.into_parts();
-  let body = source(body, &head.headers, &knobs, repeatable).await?;
+  let body = source(host, body, &head.headers, &knobs, repeatable).await?;
   strip_request(&mut head.headers);
   let deadline = host.clock.now() + knobs.deadline;
   let dispatched = Dispatch {
@@ -140,25 +140,21 @@
 
 /// Holds a body that may have to be sent again, and streams any other.
 async fn source(
+  host: &Host,
   body: Lingering,
   headers: &HeaderMap,
   knobs: &Knobs,
   repeatable: bool,
 ) -> Result<Source, Refusal> {
-  let length = headers
-    .get(CONTENT_LENGTH)
-    .and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
-  let too_large = || Refusal::not_run(Reason::BodyTooLarge);
-  if length.is_some_and(|length| length > knobs.body_bytes) {
-    return Err(too_large());
-  }
+  let limit = knobs.body_bytes;
   if repeatable {
-    let bytes = http::collect(body, knobs.body_bytes)
-      .await
-      .ok_or_else(too_large)?;
-    return Ok(Source::Held(bytes));
+    let held = host.memory.hold(headers, body, limit).await?;
+    return Ok(Source::Held(held));
+  }
+  if http::announced(headers, 0) > limit {
+    return Err(Refusal::not_run(Reason::BodyTooLarge));
   }
-  Ok(Source::Stream(Some(http::limited(body, knobs.body_bytes))))
+  Ok(Source::Stream(Some(http::limited(body, limit))))
 }
 
 /// Returns whether a request carries a key, so that only its home can say it did not run.
--- a/yuccarudder/src/plain/dispatch.rs
+++ b/yuccarudder/src/plain/dispatch.rs
@@ -3,13 +3,13 @@
   crate::{
     host::Host,
     http::{self, Body},
+    limit::Held,
     metrics::Retry,
     refusal::{Ran, Reason, Refusal},
     target::{Choice, Chosen, InHand, Key},
     tree::{AccountKey, Knobs, ServiceKey, Tree},
     upstream::{Call, Error, Permit, Right},
   },
-  bytes::Bytes,
   hyper::{HeaderMap, Method, Request, Response, Uri, body::Incoming},
   std::{
     sync::Arc,
@@ -24,7 +24,7 @@
 /// Where the body of a request comes from.
 pub enum Source {
   /// It is held and can be sent again.
-  Held(Bytes),
+  Held(Held),
   /// It streams from the caller and can be sent once.
   Stream(Option<Body>),
 }
@@ -56,9 +56,7 @@
 impl Dispatch {
   fn knobs(&self, chosen: &Chosen) -> Knobs {
     let data_centre = self.tree.data_centre(&chosen.data_centre);
-    self
-      .tree
-      .knobs(Some(self.service), data_centre, Some(self.account))
+    self.tree.knobs(Some(self.service), data_centre, Some(self.account))
   }
 
   fn permit(&self, host: &Host, chosen: &Chosen, right: &Right) -> Permit {
@@ -85,8 +83,8 @@
 
   fn request(&mut self) -> Request<Body> {
     let body = match &mut self.body {
-      Source::Held(bytes) if bytes.is_empty() => http::empty(),
-      Source::Held(bytes) => http::full(bytes.clone()),
+      Source::Held(held) if held.bytes.is_empty() => http::empty(),
+      Source::Held(held) => http::full(held.bytes.clone()),
       Source::Stream(body) => body.take().unwrap_or_else(http::empty),
     };
     let mut request = Request::new(body);
@@ -138,9 +136,7 @@
   let mut tried: Vec<Key> = Vec::new();
   for _ in 0..MAX_TARGETS {
     let service = &dispatch.tree.services[dispatch.service].name;
-    let admitted = host
-      .targets
-      .admit(service, &tried, host.clock.now(), rand::random());
+    let admitted = host.targets.admit(service, &tried, host.clock.now(), rand::random());
     let chosen = admitted.map_err(|choice| exhausted(choice, &tried, right))?;
     let key = chosen.in_hand.key();
     tried.push(key);
@@ -154,10 +150,7 @@
     };
     let result = host.pool.send(call).await;
     let connected = !matches!(result, Err(Error::NotSent { .. }));
-    host
-      .targets
-      .lock()
-      .connected(key, connected, host.clock.now());
+    host.targets.lock().connected(key, connected, host.clock.now());
     match result {
       Ok(response) => return Ok((received(response), chosen.in_hand)),
       Err(Error::Denied(refusal)) if refusal.reason == Reason::NoTarget => {
--- a/yuccarudder/src/plain/home.rs
+++ b/yuccarudder/src/plain/home.rs
@@ -36,9 +36,7 @@
   }
   let expires = host.started + keyed.ticket.expires;
   let now = host.clock.now();
-  let claim = host
-    .once()
-    .claim(&keyed.key, keyed.fingerprint(), expires, now);
+  let claim = host.once().claim(&keyed.key, keyed.fingerprint(), expires, now);
   let outcome = match claim {
     Claim::Ended(outcome) => outcome,
     Claim::Expired => return Err(Refusal::unknown(Reason::TicketExpired)),
@@ -88,14 +86,11 @@
     return Err(Refusal::not_run(Reason::HostLeaving));
   }
   let missing = |reason| move || Refusal::not_run(reason);
-  let service = tree
-    .service(&keyed.service)
-    .ok_or_else(missing(Reason::NotFound))?;
-  let account = tree
-    .account_named(&keyed.key.account)
-    .ok_or_else(missing(Reason::Unauthorized))?;
+  let service = tree.service(&keyed.service).ok_or_else(missing(Reason::NotFound))?;
+  let account = tree.account_named(&keyed.key.account).ok_or_else(missing(Reason::Unauthorized))?;
   let knobs = tree.knobs(Some(service), None, Some(account));
   let place = host.admit(&keyed.key.account, &knobs)?;
+  let _room = host.memory.reserve(knobs.answer_bytes)?;
   let deadline = host.clock.now() + knobs.deadline;
   let limit = usize::try_from(knobs.answer_bytes).unwrap_or(usize::MAX);
   let dispatched = Dispatch {
--- a/yuccarudder/src/plain/keyed.rs
+++ b/yuccarudder/src/plain/keyed.rs
@@ -1,15 +1,14 @@
 use {
-  crate::{once, ticket::Ticket},
-  bytes::Bytes,
+  crate::{limit::Held, once, ticket::Ticket},
   hyper::{HeaderMap, Method, Uri},
   sha2::{Digest, Sha256},
 };
 
 /// A call that runs at most once, with all that its home needs.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Keyed {
   /// The body of the request.
-  pub body: Bytes,
+  pub body: Held,
   /// The headers of the request, ready for a target.
   pub headers: HeaderMap,
   /// The key.
@@ -36,7 +35,7 @@
       digest.update(part.len().to_le_bytes());
       digest.update(part);
     }
-    digest.update(&self.body);
+    digest.update(&self.body.bytes);
     digest.finalize().into()
   }
 }
--- a/yuccarudder/src/platform/watcher.rs
+++ b/yuccarudder/src/platform/watcher.rs
@@ -72,12 +72,8 @@
   let mut offer = Offer::Unchanged;
   watch.view.send_if_modified(|view| {
     offer = match key {
-      Key::Hosts => view
-        .hosts
-        .offer(revision, asked, || HostList::accept("hosts", &text)),
-      Key::Settings => view
-        .settings
-        .offer(revision, asked, || Tree::accept("settings", &text)),
+      Key::Hosts => view.hosts.offer(revision, asked, || HostList::accept("hosts", &text)),
+      Key::Settings => view.settings.offer(revision, asked, || Tree::accept("settings", &text)),
     };
     offer == Offer::Accepted
   });
--- a/yuccarudder/src/server/callers.rs
+++ b/yuccarudder/src/server/callers.rs
@@ -102,9 +102,8 @@
 ) -> Result<Response<Body>, Refusal> {
   let knobs = tree.knobs(None, None, Some(account));
   let reattachable = header(&request, REATTACH_HEADER).is_some();
-  let body = http::collect(request.into_body(), knobs.body_bytes)
-    .await
-    .ok_or_else(|| Refusal::not_run(Reason::BodyTooLarge))?;
+  let (head, body) = request.into_parts();
+  let body = host.memory.hold(&head.headers, body, knobs.body_bytes).await?;
   let ask = Ask {
     account,
     body,
@@ -123,10 +122,7 @@
 fn target(uri: &Uri) -> Option<(String, Uri)> {
   let rest = uri.path().strip_prefix(SERVICES)?;
   let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
-  let query = uri
-    .query()
-    .map(|query| format!("?{query}"))
-    .unwrap_or_default();
+  let query = uri.query().map(|query| format!("?{query}")).unwrap_or_default();
   let uri = format!("/{path}{query}").parse().ok()?;
   Some((service.into(), uri))
 }
--- a/yuccarudder/src/server/connections.rs
+++ b/yuccarudder/src/server/connections.rs
@@ -5,13 +5,14 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
   },
-  std::{convert::Infallible, time::Duration},
-  tokio::{net::TcpListener, time},
+  std::{convert::Infallible, sync::Arc, time::Duration},
+  tokio::{net::TcpListener, sync::Semaphore, time},
   tokio_util::sync::CancellationToken,
 };
 
 const ACCEPT_DELAY: Duration = Duration::from_millis(50);
 const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
+const MAX_CONNECTIONS: usize = 16_384;
 const MAX_HEADER_BYTES: usize = 64 << 10;
 const PREFIX: &str = "server";
 
@@ -22,11 +23,16 @@
   F: Future<Output = Response<Body>> + Send + 'static,
 {
   let graceful = GracefulShutdown::new();
+  let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
   loop {
-    let stream = tokio::select! {
+    let accepted = async {
+      let place = Arc::clone(&places).acquire_owned().await;
+      (listener.accept().await, place)
+    };
+    let (stream, place) = tokio::select! {
       () = stop.cancelled() => break,
-      accepted = listener.accept() => match accepted {
-        Ok((stream, _)) => stream,
+      (accepted, place) = accepted => match accepted {
+        Ok((stream, _)) => (stream, place),
         Err(error) => {
           log::warn!(target: PREFIX, "Cannot accept a connection: {error}.");
           time::sleep(ACCEPT_DELAY).await;
@@ -49,6 +55,7 @@
       .serve_connection(TokioIo::new(stream), service);
     let connection = graceful.watch(connection);
     tokio::spawn(async move {
+      let _place = place;
       if let Err(error) = connection.await {
         log::debug!(target: PREFIX, "A connection ended: {error}.");
       }
--- a/yuccarudder/src/server/models.rs
+++ b/yuccarudder/src/server/models.rs
@@ -27,10 +27,7 @@
 }
 
 fn services(tree: &Tree) -> impl Iterator<Item = &Service> {
-  tree
-    .services
-    .values()
-    .filter(|service| service.kind == Kind::Engine)
+  tree.services.values().filter(|service| service.kind == Kind::Engine)
 }
 
 /// Renders the engine services as the models of the completions API.
--- a/yuccarudder/src/server/status.rs
+++ b/yuccarudder/src/server/status.rs
@@ -34,9 +34,7 @@
 impl Document {
   fn new<T>(slot: &Slot<T>, now: Instant) -> Self {
     Self {
-      age: slot
-        .confirmed
-        .map(|confirmed| now.saturating_duration_since(confirmed)),
+      age: slot.confirmed.map(|confirmed| now.saturating_duration_since(confirmed)),
       faults: slot.refused.clone(),
       revision: slot.accepted.as_ref().map(|accepted| accepted.revision),
       seen: slot.seen,
@@ -77,9 +75,7 @@
       drain: host.drain.phase(now),
       host: host.settings.callers,
       host_list: Document::new(&view.hosts, now),
-      hosts: hosts
-        .map(|accepted| accepted.document.hosts.clone())
-        .unwrap_or_default(),
+      hosts: hosts.map(|accepted| accepted.document.hosts.clone()).unwrap_or_default(),
       jobs: host.limits.total(),
       keys: host.once().len(),
       leaving: host.leaving.current(now),
--- a/yuccarudder/src/settings/host.rs
+++ b/yuccarudder/src/settings/host.rs
@@ -44,24 +44,13 @@
     const ADDRESS: &str = "an IP address and port, such as 10.0.0.1:8080";
     yaml::read(source, text, |root| {
       let mut map = root.map()?;
-      let callers = map
-        .require("callers", ADDRESS)
-        .and_then(|node| node.address());
-      let data_centre = map
-        .require("data_centre", "the name of a data centre")
-        .and_then(|node| node.string());
-      let log = map
-        .get("log")
-        .map_or(Some(LogFormat::Text), |node| node.choice(&LOG_FORMATS));
-      let operators = map
-        .require("operators", ADDRESS)
-        .and_then(|node| node.address());
-      let peers = map
-        .require("peers", ADDRESS)
-        .and_then(|node| node.address());
-      let platform = map
-        .require("platform", ADDRESS)
-        .and_then(|node| node.address());
+      let callers = map.require("callers", ADDRESS).and_then(|node| node.address());
+      let data_centre =
+        map.require("data_centre", "the name of a data centre").and_then(|node| node.string());
+      let log = map.get("log").map_or(Some(LogFormat::Text), |node| node.choice(&LOG_FORMATS));
+      let operators = map.require("operators", ADDRESS).and_then(|node| node.address());
+      let peers = map.require("peers", ADDRESS).and_then(|node| node.address());
+      let platform = map.require("platform", ADDRESS).and_then(|node| node.address());
       let poll = map.get("poll").map_or(Some(POLL), |node| {
         node.duration(&(Duration::from_millis(100)..=Duration::from_secs(60)))
       });
--- a/yuccarudder/src/target/table.rs
+++ b/yuccarudder/src/target/table.rs
@@ -78,15 +78,9 @@
 impl Table {
   /// Chooses a target that is not in `tried` and counts the job there.
   pub fn admit(&mut self, service: &str, tried: &[Key], now: Instant, random: u64) -> Choice {
-    let keys = self
-      .services
-      .get(service)
-      .map(Vec::as_slice)
-      .unwrap_or_default();
-    let candidates = keys
-      .iter()
-      .filter(|key| !tried.contains(key))
-      .filter_map(|key| self.candidate(*key));
+    let keys = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
+    let candidates =
+      keys.iter().filter(|key| !tried.contains(key)).filter_map(|key| self.candidate(*key));
     let choice = choose(candidates, now, random);
     if let Choice::Chosen(key) = choice {
       self.entries[key].in_hand += 1;
@@ -142,9 +136,7 @@
         name: target.name.clone(),
         service: service.clone(),
       };
-      let limit = tree
-        .knobs(Some(target.service), Some(target.data_centre), None)
-        .in_hand;
+      let limit = tree.knobs(Some(target.service), Some(target.data_centre), None).in_hand;
       let data_centre = &tree.data_centres[target.data_centre].name;
       let key = self.upsert(identity, data_centre, limit, tree.takes_work(target));
       self.services.entry(service.clone()).or_default().push(key);
@@ -153,9 +145,7 @@
   }
 
   fn forget_idle(&mut self) {
-    self
-      .entries
-      .retain(|_, entry| entry.listed || entry.in_hand > 0);
+    self.entries.retain(|_, entry| entry.listed || entry.in_hand > 0);
     self.keys.retain(|_, key| self.entries.contains_key(*key));
   }
 
--- a/yuccarudder/src/target/tests.rs
+++ b/yuccarudder/src/target/tests.rs
@@ -129,9 +129,7 @@
     targets.admit("s", &[], now, 0).unwrap_err(),
     Choice::Unreachable
   );
-  targets
-    .admit("s", &[], now + Duration::from_secs(1), 0)
-    .unwrap();
+  targets.admit("s", &[], now + Duration::from_secs(1), 0).unwrap();
 }
 
 proptest! {
--- a/yuccarudder/src/ticket/seal.rs
+++ b/yuccarudder/src/ticket/seal.rs
@@ -60,8 +60,6 @@
   let secret = secrets.iter().find(|secret| secret.id == id)?;
   let payload = URL_SAFE_NO_PAD.decode(payload).ok()?;
   let signature = URL_SAFE_NO_PAD.decode(signature).ok()?;
-  code(secret, domain, &payload)
-    .verify_slice(&signature)
-    .ok()?;
+  code(secret, domain, &payload).verify_slice(&signature).ok()?;
   T::decode(payload.as_slice()).ok()
 }
--- a/yuccarudder/src/tree/call.rs
+++ b/yuccarudder/src/tree/call.rs
@@ -32,9 +32,7 @@
 
   pub(super) fn read(node: &Node<'_, '_>) -> Option<Self> {
     let mut map = node.map()?;
-    let method = map
-      .require("method", "an HTTP method")
-      .and_then(|node| node.choice(&METHODS));
+    let method = map.require("method", "an HTTP method").and_then(|node| node.choice(&METHODS));
     let path = map.require("path", "a path").and_then(|node| {
       node.parse("a path that starts with `/`", |text| {
         text.starts_with('/').then(|| text.to_owned())
--- a/yuccarudder/src/tree/secret.rs
+++ b/yuccarudder/src/tree/secret.rs
@@ -21,18 +21,14 @@
     let id = map.require("id", "a name").and_then(|node| {
       node.parse("1 to 32 letters, digits, `-` or `_`", |text| {
         let fits = (1..=32).contains(&text.len())
-          && text
-            .bytes()
-            .all(|byte| byte.is_ascii_alphanumeric() || b"-_".contains(&byte));
+          && text.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_".contains(&byte));
         fits.then(|| text.to_owned())
       })
     });
     let bytes = map.require("secret", "base64").and_then(|node| {
       // The found value stays out of the fault: it is a secret.
-      let bytes = STANDARD
-        .decode(node.string()?)
-        .ok()
-        .filter(|bytes| bytes.len() >= MIN_SECRET_BYTES);
+      let bytes =
+        STANDARD.decode(node.string()?).ok().filter(|bytes| bytes.len() >= MIN_SECRET_BYTES);
       if bytes.is_none() {
         node.fault("a secret that does not fit", "at least 32 bytes as base64");
       }
--- a/yuccarudder/src/tree/service.rs
+++ b/yuccarudder/src/tree/service.rs
@@ -29,9 +29,7 @@
       return Some(Self::default());
     };
     let mut map = node.map()?;
-    let fencing = map
-      .get("fencing")
-      .map_or(Some(false), |node| node.boolean());
+    let fencing = map.get("fencing").map_or(Some(false), |node| node.boolean());
     let resume = map.get("resume").map_or(Some(false), |node| node.boolean());
     map.finish();
     Some(Self {
@@ -68,9 +66,7 @@
     node: &Node<'a, 'b>,
   ) -> Option<(Self, Option<Node<'a, 'b>>)> {
     let mut map = node.map()?;
-    let kind = map
-      .require("kind", "engine, plain")
-      .and_then(|node| node.choice(&KINDS));
+    let kind = map.require("kind", "engine, plain").and_then(|node| node.choice(&KINDS));
     let overrides = Overrides::read(map.get("overrides"), Level::Service);
     let repeatable = map.get("repeatable").map_or(Some(Vec::new()), |node| {
       Some(node.list()?.iter().filter_map(Call::read).collect())
--- a/yuccarudder/src/tree/tests.rs
+++ b/yuccarudder/src/tree/tests.rs
@@ -112,10 +112,7 @@
 #[test]
 fn only_targets_in_service_take_work() {
   let tree = good();
-  let open = tree
-    .targets
-    .values()
-    .filter(|target| tree.takes_work(target));
+  let open = tree.targets.values().filter(|target| tree.takes_work(target));
   let names: Vec<&str> = open.map(|target| target.name.as_str()).collect();
   assert_eq!(names, ["p1"]);
 }
--- a/yuccarudder/src/tree/tree.rs
+++ b/yuccarudder/src/tree/tree.rs
@@ -51,9 +51,7 @@
       }
       let mut map = root.map()?;
       let mut tree = Self::default();
-      let operator = map
-        .require("operator", "a name")
-        .and_then(|node| node.string());
+      let operator = map.require("operator", "a name").and_then(|node| node.string());
       let overrides = Overrides::read(map.get("overrides"), Level::Operator);
       let secrets = map.require("keys", "a list of keys");
       let data_centres = map.require("data_centres", "a mapping of data centres");
@@ -73,10 +71,7 @@
 
   /// Returns the client account that holds a bearer credential.
   pub fn account(&self, credential: &str) -> Option<AccountKey> {
-    self
-      .accounts_by_digest
-      .get(&Account::digest(credential))
-      .copied()
+    self.accounts_by_digest.get(&Account::digest(credential)).copied()
   }
 
   /// Returns the client account with a name.
@@ -120,15 +115,10 @@
     data_centre: Option<DataCentreKey>,
     account: Option<AccountKey>,
   ) -> impl Iterator<Item = (Level, &Overrides)> {
-    let service = service
-      .and_then(|key| self.services.get(key))
-      .map(|item| &item.overrides);
-    let data_centre = data_centre
-      .and_then(|key| self.data_centres.get(key))
-      .map(|item| &item.overrides);
-    let account = account
-      .and_then(|key| self.accounts.get(key))
-      .map(|item| &item.overrides);
+    let service = service.and_then(|key| self.services.get(key)).map(|item| &item.overrides);
+    let data_centre =
+      data_centre.and_then(|key| self.data_centres.get(key)).map(|item| &item.overrides);
+    let account = account.and_then(|key| self.accounts.get(key)).map(|item| &item.overrides);
     [
       (Level::Operator, Some(&self.overrides)),
       (Level::Service, service),
@@ -202,16 +192,12 @@
 
   fn read_target(&mut self, service: ServiceKey, name: String, node: &Node<'_, '_>) -> Option<()> {
     let mut map = node.map()?;
-    let address = map
-      .require("address", "an IP address and port")
-      .and_then(|node| node.address());
-    let data_centre = map
-      .require("data_centre", "a data centre")
-      .and_then(|node| {
-        node.parse("the name of a data centre of this tree", |name| {
-          self.data_centre(name)
-        })
-      });
+    let address = map.require("address", "an IP address and port").and_then(|node| node.address());
+    let data_centre = map.require("data_centre", "a data centre").and_then(|node| {
+      node.parse("the name of a data centre of this tree", |name| {
+        self.data_centre(name)
+      })
+    });
     let state = State::read(map.get("state"));
     map.finish();
     self.targets.insert(Target {
@@ -237,8 +223,5 @@
 }
 
 fn entries<'a, 'b>(node: Option<Node<'a, 'b>>) -> Vec<(String, Node<'a, 'b>)> {
-  node
-    .and_then(|node| node.map())
-    .map(|map| map.entries())
-    .unwrap_or_default()
+  node.and_then(|node| node.map()).map(|map| map.entries()).unwrap_or_default()
 }
--- a/yuccarudder/src/upstream/pool.rs
+++ b/yuccarudder/src/upstream/pool.rs
@@ -41,14 +41,10 @@
       .await
       .map_err(|_| "the connection timed out".to_owned())?
       .map_err(|error| error.to_string())?;
-    stream
-      .set_nodelay(true)
-      .map_err(|error| error.to_string())?;
+    stream.set_nodelay(true).map_err(|error| error.to_string())?;
     let gate = Gate::default();
     let io = TokioIo::new(Gated::new(stream, gate.clone()));
-    let (sender, driver) = http1::handshake(io)
-      .await
-      .map_err(|error| error.to_string())?;
+    let (sender, driver) = http1::handshake(io).await.map_err(|error| error.to_string())?;
     tokio::spawn(driver);
     Ok(Connection {
       gate,
--- a/yuccarudder/src/upstream/tests.rs
+++ b/yuccarudder/src/upstream/tests.rs
@@ -88,10 +88,7 @@
     for _ in 0..2 {
       let mut bytes = [0; 1024];
       assert!(stream.read(&mut bytes).await.unwrap() > 0);
-      stream
-        .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
-        .await
-        .unwrap();
+      stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await.unwrap();
     }
   });
   let pool = Pool::new(Clock::system());
--- a/yuccarudder/src/view/host_list.rs
+++ b/yuccarudder/src/view/host_list.rs
@@ -33,18 +33,11 @@
   fn read(node: &Node<'_, '_>) -> Option<Self> {
     const ADDRESS: &str = "an IP address and port";
     let mut map = node.map()?;
-    let callers = map
-      .require("callers", ADDRESS)
-      .and_then(|node| node.address());
-    let data_centre = map
-      .require("data_centre", "the name of a data centre")
-      .and_then(|node| node.string());
-    let peers = map
-      .require("peers", ADDRESS)
-      .and_then(|node| node.address());
-    let state = map
-      .require("state", "leaving, live")
-      .and_then(|node| node.choice(&STATES));
+    let callers = map.require("callers", ADDRESS).and_then(|node| node.address());
+    let data_centre =
+      map.require("data_centre", "the name of a data centre").and_then(|node| node.string());
+    let peers = map.require("peers", ADDRESS).and_then(|node| node.address());
+    let state = map.require("state", "leaving, live").and_then(|node| node.choice(&STATES));
     map.finish();
     Some(Self {
       callers: callers?,
@@ -71,9 +64,7 @@
   pub fn accept(source: &str, text: &str) -> Result<Self, Vec<Fault>> {
     yaml::read(source, text, |root| {
       let mut map = root.map()?;
-      let hosts = map
-        .require("hosts", "a list of hosts")
-        .and_then(|node| node.list());
+      let hosts = map.require("hosts", "a list of hosts").and_then(|node| node.list());
       map.finish();
       let hosts = hosts?.iter().filter_map(Entry::read).collect();
       Some(Self { hosts })
--- a/yuccarudder/src/view/view.rs
+++ b/yuccarudder/src/view/view.rs
@@ -114,10 +114,6 @@
 impl View {
   /// Returns the settings tree in force.
   pub fn tree(&self) -> Option<Arc<Tree>> {
-    self
-      .settings
-      .accepted
-      .as_ref()
-      .map(|accepted| Arc::clone(&accepted.document))
+    self.settings.accepted.as_ref().map(|accepted| Arc::clone(&accepted.document))
   }
 }
--- a/yuccarudder/src/yaml/map.rs
+++ b/yuccarudder/src/yaml/map.rs
@@ -21,10 +21,8 @@
   ///
   /// Names are 1 to 64 letters, digits, `-`, `_` or `.`; others are faults.
   pub fn entries(self) -> Vec<(String, Node<'a, 'b>)> {
-    let (good, bad): (Vec<_>, Vec<_>) = self
-      .entries
-      .into_iter()
-      .partition(|(name, _)| is_name(name));
+    let (good, bad): (Vec<_>, Vec<_>) =
+      self.entries.into_iter().partition(|(name, _)| is_name(name));
     for (name, node) in bad {
       node.fault(
         format!("the name `{name}`"),
@@ -48,11 +46,7 @@
   /// Returns the value of an optional key.
   pub fn get(&mut self, key: &'static str) -> Option<Node<'a, 'b>> {
     self.read.push(key);
-    self
-      .entries
-      .iter()
-      .find(|(name, _)| name == key)
-      .map(|(_, node)| node.clone())
+    self.entries.iter().find(|(name, _)| name == key).map(|(_, node)| node.clone())
   }
 
   pub(super) fn new<'c>(
@@ -86,7 +80,5 @@
 
 fn is_name(name: &str) -> bool {
   (1..=64).contains(&name.len())
-    && name
-      .bytes()
-      .all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte))
+    && name.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte))
 }
--- a/yuccarudder/src/yaml/node.rs
+++ b/yuccarudder/src/yaml/node.rs
@@ -18,9 +18,7 @@
   /// Reads an IP address and port.
   pub fn address(&self) -> Option<SocketAddr> {
     self.parse("an IP address and port, such as 10.0.0.1:8080", |text| {
-      SocketAddr::from_str(text)
-        .ok()
-        .filter(|address| address.port() != 0)
+      SocketAddr::from_str(text).ok().filter(|address| address.port() != 0)
     })
   }
 
@@ -47,16 +45,9 @@
 
   /// Reads one of a set of words.
   pub fn choice<T: Copy>(&self, words: &[(&str, T)]) -> Option<T> {
-    let allowed = words
-      .iter()
-      .map(|(word, _)| *word)
-      .collect::<Vec<_>>()
-      .join(", ");
+    let allowed = words.iter().map(|(word, _)| *word).collect::<Vec<_>>().join(", ");
     self.parse(&allowed, |text| {
-      words
-        .iter()
-        .find(|(word, _)| *word == text)
-        .map(|(_, value)| *value)
+      words.iter().find(|(word, _)| *word == text).map(|(_, value)| *value)
     })
   }
 
@@ -68,9 +59,7 @@
       humantime::format_duration(*range.end())
     );
     self.parse(&allowed, |text| {
-      humantime::parse_duration(text)
-        .ok()
-        .filter(|value| range.contains(value))
+      humantime::parse_duration(text).ok().filter(|value| range.contains(value))
     })
   }
 
--- a/yuccarudder/src/yaml/tests.rs
+++ b/yuccarudder/src/yaml/tests.rs
@@ -23,9 +23,7 @@
       let second = std::time::Duration::from_secs(1);
       node.duration(&(second..=60 * second))
     });
-    map
-      .get("word")
-      .and_then(|node| node.choice(&[("in", 1), ("out", 2)]));
+    map.get("word").and_then(|node| node.choice(&[("in", 1), ("out", 2)]));
     map.require("name", "text").and_then(|node| node.string());
     map.finish();
     Some(())
--- a/yuccarudder/tests/clients.rs
+++ b/yuccarudder/tests/clients.rs
@@ -29,18 +29,12 @@
 
 fn client(fleet: &Fleet, credential: &str) -> Client<OpenAIConfig> {
   let base = format!("http://{}/v1", fleet.hosts[0].settings.callers);
-  Client::with_config(
-    OpenAIConfig::new()
-      .with_api_base(base)
-      .with_api_key(credential),
-  )
+  Client::with_config(OpenAIConfig::new().with_api_base(base).with_api_key(credential))
 }
 
 fn request(model: &str) -> CreateChatCompletionRequest {
-  let message = ChatCompletionRequestUserMessageArgs::default()
-    .content("Plan a week.")
-    .build()
-    .unwrap();
+  let message =
+    ChatCompletionRequestUserMessageArgs::default().content("Plan a week.").build().unwrap();
   CreateChatCompletionRequestArgs::default()
     .model(model)
     .max_completion_tokens(5_u32)
@@ -59,11 +53,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn chat_is_answered_whole() {
   let fleet = fleet().await;
-  let response = client(&fleet, CREDENTIAL)
-    .chat()
-    .create(request(MODEL))
-    .await
-    .unwrap();
+  let response = client(&fleet, CREDENTIAL).chat().create(request(MODEL)).await.unwrap();
   let content = response.choices[0].message.content.as_ref().unwrap();
   assert_eq!(content.split_whitespace().count(), 5);
   assert_eq!(response.usage.unwrap().completion_tokens, 5);
@@ -72,16 +62,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn chat_is_streamed() {
   let fleet = fleet().await;
-  let stream = client(&fleet, CREDENTIAL)
-    .chat()
-    .create_stream(request(MODEL))
-    .await
-    .unwrap();
+  let stream = client(&fleet, CREDENTIAL).chat().create_stream(request(MODEL)).await.unwrap();
   let chunks: Vec<_> = stream.map(Result::unwrap).collect().await;
   let content = chunks.iter().flat_map(|chunk| &chunk.choices);
-  let content: String = content
-    .filter_map(|choice| choice.delta.content.clone())
-    .collect();
+  let content: String = content.filter_map(|choice| choice.delta.content.clone()).collect();
   assert_eq!(content.split_whitespace().count(), 5);
 }
 
@@ -94,11 +78,7 @@
     .max_tokens(4_u32)
     .build()
     .unwrap();
-  let response = client(&fleet, CREDENTIAL)
-    .completions()
-    .create(request)
-    .await
-    .unwrap();
+  let response = client(&fleet, CREDENTIAL).completions().create(request).await.unwrap();
   assert_eq!(response.choices[0].text.split_whitespace().count(), 4);
 }
 
--- a/yuccarudder/tests/processes.rs
+++ b/yuccarudder/tests/processes.rs
@@ -141,12 +141,7 @@
   tokio::time::sleep(Duration::from_secs(1)).await;
   processes.hosts[0].signal(Signal::SIGCONT);
   let result = asked.await.unwrap();
-  let runs = processes
-    .fleet
-    .runs()
-    .get("seat 11")
-    .copied()
-    .unwrap_or_default();
+  let runs = processes.fleet.runs().get("seat 11").copied().unwrap_or_default();
   match result {
     Ok(_) => assert_eq!(runs, 1),
     Err(failure) => {
--- a/yuccarudder/tests/promises.rs
+++ b/yuccarudder/tests/promises.rs
@@ -65,12 +65,8 @@
   let mut options = Options::default();
   let knob = |line: &str| line.split(':').next().map(str::to_owned);
   let replaced: Vec<_> = overrides.iter().map(|line| knob(line)).collect();
-  options
-    .overrides
-    .retain(|line| !replaced.contains(&knob(line)));
-  options
-    .overrides
-    .extend(overrides.iter().map(ToString::to_string));
+  options.overrides.retain(|line| !replaced.contains(&knob(line)));
+  options.overrides.extend(overrides.iter().map(ToString::to_string));
   options
 }
 
@@ -94,20 +90,13 @@
 }
 
 async fn ticket_of(fleet: &Fleet, host: usize) -> String {
-  client_of(fleet, host)
-    .entries()
-    .await
-    .unwrap()
-    .ticket
-    .unwrap()
+  client_of(fleet, host).entries().await.unwrap().ticket.unwrap()
 }
 
 /// Asks for a whole answer and returns its status and text.
 async fn whole(fleet: &Fleet, tokens: u64) -> (StatusCode, String) {
   let body = json!({ "model": MODEL, "prompt": "Plan a week.", "rig_tokens": tokens });
-  let request = Request::post("/v1/completions")
-    .body(http::full(body.to_string()))
-    .unwrap();
+  let request = Request::post("/v1/completions").body(http::full(body.to_string())).unwrap();
   let callers = fleet.hosts[0].settings.callers;
   let response = fleet.client().send(callers, request).await.unwrap();
   let status = response.status();
@@ -119,21 +108,14 @@
 
 /// Returns whether a text is one generation with each index once, in order.
 fn is_one_generation(text: &str, tokens: usize) -> bool {
-  let mut parts = text
-    .split_whitespace()
-    .map(|token| token.split_once(':').unwrap());
+  let mut parts = text.split_whitespace().map(|token| token.split_once(':').unwrap());
   let generations: Vec<&str> = parts.clone().map(|(generation, _)| generation).collect();
-  let in_order = parts
-    .by_ref()
-    .enumerate()
-    .all(|(at, (_, index))| index == at.to_string());
+  let in_order = parts.by_ref().enumerate().all(|(at, (_, index))| index == at.to_string());
   in_order && generations.len() == tokens && generations.windows(2).all(|pair| pair[0] == pair[1])
 }
 
 async fn faulty_engines(faults: engine::Faults) -> Tally {
-  let fleet = Fleet::start(options(&["stall_timeout: 200ms"]))
-    .await
-    .unwrap();
+  let fleet = Fleet::start(options(&["stall_timeout: 200ms"])).await.unwrap();
   for engine in &fleet.engines {
     engine.stand_in.set_faults(faults);
   }
@@ -186,11 +168,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn killed_engine_is_not_spliced() {
   let mut fleet = Fleet::start(options(&["resumes: 2"])).await.unwrap();
-  let mut generation = fleet
-    .client()
-    .generate(Shape::Text, body(2000))
-    .await
-    .unwrap();
+  let mut generation = fleet.client().generate(Shape::Text, body(2000)).await.unwrap();
   let mut check = Check::default();
   check.take(&generation.next().await.unwrap().unwrap());
   let at = busy_engine(&fleet);
@@ -214,18 +192,13 @@
     let client = fleet.client();
     async move {
       let body = json!({ "model": MODEL, "prompt": "a", "rig_tokens": 200 }).to_string();
-      let request = Request::post("/v1/completions")
-        .body(http::full(body))
-        .unwrap();
+      let request = Request::post("/v1/completions").body(http::full(body)).unwrap();
       let response = client.send(callers, request).await.unwrap();
       http::collect(response.into_body(), 1 << 20).await.unwrap()
     }
   });
   eventually("no engine runs the job", || {
-    fleet
-      .engines
-      .iter()
-      .any(|engine| engine.stand_in.load().memory_used > 50)
+    fleet.engines.iter().any(|engine| engine.stand_in.load().memory_used > 50)
   })
   .await;
   let at = busy_engine(&fleet);
@@ -266,18 +239,10 @@
   let mut asked = body(5000);
   asked.insert("stream".into(), true.into());
   let bytes = Value::Object(asked).to_string();
-  let request = Request::post("/v1/completions")
-    .body(http::full(bytes))
-    .unwrap();
+  let request = Request::post("/v1/completions").body(http::full(bytes)).unwrap();
   let client = fleet.client();
   let response = client.send(callers, request).await.unwrap();
-  let running = || {
-    fleet
-      .engines
-      .iter()
-      .map(|engine| engine.stand_in.load().running)
-      .sum::<usize>()
-  };
+  let running = || fleet.engines.iter().map(|engine| engine.stand_in.load().running).sum::<usize>();
   assert_eq!(running(), 1);
   drop(response);
   eventually("the generation still runs", || running() == 0).await;
@@ -425,9 +390,7 @@
 /// Bookings through kills: each runs at most once, and none that was said not to run has run.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_answer_lies_while_hosts_and_targets_are_killed() {
-  let mut fleet = Fleet::start(options(&["deadline: 2s", "in_hand: 4"]))
-    .await
-    .unwrap();
+  let mut fleet = Fleet::start(options(&["deadline: 2s", "in_hand: 4"])).await.unwrap();
   for plain in &fleet.plains {
     plain.stand_in.set_faults(plain::Faults {
       delay_ms: 30,
@@ -474,10 +437,7 @@
   let tree = fleet.tree(&["east-dist"]);
   fleet.platform.stand_in.publish(Key::Settings, tree);
   eventually("a host has not heard of it", || {
-    fleet
-      .hosts
-      .iter()
-      .all(|host| host.host().unwrap().view.borrow().settings.seen == 2)
+    fleet.hosts.iter().all(|host| host.host().unwrap().view.borrow().settings.seen == 2)
   })
   .await;
   let load = drive(
@@ -514,10 +474,7 @@
 async fn rewound_platform_reverts_nothing() {
   let fleet = Fleet::start(Options::default()).await.unwrap();
   let first = fleet.tree(&[]);
-  fleet
-    .platform
-    .stand_in
-    .publish(Key::Settings, fleet.tree(&["kochi-none"]));
+  fleet.platform.stand_in.publish(Key::Settings, fleet.tree(&["kochi-none"]));
   let host = fleet.hosts[0].host().unwrap().clone();
   eventually("the host has not heard of it", || {
     host.view.borrow().settings.seen == 2
@@ -534,24 +491,14 @@
     host.metrics.stale_documents.get() > 0
   })
   .await;
-  let revision = host
-    .view
-    .borrow()
-    .settings
-    .accepted
-    .as_ref()
-    .unwrap()
-    .revision;
+  let revision = host.view.borrow().settings.accepted.as_ref().unwrap().revision;
   assert_eq!(revision, 2);
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn refused_settings_leave_the_last_ones_in_force() {
   let fleet = Fleet::start(Options::default()).await.unwrap();
-  fleet
-    .platform
-    .stand_in
-    .publish(Key::Settings, "operator: 1\n");
+  fleet.platform.stand_in.publish(Key::Settings, "operator: 1\n");
   let host = fleet.hosts[0].host().unwrap().clone();
   eventually("the document was not refused", || {
     host.metrics.settings_refused.get() == 1
