--- a/rig/src/command.rs
+++ b/rig/src/command.rs
@@ -2,7 +2,7 @@
 
 use {
   crate::{
-    answer, demo,
+    answer, capacity, demo,
     engine::{Engine, Traits},
     load, overhead,
     plain::Plain,
@@ -24,6 +24,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Subcommand {
+  Capacity(capacity::Capacity),
   Demo(demo::Demo),
   Engine(ServeEngine),
   Load(load::Load),
@@ -83,6 +84,7 @@
   /// Fails with a message that tells the user what to do.
   pub async fn run(self) -> anyhow::Result<()> {
     match self.subcommand {
+      Subcommand::Capacity(capacity) => capacity.run(),
       Subcommand::Demo(demo) => demo.run().await,
       Subcommand::Engine(engine) => engine.run().await,
       Subcommand::Load(load) => load.run().await,
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod address;
 pub mod answer;
+pub mod capacity;
 pub mod command;
 pub mod cpu;
 pub mod demo;
--- a/rig/src/load.rs
+++ b/rig/src/load.rs
@@ -82,7 +82,10 @@
       loop {
         time::sleep(PROGRESS).await;
         passed += PROGRESS;
-        eprintln!("{} s of {} s", passed.as_secs(), self.seconds);
+        match self.seconds.checked_sub(passed.as_secs()) {
+          Some(left) => eprintln!("{left} s left"),
+          None => eprintln!("waiting for the last jobs"),
+        }
       }
     };
     let tally = tokio::select! {
--- a/yuccarudder/src/plain/answer.rs
+++ b/yuccarudder/src/plain/answer.rs
@@ -27,6 +27,7 @@
 struct Guarded {
   _held: (InHand, Option<Place>),
   body: Body,
+  counted: bool,
   deadline: Pin<Box<Sleep>>,
   host: Host,
 }
@@ -48,7 +49,12 @@
     }
     match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
       Some(Err(_)) => Poll::Ready(Some(Err(self.fail(Reason::TargetLost)))),
-      frame => Poll::Ready(frame),
+      frame => {
+        if frame.is_none() || self.body.is_end_stream() {
+          self.count();
+        }
+        Poll::Ready(frame)
+      }
     }
   }
 
@@ -58,6 +64,13 @@
 }
 
 impl Guarded {
+  fn count(&mut self) {
+    if !self.counted {
+      self.counted = true;
+      self.host.metrics.answered.inc();
+    }
+  }
+
   fn fail(&self, reason: Reason) -> BodyError {
     let refusal = Refusal::unknown(reason);
     self.host.metrics.refuse(&refusal);
@@ -77,6 +90,7 @@
   let guarded = Guarded {
     _held: (in_hand, place),
     body,
+    counted: false,
     deadline: Box::pin(time::sleep_until(deadline.into())),
     host: host.clone(),
   };
--- a/yuccarudder/src/plain/home.rs
+++ b/yuccarudder/src/plain/home.rs
@@ -50,14 +50,15 @@
       Err(_) => Outcome::NotKept,
     },
   };
-  Ok(response(outcome.into_answer()?))
+  Ok(response(host, outcome.into_answer()?))
 }
 
 /// Runs a claimed call and hands its first answer to the caller as it comes.
 async fn first(host: &Host, keyed: Keyed) -> Result<Response<Body>, Refusal> {
   let (sender, receiver) = oneshot::channel();
-  let host = host.clone();
+  let running = host.clone();
   tokio::spawn(async move {
+    let host = running;
     let key = keyed.key.clone();
     let (outcome, large) = match finish(&host, keyed).await {
       Ok(End::Answer(answer)) => (Outcome::Answer(answer), None),
@@ -70,7 +71,7 @@
   });
   match receiver.await {
     Ok((_, Some(large))) => Ok(large),
-    Ok((outcome, None)) => Ok(response(outcome.into_answer()?)),
+    Ok((outcome, None)) => Ok(response(host, outcome.into_answer()?)),
     Err(_) => Err(Refusal::unknown(Reason::TargetLost)),
   }
 }
@@ -150,7 +151,8 @@
   })
 }
 
-fn response(answer: Answer) -> Response<Body> {
+fn response(host: &Host, answer: Answer) -> Response<Body> {
+  host.metrics.answered.inc();
   let no_content = answer.status == StatusCode::NO_CONTENT;
   let body = if no_content {
     http::empty()
