Measure what views cost and how fast a change spreads

Cause: the cost of views at the target size was not known. Change: rig spread measures platform calls, bytes, processor and the time for a change over fleets of any size in one process.

--- a/rig/src/command.rs
+++ b/rig/src/command.rs
@@ -7,6 +7,7 @@
     load, overhead,
     plain::Plain,
     platform::Platform,
+    spread,
   },
   anyhow::Context,
   argh::FromArgs,
@@ -31,6 +32,7 @@
   Overhead(overhead::Overhead),
   Plain(ServePlain),
   Platform(ServePlatform),
+  Spread(spread::Spread),
 }
 
 /// serve a stand-in for a model engine
@@ -91,6 +93,7 @@
       Subcommand::Overhead(overhead) => overhead.run().await,
       Subcommand::Plain(plain) => plain.run().await,
       Subcommand::Platform(platform) => platform.run().await,
+      Subcommand::Spread(spread) => spread.run().await,
     }
   }
 }
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -51,6 +51,8 @@
 /// How large a fleet is and what its operator sets.
 #[derive(Clone, Debug)]
 pub struct Options {
+  /// Client accounts besides the one that is used.
+  pub accounts: usize,
   /// Number of engines.
   pub engines: usize,
   /// Threads of each entry host.
@@ -59,6 +61,8 @@
   pub hosts: usize,
   /// Lines under `overrides` of the operator, such as `entries_keep: 1s`.
   pub overrides: Vec<String>,
+  /// Targets of a service that nobody asks for.
+  pub phantoms: usize,
   /// Number of plain servers.
   pub plains: usize,
   /// What the engines are like.
@@ -68,10 +72,12 @@
 impl Default for Options {
   fn default() -> Self {
     Self {
+      accounts: 0,
       engines: 3,
       host_threads: 1,
       hosts: 3,
       overrides: vec!["entries_keep: 1s".into(), "ticket_life: 3s".into()],
+      phantoms: 0,
       plains: 2,
       traits: Traits::default(),
     }
@@ -213,8 +219,7 @@
   pub engines: Vec<Running<Engine>>,
   /// The entry hosts.
   pub hosts: Vec<Entry>,
-  /// The operator's overrides.
-  overrides: Vec<String>,
+  options: Options,
   /// The plain servers.
   pub plains: Vec<Running<Plain>>,
   /// The platform.
@@ -275,22 +280,23 @@
     let platform_address = address::unused();
     let settings: Vec<settings::Host> =
       (0..options.hosts).map(|index| host_settings(index, platform_address)).collect();
-    let tree = tree(&options.overrides, &engines, &plains, &[]);
+    let tree = tree(&options, &engines, &plains, &[]);
     let hosts = host_list(settings.iter(), &[]);
     let platform = Platform::new(tree, hosts);
     let platform = start(platform_address, platform, |platform, request| {
       platform.handle(request)
     })
     .await?;
+    let threads = options.host_threads;
     let hosts = settings.into_iter().map(|settings| Entry {
       process: None,
       settings,
-      threads: options.host_threads,
+      threads,
     });
     Ok(Self {
       engines,
       hosts: hosts.collect(),
-      overrides: options.overrides,
+      options,
       plains,
       platform,
     })
@@ -298,7 +304,7 @@
 
   /// Renders the settings tree; the data centres named in `out` are out of service.
   pub fn tree(&self, out: &[&str]) -> String {
-    tree(&self.overrides, &self.engines, &self.plains, out)
+    tree(&self.options, &self.engines, &self.plains, out)
   }
 }
 
@@ -387,7 +393,7 @@
 }
 
 fn tree(
-  overrides: &[String],
+  options: &Options,
   engines: &[Running<Engine>],
   plains: &[Running<Plain>],
   out: &[&str],
@@ -395,7 +401,7 @@
   let secret = STANDARD.encode(SECRET);
   let mut text = format!("operator: rig\nkeys:\n- {{id: k1, secret: {secret}}}\n");
   text.push_str("overrides:\n");
-  for line in overrides {
+  for line in &options.overrides {
     let _ = writeln!(text, "  {line}");
   }
   text.push_str("data_centres:\n");
@@ -411,11 +417,27 @@
   let _ = writeln!(text, "  {SERVICE}:\n    kind: plain");
   text.push_str("    repeatable:\n    - {method: GET, path: /slots}\n");
   targets(&mut text, plains);
+  let _ = writeln!(text, "  phantom:\n    kind: engine\n    targets:");
+  for index in 0..options.phantoms {
+    let [.., high, low] = index.to_be_bytes();
+    let address = format!("10.9.{high}.{low}:80");
+    let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()];
+    let _ = writeln!(
+      text,
+      "      p{index}: {{address: \"{address}\", data_centre: {data_centre}}}"
+    );
+  }
   let digest = base16ct::lower::encode_string(&Account::digest(CREDENTIAL));
   let _ = writeln!(
     text,
     "accounts:\n  parents: {{credentials: [\"{digest}\"]}}"
   );
+  for index in 0..options.accounts {
+    let _ = writeln!(
+      text,
+      "  account{index}: {{credentials: [\"{index:064x}\"]}}"
+    );
+  }
   text
 }
 
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod overhead;
 pub mod plain;
 pub mod platform;
+pub mod spread;
 pub mod tally;
--- a/rig/src/overhead.rs
+++ b/rig/src/overhead.rs
@@ -129,6 +129,7 @@
         step: Duration::from_millis(self.step_ms.max(1)),
         ..Traits::default()
       },
+      ..Options::default()
     }
   }
 
