Grant places at cold targets by one owner at a time

Cause: nothing kept hosts from sending a cold target full loads. Change: a connection counts as warm once the target said so on it, so no job on a warm connection can reach a restarted process; on any other connection a job needs a place from the target's owner: the live host ranked highest by rendezvous hashing, which acts only with a fresh list and after waiting out its predecessors. Grants count jobs of earlier owners by the target's own reports.

--- a/rig/src/engine/batch.rs
+++ b/rig/src/engine/batch.rs
@@ -11,6 +11,8 @@
 /// What an engine is like.
 #[derive(Clone, Copy, Debug)]
 pub struct Traits {
+  /// Tokens that it decodes before it is past its cold start.
+  pub cold_tokens: u64,
   /// Most generations that decode together.
   pub batch: usize,
   /// Tokens that fit in memory.
@@ -26,6 +28,7 @@
 impl Default for Traits {
   fn default() -> Self {
     Self {
+      cold_tokens: 0,
       batch: 64,
       memory: 64_000,
       prefill_steps: 2,
@@ -38,6 +41,10 @@
 /// What an engine reports of its load.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Load {
+  /// Whether it is in its cold start.
+  pub cold: bool,
+  /// Most generations that it had at a time in its cold start.
+  pub cold_peak: usize,
   /// Distinguishes the processes that had the address.
   pub incarnation: u64,
   /// Tokens that fit in memory.
@@ -102,6 +109,8 @@
 /// The generations of one engine, advanced step by step.
 #[derive(Debug)]
 pub struct Batch {
+  cold_peak: usize,
+  decoded: u64,
   generations: HashMap<Id, Generation>,
   incarnation: u64,
   preemptions: u64,
@@ -144,6 +153,8 @@
     let active = || self.generations.values().filter(|item| !item.progress.borrow().ended);
     let running = active().filter(|item| item.running);
     Load {
+      cold: self.is_cold(),
+      cold_peak: self.cold_peak,
       incarnation: self.incarnation,
       memory: self.traits.memory,
       memory_used: running.clone().map(Generation::memory).sum(),
@@ -156,6 +167,8 @@
   /// Builds an empty batch.
   pub fn new(traits: Traits) -> Self {
     Self {
+      cold_peak: 0,
+      decoded: 0,
       generations: HashMap::new(),
       incarnation: rand::random(),
       preemptions: 0,
@@ -182,9 +195,17 @@
       started: self.started,
     };
     self.generations.insert(start.id, generation);
+    if self.is_cold() {
+      let active = self.generations.values().filter(|item| !item.progress.borrow().ended);
+      self.cold_peak = self.cold_peak.max(active.count());
+    }
     true
   }
 
+  fn is_cold(&self) -> bool {
+    self.decoded < self.traits.cold_tokens
+  }
+
   /// Decodes one token of each running generation.
   pub fn step(&mut self, now: Instant) {
     self.drop_orphans(now);
@@ -201,6 +222,7 @@
           return false;
         }
         progress.tokens += 1;
+        self.decoded += 1;
         progress.ended = progress.tokens >= length;
         true
       });
--- a/rig/src/engine/engine.rs
+++ b/rig/src/engine/engine.rs
@@ -155,7 +155,8 @@
     let mut steps = time::interval(self.traits.step);
     steps.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut reports = time::interval(LOAD_LAG);
-    let mut fresh = Load::default();
+    let mut fresh = self.load();
+    *lock(&self.reported) = fresh;
     loop {
       tokio::select! {
         _ = steps.tick() => {
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -55,6 +55,8 @@
   pub accounts: usize,
   /// Number of engines.
   pub engines: usize,
+  /// Longest wait of a host's watch at the platform.
+  pub poll: Duration,
   /// Threads of each entry host.
   pub host_threads: usize,
   /// Number of entry hosts.
@@ -79,6 +81,7 @@
       overrides: vec!["entries_keep: 1s".into(), "ticket_life: 3s".into()],
       phantoms: 0,
       plains: 2,
+      poll: Duration::from_secs(2),
       traits: Traits::default(),
     }
   }
@@ -271,15 +274,16 @@
   pub async fn surroundings(options: Options) -> anyhow::Result<Self> {
     let mut engines = Vec::new();
     for _ in 0..options.engines {
-      engines.push(start_engine(options.traits).await?);
+      engines.push(start_engine(address::unused(), options.traits).await?);
     }
     let mut plains = Vec::new();
     for _ in 0..options.plains {
       plains.push(start_plain().await?);
     }
     let platform_address = address::unused();
-    let settings: Vec<settings::Host> =
-      (0..options.hosts).map(|index| host_settings(index, platform_address)).collect();
+    let settings: Vec<settings::Host> = (0..options.hosts)
+      .map(|index| host_settings(index, platform_address, options.poll))
+      .collect();
     let tree = tree(&options, &engines, &plains, &[]);
     let hosts = host_list(settings.iter(), &[]);
     let platform = Platform::new(tree, hosts);
@@ -302,6 +306,17 @@
     })
   }
 
+  /// Starts a new engine process at the address of one that was killed.
+  ///
+  /// # Errors
+  ///
+  /// Fails when its address cannot be bound.
+  pub async fn restart_engine(&mut self, index: usize) -> anyhow::Result<()> {
+    let address = self.engines[index].address;
+    self.engines[index] = start_engine(address, self.options.traits).await?;
+    Ok(())
+  }
+
   /// Renders the settings tree; the data centres named in `out` are out of service.
   pub fn tree(&self, out: &[&str]) -> String {
     tree(&self.options, &self.engines, &self.plains, out)
@@ -325,7 +340,7 @@
   text
 }
 
-fn host_settings(index: usize, platform: SocketAddr) -> settings::Host {
+fn host_settings(index: usize, platform: SocketAddr, poll: Duration) -> settings::Host {
   settings::Host {
     callers: address::unused(),
     data_centre: DATA_CENTRES[index % DATA_CENTRES.len()].into(),
@@ -334,14 +349,14 @@
     operators: address::unused(),
     peers: address::unused(),
     platform,
-    poll: Duration::from_secs(2),
+    poll,
     seeds: Vec::new(),
   }
 }
 
-async fn start_engine(traits: Traits) -> anyhow::Result<Running<Engine>> {
+async fn start_engine(address: SocketAddr, traits: Traits) -> anyhow::Result<Running<Engine>> {
   let engine = Engine::new(traits);
-  let running = start(address::unused(), engine.clone(), |engine, request| {
+  let running = start(address, engine.clone(), |engine, request| {
     engine.handle(request)
   });
   let running = running.await?;
@@ -411,7 +426,7 @@
   }
   let _ = writeln!(
     text,
-    "services:\n  {MODEL}:\n    kind: engine\n    traits: {{resume: true}}"
+    "services:\n  {MODEL}:\n    kind: engine\n    traits: {{reports_cold: true, resume: true}}"
   );
   targets(&mut text, engines);
   let _ = writeln!(text, "  {SERVICE}:\n    kind: plain");
--- a/rig/src/overhead.rs
+++ b/rig/src/overhead.rs
@@ -243,6 +243,7 @@
 ) -> anyhow::Result<Response<Incoming>> {
   let call = Call {
     address,
+    admission: None,
     connect_timeout: CONNECT_TIMEOUT,
     fresh: false,
     permit: Box::new(|| Ok(())),
--- a/yuccarudder/src/caller/client.rs
+++ b/yuccarudder/src/caller/client.rs
@@ -274,6 +274,7 @@
     request.headers_mut().insert(AUTHORIZATION, bearer);
     let call = upstream::Call {
       address: entry,
+      admission: None,
       connect_timeout: CONNECT_TIMEOUT,
       fresh: false,
       permit: Box::new(|| Ok(())),
--- a/yuccarudder/src/command/status.rs
+++ b/yuccarudder/src/command/status.rs
@@ -28,6 +28,7 @@
     let text = block_on(async {
       let call = Call {
         address: self.operators,
+        admission: None,
         connect_timeout: CONNECT_TIMEOUT,
         fresh: true,
         permit: Box::new(|| Ok(())),
--- a/yuccarudder/src/generation/engine.rs
+++ b/yuccarudder/src/generation/engine.rs
@@ -3,7 +3,7 @@
   crate::{
     http::{self, Body, BodyError},
     tree::Knobs,
-    upstream::{Call, Error, Permit, Pool},
+    upstream::{Admission, Call, Error, Permit, Pool},
   },
   bytes::Bytes,
   eventsource_stream::Eventsource,
@@ -73,9 +73,16 @@
 }
 
 impl Engine<'_> {
-  async fn open(&self, request: Request<Body>, permit: Permit, timeout: Duration) -> Opened {
+  async fn open(
+    &self,
+    request: Request<Body>,
+    admission: Option<Admission>,
+    permit: Permit,
+    timeout: Duration,
+  ) -> Opened {
     let call = Call {
       address: self.address,
+      admission,
       connect_timeout: self.knobs.connect_timeout,
       fresh: false,
       permit,
@@ -92,11 +99,17 @@
   pub async fn resume(&self, generation: Id, from: u64) -> Opened {
     let uri = format!("/v1/generations/{generation}?from={from}");
     let request = Request::get(uri).body(http::empty()).expect("the request is valid");
-    self.open(request, Box::new(|| Ok(())), self.knobs.stall_timeout).await
+    self.open(request, None, Box::new(|| Ok(())), self.knobs.stall_timeout).await
   }
 
   /// Starts a generation.
-  pub async fn start(&self, generation: Id, body: &Map<String, Value>, permit: Permit) -> Opened {
+  pub async fn start(
+    &self,
+    generation: Id,
+    body: &Map<String, Value>,
+    admission: Option<Admission>,
+    permit: Permit,
+  ) -> Opened {
     let mut body = body.clone();
     let keep = u64::try_from(self.knobs.reattach_window.as_millis()).unwrap_or(u64::MAX);
     body.insert("generation".into(), generation.to_string().into());
@@ -107,7 +120,7 @@
       .header(CONTENT_TYPE, "application/json")
       .body(http::full(bytes))
       .expect("the request is valid");
-    self.open(request, permit, self.knobs.first_token_timeout).await
+    self.open(request, admission, permit, self.knobs.first_token_timeout).await
   }
 }
 
@@ -126,6 +139,7 @@
     let request = Request::delete(format!("/v1/generations/{generation}"));
     let call = Call {
       address,
+      admission: None,
       connect_timeout,
       fresh: false,
       permit: Box::new(|| Ok(())),
--- a/yuccarudder/src/generation/session.rs
+++ b/yuccarudder/src/generation/session.rs
@@ -4,17 +4,19 @@
     engine::{self, Engine},
   },
   crate::{
+    cold,
     host::Host,
     metrics::Retry,
     refusal::{Ran, Reason, Refusal},
     target::{Choice, Chosen, Key},
     tree::Knobs,
-    upstream::{Error, Permit},
+    upstream::{Admission, Error, Permit},
   },
   futures::FutureExt,
   rand::RngExt,
   std::{
     net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
   },
   tokio::time,
@@ -51,12 +53,15 @@
 pub struct Session {
   assembly: Assembly,
   chosen: Option<Chosen>,
+  /// Whether a target was passed over because it is in its cold start.
+  cold: bool,
   finished: bool,
   host: Host,
   job: Job,
   knobs: Knobs,
   link: Option<Link>,
   pending: Option<Input>,
+  place: Arc<Mutex<Option<cold::Place>>>,
   prompt_tokens: u64,
   ran: Ran,
   tried: Vec<Key>,
@@ -100,11 +105,13 @@
     Self {
       assembly,
       chosen: None,
+      cold: false,
       finished: false,
       host,
       knobs: job.knobs,
       link: None,
       pending: None,
+      place: Arc::default(),
       prompt_tokens: 0,
       ran: Ran::NotRun,
       tried: Vec::new(),
@@ -128,6 +135,7 @@
 
   fn exhausted(&self, choice: Choice) -> Refusal {
     let reason = match choice {
+      _ if self.cold => Reason::TargetCold,
       Choice::Busy => Reason::TargetsBusy,
       Choice::Chosen(_) | Choice::None if self.tried.is_empty() => Reason::NoTarget,
       Choice::Chosen(_) | Choice::None | Choice::Unreachable => Reason::TargetsUnreachable,
@@ -191,12 +199,37 @@
     Ok(session)
   }
 
+  /// Asks for a place when the target turns out to be in its cold start.
+  fn admission(&self, address: SocketAddr) -> Option<Admission> {
+    if !self.job.traits.reports_cold {
+      return None;
+    }
+    let host = self.host.clone();
+    let place = Arc::clone(&self.place);
+    Some(Box::new(move |report| {
+      let admitted = async move {
+        let granted = cold::admit(&host, address, report).await?;
+        *place.lock().unwrap_or_else(PoisonError::into_inner) = Some(granted);
+        Ok(())
+      };
+      admitted.boxed()
+    }))
+  }
+
   fn permit(&self, chosen: &Chosen) -> Permit {
     let clock = self.host.clock.clone();
     let deadline = self.job.deadline;
     let key = chosen.in_hand.key();
     let targets = self.host.targets.clone();
-    Box::new(move || permit(clock.now(), deadline, targets.lock().is_open(key)))
+    let place = Arc::clone(&self.place);
+    Box::new(move || {
+      let now = clock.now();
+      let place = place.lock().unwrap_or_else(PoisonError::into_inner);
+      if place.as_ref().is_some_and(|place| now >= place.until) {
+        return Err(Refusal::not_run(Reason::TargetCold));
+      }
+      permit(now, deadline, targets.lock().is_open(key))
+    })
   }
 
   /// Returns the number of prompt tokens that the engine reported.
@@ -323,12 +356,21 @@
       knobs: self.knobs,
       pool: &self.host.pool,
     };
+    self.place = Arc::default();
+    let admission = self.admission(chosen.address);
     let permit = self.permit(&chosen);
     let before = self.ran;
     // A future that is dropped while it waits counts as sent.
     self.chosen = Some(chosen);
     self.ran = Ran::Unknown;
-    let opened = engine.start(self.assembly.generation(), &self.job.body, permit).await;
+    let opened = engine
+      .start(
+        self.assembly.generation(),
+        &self.job.body,
+        admission,
+        permit,
+      )
+      .await;
     let connected = !matches!(opened, Opened::Unsent(Error::NotSent { .. }));
     self.host.targets.lock().connected(key, connected, self.host.clock.now());
     match opened {
@@ -344,6 +386,12 @@
         self.unsent(before);
         return match refusal.reason {
           Reason::NoTarget => Ok(false),
+          Reason::TargetCold => {
+            self.host.metrics.retry(Retry::TargetCold);
+            self.host.targets.lock().pause(key, self.host.clock.now());
+            self.cold = true;
+            Ok(false)
+          }
           reason => Err(Refusal::new(before, reason)),
         };
       }
--- a/yuccarudder/src/host/host.rs
+++ b/yuccarudder/src/host/host.rs
@@ -1,12 +1,14 @@
 use {
   crate::{
     clock::Clock,
+    cold::Ledger,
     drain::Drain,
     entries::Leaving,
     gossip::Contact,
     limit::{Limits, Memory, Place},
     metrics::Metrics,
     once::{Bounds, Registry},
+    owner::{Ownership, Terms},
     peer,
     platform::Key,
     refusal::{Reason, Refusal},
@@ -18,6 +20,7 @@
   },
   hyper::{HeaderMap, header::AUTHORIZATION},
   std::{
+    fmt,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
   },
@@ -44,6 +47,7 @@
   pub drain: Drain,
   /// Names this process among all that had its address.
   pub incarnation: u64,
+  ledger: Arc<Mutex<Ledger>>,
   /// Hosts that said they are leaving.
   pub leaving: Leaving,
   /// Jobs in hand per client account.
@@ -53,6 +57,7 @@
   /// Metrics.
   pub metrics: Arc<Metrics>,
   once: Arc<Mutex<Registry>>,
+  ownership: Arc<Mutex<Ownership>>,
   /// Connections to targets.
   pub pool: Pool,
   /// The settings file.
@@ -112,6 +117,8 @@
       contact: Contact::default(),
       drain: Drain::default(),
       leaving: Leaving::default(),
+      ledger: Arc::default(),
+      ownership: Arc::default(),
       once: Arc::new(Mutex::new(Registry::new(ONCE_BOUNDS))),
       started: clock.now(),
       clock,
@@ -154,6 +161,21 @@
     offer
   }
 
+  /// Locks the places that this host granted at cold targets.
+  pub fn ledger(&self) -> MutexGuard<'_, Ledger> {
+    self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+  }
+
+  /// Locks the lists on which this host's ownership of duties rests.
+  pub fn ownership(&self) -> MutexGuard<'_, Ownership> {
+    let mut ownership = self.ownership.lock().unwrap_or_else(PoisonError::into_inner);
+    let view = self.view.borrow();
+    let knobs = view.tree().map(|tree| tree.operator_knobs()).unwrap_or_default();
+    ownership.see(&view.hosts, &Terms::new(&knobs), self.clock.now());
+    drop(view);
+    ownership
+  }
+
   /// Locks the registry of request keys.
   pub fn once(&self) -> MutexGuard<'_, Registry> {
     self.once.lock().unwrap_or_else(PoisonError::into_inner)
@@ -198,3 +220,9 @@
       .ok_or_else(|| Refusal::not_run(Reason::NoSettings).with_retry_after(SETTINGS_RETRY))
   }
 }
+
+impl fmt::Debug for Host {
+  fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    write!(f, "Host({})", self.settings.callers)
+  }
+}
--- a/yuccarudder/src/lib.rs
+++ b/yuccarudder/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod caller;
 pub mod clock;
+pub mod cold;
 pub mod command;
 pub mod drain;
 pub mod entries;
@@ -15,6 +16,7 @@
 pub mod limit;
 pub mod metrics;
 pub mod once;
+pub mod owner;
 pub mod peer;
 pub mod plain;
 pub mod platform;
--- a/yuccarudder/src/metrics.rs
+++ b/yuccarudder/src/metrics.rs
@@ -37,6 +37,8 @@
   Platform, "platform";
   /// An engine sent no token in time and the generation was resumed.
   Stalled, "stalled";
+  /// A target in its cold start was passed over.
+  TargetCold, "target_cold";
   /// The link to a target broke during a repeatable call.
   TargetLost, "target_lost";
   /// A target answered that it takes no work now.
--- a/yuccarudder/src/peer/control.rs
+++ b/yuccarudder/src/peer/control.rs
@@ -3,6 +3,7 @@
 use {
   super::{Identity, Purpose, Transport, connect},
   crate::{
+    cold::{self, Grant, Report},
     host::Host,
     platform::Key,
     tree::Secret,
@@ -51,8 +52,14 @@
   /// Returns the document in force of a key, if it is newer than `above`.
   async fn fetch(key: Key, above: u64) -> Option<Published>;
 
+  /// Asks the owner of a cold target for a place.
+  async fn grant_cold(target: SocketAddr, report: Report) -> Option<Grant>;
+
   /// Takes in a document that the caller has in force.
   async fn offer(published: Published);
+
+  /// Gives a place at a cold target back to its owner.
+  async fn release_cold(grant: Grant);
 }
 
 /// One connection of another host.
@@ -95,6 +102,19 @@
     self.host.view.borrow().published(key, above)
   }
 
+  async fn grant_cold(
+    self,
+    _: context::Context,
+    target: SocketAddr,
+    report: Report,
+  ) -> Option<Grant> {
+    cold::grant(&self.host, target, report)
+  }
+
+  async fn release_cold(self, _: context::Context, grant: Grant) {
+    cold::release(&self.host, grant);
+  }
+
   async fn offer(self, _: context::Context, published: Published) {
     self.host.offer(published.key, published.revision, &published.text, None);
   }
--- a/yuccarudder/src/plain/dispatch.rs
+++ b/yuccarudder/src/plain/dispatch.rs
@@ -143,6 +143,7 @@
     let knobs = dispatch.knobs(&chosen);
     let call = Call {
       address: chosen.address,
+      admission: None,
       connect_timeout: knobs.connect_timeout,
       fresh: !dispatch.repeatable,
       permit: dispatch.permit(host, &chosen, right),
--- a/yuccarudder/src/platform/client.rs
+++ b/yuccarudder/src/platform/client.rs
@@ -68,6 +68,7 @@
     let uri = format!("{}?after={seen}&wait_ms={}", key.path(), wait.as_millis());
     let call = Call {
       address: self.address,
+      admission: None,
       connect_timeout: CONNECT_TIMEOUT,
       fresh: false,
       permit: Box::new(|| Ok(())),
--- a/yuccarudder/src/refusal/reason.rs
+++ b/yuccarudder/src/refusal/reason.rs
@@ -94,6 +94,9 @@
   /// The reattach token is no longer good.
   ReattachExpired, "reattach_expired", GONE,
     "The time to reattach has passed; ask again for a new generation.";
+  /// The target is in its cold start and has all that it bears.
+  TargetCold, "target_cold", TOO_MANY_REQUESTS,
+    "The target is in its cold start and has all that it bears.";
   /// The link to the target broke after bytes may have reached it.
   TargetLost, "target_lost", BAD_GATEWAY,
     "The link to the target broke before its answer was whole.";
--- a/yuccarudder/src/server/run.rs
+++ b/yuccarudder/src/server/run.rs
@@ -120,6 +120,8 @@
     if let Some(tree) = tree {
       host.targets.lock().reconcile(&tree);
     }
+    // Each list must be recorded when it comes into force.
+    drop(host.ownership());
     if view.changed().await.is_err() {
       return;
     }
--- a/yuccarudder/src/target/table.rs
+++ b/yuccarudder/src/target/table.rs
@@ -13,6 +13,7 @@
 
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
+const PAUSE: Duration = Duration::from_millis(100);
 
 slotmap::new_key_type! {
   /// Names a target across revisions of the tree.
@@ -120,6 +121,13 @@
     self.entries.get(key).is_some_and(|entry| entry.takes_work)
   }
 
+  /// Passes a target over for a short while.
+  pub fn pause(&mut self, key: Key, now: Instant) {
+    if let Some(entry) = self.entries.get_mut(key) {
+      entry.retry_at = entry.retry_at.max(Some(now + PAUSE));
+    }
+  }
+
   /// Brings the table in line with an accepted tree.
   ///
   /// A target that left the tree is forgotten once no job is in hand there.
--- a/yuccarudder/src/tree/knobs.rs
+++ b/yuccarudder/src/tree/knobs.rs
@@ -130,6 +130,9 @@
   /// Most bytes of a request body.
   body_bytes: u64, read_size, show_size = MIB, KIB..=1024 * MIB, [Operator Service Account];
 
+  /// Most jobs that a target in its cold start bears from all hosts together.
+  cold_jobs: u64, read_count, show_count = 2, 0..=10_000, [Operator Service DataCentre];
+
   /// Most jobs of one client account in hand at one host.
   concurrent_jobs: u64, read_count, show_count = 256, 1..=100_000, [Operator Account];
 
@@ -148,12 +151,21 @@
   /// Longest wait for the first token of a generation.
   first_token_timeout: Duration, read_duration, show_duration = secs(30), ms(50)..=secs(3600), [Operator Service DataCentre];
 
+  /// Oldest view of the host list with which the owner of a duty acts.
+  fresh_bound: Duration, read_duration, show_duration = secs(20), ms(100)..=secs(600), [Operator];
+
+  /// Time for which a grant of an owner may be used.
+  grant_life: Duration, read_duration, show_duration = secs(2), ms(10)..=secs(60), [Operator];
+
   /// Most jobs in hand at one target from one host.
   in_hand: u64, read_count, show_count = 64, 1..=100_000, [Operator Service DataCentre];
 
   /// Time without word from the platform or another host after which a host takes no new jobs.
   isolation_bound: Duration, read_duration, show_duration = secs(60), ms(500)..=days(1), [Operator];
 
+  /// Longest time for which the platform may still show an older host list.
+  list_lag: Duration, read_duration, show_duration = secs(5), ms(10)..=secs(600), [Operator];
+
   /// Most tokens of one generation.
   output_tokens: u64, read_count, show_count = 32_768, 1..=1_000_000, [Operator Service Account];
 
@@ -163,6 +175,9 @@
   /// Time for which a generation waits for its caller to reattach.
   reattach_window: Duration, read_duration, show_duration = secs(30), secs(1)..=secs(3600), [Operator Service];
 
+  /// Longest time by which a target's report of its load is late.
+  report_lag: Duration, read_duration, show_duration = secs(2), ms(10)..=secs(60), [Operator];
+
   /// Most times a job is sent to a further target.
   reruns: u64, read_count, show_count = 2, 0..=10, [Operator Service Account];
 
--- a/yuccarudder/src/tree/service.rs
+++ b/yuccarudder/src/tree/service.rs
@@ -19,6 +19,8 @@
 pub struct Traits {
   /// They refuse an order that carries an old fencing number.
   pub fencing: bool,
+  /// They report whether they are in their cold start.
+  pub reports_cold: bool,
   /// They resume a generation from a token index.
   pub resume: bool,
 }
@@ -30,10 +32,12 @@
     };
     let mut map = node.map()?;
     let fencing = map.get("fencing").map_or(Some(false), |node| node.boolean());
+    let reports_cold = map.get("reports_cold").map_or(Some(false), |node| node.boolean());
     let resume = map.get("resume").map_or(Some(false), |node| node.boolean());
     map.finish();
     Some(Self {
       fencing: fencing?,
+      reports_cold: reports_cold?,
       resume: resume?,
     })
   }
--- a/yuccarudder/src/upstream/call.rs
+++ b/yuccarudder/src/upstream/call.rs
@@ -1,5 +1,6 @@
 use {
-  crate::{http::Body, refusal::Refusal},
+  crate::{cold::Report, http::Body, refusal::Refusal},
+  futures::future::BoxFuture,
   hyper::Request,
   std::{fmt, net::SocketAddr, time::Duration},
 };
@@ -7,10 +8,15 @@
 /// Decides immediately before the first byte goes out whether it may.
 pub type Permit = Box<dyn FnOnce() -> Result<(), Refusal> + Send>;
 
+/// Asked before a request goes out on a connection whose target is in its cold start.
+pub type Admission = Box<dyn FnOnce(Report) -> BoxFuture<'static, Result<(), Refusal>> + Send>;
+
 /// One request to one address.
 pub struct Call {
   /// Where to send it.
   pub address: SocketAddr,
+  /// Asked unless the target has said on this connection that it is warm.
+  pub admission: Option<Admission>,
   /// Longest wait for a connection.
   pub connect_timeout: Duration,
   /// Whether to open a new connection instead of reusing an idle one.
--- a/yuccarudder/src/upstream/mod.rs
+++ b/yuccarudder/src/upstream/mod.rs
@@ -6,7 +6,7 @@
 mod pool;
 mod right;
 
-pub use call::{Call, Permit};
+pub use call::{Admission, Call, Permit};
 pub use error::Error;
 pub use gate::{Gate, Gated};
 pub use pool::Pool;
--- a/yuccarudder/src/upstream/pool.rs
+++ b/yuccarudder/src/upstream/pool.rs
@@ -1,6 +1,11 @@
 use {
   super::{Call, Error, Gate, Gated},
-  crate::{clock::Clock, http::Body},
+  crate::{
+    clock::Clock,
+    cold::Report,
+    http::{self, Body},
+    refusal::Refusal,
+  },
   hyper::{
     Request, Response,
     body::Incoming,
@@ -18,12 +23,16 @@
 };
 
 const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+const LOAD_PATH: &str = "/v1/load";
 const MAX_IDLE_PER_ADDRESS: usize = 32;
+const MAX_REPORT_BYTES: u64 = 64 << 10;
 
 struct Connection {
   gate: Gate,
   idle_since: Instant,
   sender: SendRequest<Body>,
+  /// Whether the target said on this connection that it is past its cold start.
+  warm: bool,
 }
 
 type Idle = Arc<Mutex<HashMap<SocketAddr, Vec<Connection>>>>;
@@ -50,6 +59,7 @@
       gate,
       idle_since: self.clock.now(),
       sender,
+      warm: false,
     })
   }
 
@@ -90,6 +100,14 @@
         Err(cause) => return Err(Error::not_sent(cause, call.request)),
       },
     };
+    if let Some(admission) = call.admission.filter(|_| !connection.warm) {
+      let probed = time::timeout(call.connect_timeout, probe(&mut connection, call.address)).await;
+      match probed.ok().flatten() {
+        Some(report) if report.cold => admission(report).await.map_err(denied)?,
+        Some(_) => connection.warm = true,
+        None => return Err(Error::not_sent("the target sent no report", call.request)),
+      }
+    }
     connection.gate.arm(call.permit);
     let request = with_host(call.request, call.address);
     let response = connection.sender.try_send_request(request).await;
@@ -130,6 +148,20 @@
   }
 }
 
+fn denied(refusal: Refusal) -> Error {
+  Error::Denied(Box::new(refusal))
+}
+
+/// Asks a target on a connection whether it is in its cold start.
+async fn probe(connection: &mut Connection, address: SocketAddr) -> Option<Report> {
+  connection.gate.arm(Box::new(|| Ok(())));
+  let request = Request::get(LOAD_PATH).body(http::empty()).ok()?;
+  let response = connection.sender.send_request(with_host(request, address)).await.ok()?;
+  let body = http::collect(response.into_body(), MAX_REPORT_BYTES).await?;
+  connection.sender.ready().await.ok()?;
+  serde_json::from_slice(&body).ok()
+}
+
 fn with_host(mut request: Request<Body>, address: SocketAddr) -> Request<Body> {
   let host = HeaderValue::from_str(&address.to_string()).expect("an address is a header value");
   request.headers_mut().entry(HOST).or_insert(host);
--- a/yuccarudder/src/upstream/tests.rs
+++ b/yuccarudder/src/upstream/tests.rs
@@ -16,6 +16,7 @@
 fn call(address: SocketAddr, permit: Permit) -> Call {
   Call {
     address,
+    admission: None,
     connect_timeout: Duration::from_secs(5),
     fresh: true,
     permit,
--- /dev/null
+++ b/yuccarudder/tests/cold.rs
@@ -0,0 +1,76 @@
+//! Engines in their cold start before several hosts under load.
+
+use {
+  rig::{
+    engine::Traits,
+    fleet::{Fleet, MODEL, Options, SERVICE},
+    load::{Mix, drive},
+  },
+  std::time::{Duration, Instant},
+  tokio::time,
+};
+
+const BEARS: usize = 2;
+/// Times that add up to a wait of 5 s for a new owner.
+const OVERRIDES: [&str; 7] = [
+  "cold_jobs: 2",
+  "entries_keep: 200ms",
+  "fresh_bound: 4s",
+  "grant_life: 400ms",
+  "list_lag: 100ms",
+  "report_lag: 600ms",
+  "ticket_life: 1s",
+];
+
+async fn fleet() -> Fleet {
+  let options = Options {
+    engines: 2,
+    overrides: OVERRIDES.map(Into::into).into(),
+    plains: 1,
+    poll: Duration::from_millis(500),
+    traits: Traits {
+      cold_tokens: 150,
+      ..Traits::default()
+    },
+    ..Options::default()
+  };
+  let fleet = Fleet::start(options).await.unwrap();
+  // The owners wait out their predecessors.
+  time::sleep(Duration::from_secs(6)).await;
+  fleet
+}
+
+fn mix() -> Mix {
+  Mix {
+    model: MODEL.into(),
+    seed: 1,
+    service: SERVICE.into(),
+    tokens: Some(20),
+  }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cold_engines_get_no_more_than_they_bear() {
+  let mut fleet = fleet().await;
+  let until = Instant::now() + Duration::from_secs(4);
+  let load = tokio::spawn(drive(fleet.client(), mix(), 24, until));
+  time::sleep(Duration::from_millis(1500)).await;
+  for engine in &fleet.engines {
+    let load = engine.stand_in.load();
+    assert!(
+      !load.cold,
+      "the engine did not get past its cold start: {load:?}"
+    );
+    assert!(load.cold_peak <= BEARS, "{load:?}");
+  }
+  // It turns cold again under full load, without warning.
+  fleet.engines[0].kill().await;
+  fleet.restart_engine(0).await.unwrap();
+  load.await.unwrap();
+  let load = fleet.engines[0].stand_in.load();
+  assert!(load.cold_peak <= BEARS, "{load:?}");
+  assert!(
+    !load.cold,
+    "the engine did not get past its cold start: {load:?}"
+  );
+}
