Budget retries per account and per failing target

Cause: each job could be sent to every target, so three refusing engines trebled load. Change: each job adds a fifth of a retry (retry_percent) to its account's and its target's budget, ten may be saved up; a job without budget ends with retries_spent. Figures: 100 jobs before three refusing engines: 300 requests without budgets by construction, at most 130 with them (test refusing_engines_do_not_multiply_load). Conclusion: a fault multiplies load by at most 1.2 and a burst of ten.

--- a/rig/src/engine/engine.rs
+++ b/rig/src/engine/engine.rs
@@ -14,7 +14,10 @@
   serde::Deserialize,
   std::{
     future,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+      Arc, Mutex, MutexGuard, PoisonError,
+      atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
   },
   tokio::time::{self, MissedTickBehavior},
@@ -66,6 +69,7 @@
 /// A model engine.
 #[derive(Clone)]
 pub struct Engine {
+  asked: Arc<AtomicU64>,
   batch: Arc<Mutex<Batch>>,
   faults: Arc<Mutex<Faults>>,
   reported: Arc<Mutex<Load>>,
@@ -109,6 +113,11 @@
     }
   }
 
+  /// Returns the number of generations that it was asked to start.
+  pub fn asked(&self) -> u64 {
+    self.asked.load(Ordering::Relaxed)
+  }
+
   /// Returns the load as it is now.
   pub fn load(&self) -> Load {
     lock(&self.batch).load()
@@ -117,6 +126,7 @@
   /// Builds an idle engine.
   pub fn new(traits: Traits) -> Self {
     Self {
+      asked: Arc::default(),
       batch: Arc::new(Mutex::new(Batch::new(traits))),
       faults: Arc::default(),
       reported: Arc::default(),
@@ -178,6 +188,7 @@
   }
 
   async fn start(&self, request: Request<Incoming>) -> Response<Body> {
+    self.asked.fetch_add(1, Ordering::Relaxed);
     if lock(&self.faults).refuse {
       return answer::status(StatusCode::SERVICE_UNAVAILABLE);
     }
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -354,6 +354,23 @@
   }
 }
 
+/// Adds a service whose targets nobody asks.
+fn phantoms(text: &mut String, count: usize) {
+  if count == 0 {
+    return;
+  }
+  let _ = writeln!(text, "  phantom:\n    kind: engine\n    targets:");
+  for index in 0..count {
+    let [.., high, low] = index.to_be_bytes();
+    let address = format!("10.9.{high}.{low}:80");
+    let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()];
+    let _ = writeln!(
+      text,
+      "      p{index}: {{address: \"{address}\", data_centre: {data_centre}}}"
+    );
+  }
+}
+
 async fn start_engine(address: SocketAddr, traits: Traits) -> anyhow::Result<Running<Engine>> {
   let engine = Engine::new(traits);
   let running = start(address, engine.clone(), |engine, request| {
@@ -432,16 +449,7 @@
   let _ = writeln!(text, "  {SERVICE}:\n    kind: plain");
   text.push_str("    repeatable:\n    - {method: GET, path: /slots}\n");
   targets(&mut text, plains);
-  let _ = writeln!(text, "  phantom:\n    kind: engine\n    targets:");
-  for index in 0..options.phantoms {
-    let [.., high, low] = index.to_be_bytes();
-    let address = format!("10.9.{high}.{low}:80");
-    let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()];
-    let _ = writeln!(
-      text,
-      "      p{index}: {{address: \"{address}\", data_centre: {data_centre}}}"
-    );
-  }
+  phantoms(&mut text, options.phantoms);
   let digest = base16ct::lower::encode_string(&Account::digest(CREDENTIAL));
   let _ = writeln!(
     text,
--- a/yuccarudder/src/generation/job.rs
+++ b/yuccarudder/src/generation/job.rs
@@ -36,6 +36,11 @@
 }
 
 impl Job {
+  /// Returns the name of the account.
+  pub fn account_name(&self) -> &str {
+    &self.tree.accounts[self.account].name
+  }
+
   /// Returns the knobs at the data centre of a target.
   pub fn knobs_at(&self, chosen: &Chosen) -> Knobs {
     let data_centre = self.tree.data_centre(&chosen.data_centre);
--- a/yuccarudder/src/generation/session.rs
+++ b/yuccarudder/src/generation/session.rs
@@ -176,6 +176,7 @@
         Step::Fail(refusal) => return Err(refusal),
         Step::Ignore => {}
         Step::Rerun => {
+          self.spend()?;
           self.host.metrics.retry(Retry::GenerationLost);
           self.abandon();
           self.assembly.restart(Id::random());
@@ -316,6 +317,16 @@
     }
   }
 
+  /// Takes a retry after a failure at the target in hand.
+  fn spend(&self) -> Result<(), Refusal> {
+    let account = self.job.account_name();
+    let key = self.chosen.as_ref().map(|chosen| chosen.in_hand.key());
+    match key.is_none_or(|key| self.host.retries.spend(account, key)) {
+      true => Ok(()),
+      false => Err(Refusal::new(self.ran, Reason::RetriesSpent).with_retry_after(BUSY_RETRY)),
+    }
+  }
+
   async fn start(&mut self) -> Result<(), Refusal> {
     for _ in 0..MAX_TARGETS {
       let chosen = self.host.targets.admit(
@@ -349,6 +360,10 @@
   /// Sends the job to one target; returns whether it may have it.
   async fn try_target(&mut self, chosen: Chosen) -> Result<bool, Refusal> {
     let key = chosen.in_hand.key();
+    if self.tried.is_empty() {
+      let percent = self.job.knobs.retry_percent;
+      self.host.retries.earn(self.job.account_name(), key, percent);
+    }
     self.tried.push(key);
     self.knobs = self.job.knobs_at(&chosen);
     let engine = Engine {
@@ -378,9 +393,10 @@
       Opened::Stalled => self.pending = Some(Input::Stalled),
       Opened::Unsent(Error::Sent(_)) => self.pending = Some(Input::LinkLost),
       Opened::Busy => {
+        let spent = self.spend();
         self.host.metrics.retry(Retry::TargetRefused);
         self.unsent(worse(before, Ran::Failed));
-        return Ok(false);
+        return spent.map(|()| false).map_err(|refusal| Refusal::new(self.ran, refusal.reason));
       }
       Opened::Unsent(Error::Denied(refusal)) => {
         self.unsent(before);
--- a/yuccarudder/src/host/host.rs
+++ b/yuccarudder/src/host/host.rs
@@ -5,7 +5,7 @@
     drain::Drain,
     entries::Leaving,
     gossip::Contact,
-    limit::{Limits, Memory, Place},
+    limit::{Limits, Memory, Place, Retries},
     metrics::Metrics,
     once::{Bounds, Registry},
     owner::{Ownership, Terms},
@@ -60,6 +60,8 @@
   ownership: Arc<Mutex<Ownership>>,
   /// Connections to targets.
   pub pool: Pool,
+  /// Budgets for sending jobs again.
+  pub retries: Retries,
   /// The settings file.
   pub settings: Arc<settings::Host>,
   /// When the process started.
@@ -126,6 +128,7 @@
       limits: Limits::default(),
       memory: Memory::new(HELD_BYTES),
       metrics: Arc::default(),
+      retries: Retries::default(),
       settings: Arc::new(settings),
       targets: Targets::default(),
       view: watch::Sender::default(),
--- a/yuccarudder/src/limit/mod.rs
+++ b/yuccarudder/src/limit/mod.rs
@@ -3,10 +3,12 @@
 mod held;
 mod limits;
 mod memory;
+mod retries;
 
 pub use held::Held;
 pub use limits::{Limits, MAX_JOBS, Place};
 pub use memory::{Memory, Reserved};
+pub use retries::Retries;
 
 #[cfg(test)]
 mod tests;
--- a/yuccarudder/src/limit/tests.rs
+++ b/yuccarudder/src/limit/tests.rs
@@ -1,4 +1,8 @@
-use {super::*, crate::refusal::Reason, proptest::prelude::*};
+use {
+  super::*,
+  crate::{refusal::Reason, target},
+  proptest::prelude::*,
+};
 
 proptest! {
   #[test]
@@ -40,3 +44,35 @@
   drop(first);
   memory.reserve(3072).unwrap();
 }
+
+proptest! {
+  #[test]
+  fn retries_are_a_bounded_share_of_jobs(
+    percent in 0_u64..100,
+    steps in prop::collection::vec((0_u8..3, any::<bool>()), 0..400),
+  ) {
+    let mut slots: slotmap::SlotMap<target::Key, ()> = slotmap::SlotMap::with_key();
+    let targets = [slots.insert(()), slots.insert(()), slots.insert(())];
+    let retries = Retries::default();
+    let (mut jobs, mut spent) = (0_u64, 0_u64);
+    for (index, fails) in steps {
+      let target = targets[usize::from(index)];
+      jobs += 1;
+      retries.earn("parents", target, percent);
+      spent += u64::from(fails && retries.spend("parents", target));
+    }
+    // Ten may be saved up; the rest is a share of the jobs.
+    prop_assert!(spent as f64 <= 10.0 + jobs as f64 * percent as f64 / 100.0);
+  }
+}
+
+#[test]
+fn failing_target_spends_no_other_target_s_budget() {
+  let mut slots: slotmap::SlotMap<target::Key, ()> = slotmap::SlotMap::with_key();
+  let (bad, good) = (slots.insert(()), slots.insert(()));
+  let retries = Retries::default();
+  for index in 0..20 {
+    assert_eq!(retries.spend(&format!("account {index}"), bad), index < 10);
+  }
+  assert!(retries.spend("another", good));
+}
--- a/yuccarudder/src/owner/tests.rs
+++ b/yuccarudder/src/owner/tests.rs
@@ -241,3 +241,31 @@
   world.now += TERMS.fresh + Duration::from_millis(1);
   assert_eq!(holds(&world), None);
 }
+
+#[test]
+fn lists_that_were_missed_are_waited_out() {
+  let mut world = World::new();
+  let everyone = entries(FLEET);
+  let position = |hosts: &[Entry]| {
+    let owner = DUTY.owner(hosts).unwrap().callers;
+    (0..FLEET).find(|host| address(*host) == owner).unwrap()
+  };
+  let first = position(&everyone);
+  let rest: Vec<Entry> =
+    everyone.iter().filter(|host| host.callers != address(first)).cloned().collect();
+  let second = position(&rest);
+  let read = |host| Event::Read { host, stale: false };
+  world.apply(read(first)).unwrap();
+  // The first owner misses the list without it, under which another host acts.
+  world.apply(Event::Publish(15 & !(1 << first))).unwrap();
+  world.now += TERMS.lag;
+  world.apply(read(second)).unwrap();
+  world.now += TERMS.wait();
+  world.apply(read(second)).unwrap();
+  world.apply(Event::Act(second)).unwrap();
+  assert!(world.nodes[second].right.is_some());
+  world.apply(Event::Publish(15)).unwrap();
+  world.apply(read(first)).unwrap();
+  world.apply(Event::Act(first)).unwrap();
+  assert!(world.nodes[first].right.is_none());
+}
--- a/yuccarudder/src/plain/dispatch.rs
+++ b/yuccarudder/src/plain/dispatch.rs
@@ -139,6 +139,11 @@
     let admitted = host.targets.admit(service, &tried, host.clock.now(), rand::random());
     let chosen = admitted.map_err(|choice| exhausted(choice, &tried, right))?;
     let key = chosen.in_hand.key();
+    let account = &dispatch.tree.accounts[dispatch.account].name;
+    if tried.is_empty() {
+      let percent = dispatch.tree.operator_knobs().retry_percent;
+      host.retries.earn(account, key, percent);
+    }
     tried.push(key);
     let knobs = dispatch.knobs(&chosen);
     let call = Call {
@@ -170,6 +175,9 @@
         if !dispatch.repeatable || reruns >= knobs.reruns {
           return Err(Refusal::unknown(Reason::TargetLost).with_detail(cause));
         }
+        if !host.retries.spend(&dispatch.tree.accounts[dispatch.account].name, key) {
+          return Err(Refusal::unknown(Reason::RetriesSpent).with_retry_after(BUSY_RETRY));
+        }
         reruns += 1;
         host.metrics.retry(Retry::TargetLost);
       }
--- a/yuccarudder/src/refusal/reason.rs
+++ b/yuccarudder/src/refusal/reason.rs
@@ -94,6 +94,9 @@
   /// The reattach token is no longer good.
   ReattachExpired, "reattach_expired", GONE,
     "The time to reattach has passed; ask again for a new generation.";
+  /// The job may not be sent again, so that faults do not multiply load.
+  RetriesSpent, "retries_spent", SERVICE_UNAVAILABLE,
+    "Too many jobs had to be sent again lately; try again later.";
   /// The target is in its cold start and has all that it bears.
   TargetCold, "target_cold", TOO_MANY_REQUESTS,
     "The target is in its cold start and has all that it bears.";
--- a/yuccarudder/src/tree/knobs.rs
+++ b/yuccarudder/src/tree/knobs.rs
@@ -184,6 +184,9 @@
   /// Most times a generation is resumed in a row without a new token.
   resumes: u64, read_count, show_count = 6, 0..=100, [Operator Service];
 
+  /// Retries that an account or a target may cause, as a share of its jobs in percent.
+  retry_percent: u64, read_count, show_count = 20, 0..=100, [Operator];
+
   /// Longest wait for the next token before the generation is resumed.
   stall_timeout: Duration, read_duration, show_duration = secs(5), ms(20)..=secs(600), [Operator Service DataCentre];
 
--- a/yuccarudder/tests/promises.rs
+++ b/yuccarudder/tests/promises.rs
@@ -232,6 +232,27 @@
   }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn refusing_engines_do_not_multiply_load() {
+  const JOBS: u64 = 100;
+  let fleet = Fleet::start(options(&["retry_percent: 20"])).await.unwrap();
+  for engine in &fleet.engines {
+    engine.stand_in.set_faults(engine::Faults {
+      refuse: true,
+      ..engine::Faults::default()
+    });
+  }
+  for _ in 0..JOBS {
+    whole(&fleet, 5).await;
+  }
+  let asked: u64 = fleet.engines.iter().map(|engine| engine.stand_in.asked()).sum();
+  // Ten retries may be saved up; the rest is a fifth of the jobs.
+  assert!(
+    (JOBS..=JOBS + 10 + JOBS / 5).contains(&asked),
+    "{asked} requests for {JOBS} jobs"
+  );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn caller_that_leaves_cancels_its_generation() {
   let fleet = Fleet::start(Options::default()).await.unwrap();
