Measure a data centre's leave and return under load

Cause: service through a leave was not measured; a paused cold target was reported as unreachable; the load driver asked again at once when told to wait. Change: rig leave; a target that bears no more counts as busy while it is passed over; the load waits as long as it is told.

--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod demo;
 pub mod engine;
 pub mod fleet;
+pub mod leave;
 pub mod load;
 pub mod overhead;
 pub mod plain;
--- a/rig/src/load.rs
+++ b/rig/src/load.rs
@@ -16,7 +16,7 @@
   },
   tokio::{task::JoinSet, time},
   yuccarudder::{
-    caller::{Call, Client},
+    caller::{Call, Client, Failure},
     clock::Clock,
     generation::Shape,
   },
@@ -166,12 +166,13 @@
 
 async fn plain(client: &Client, call: &Call, tally: &mut Tally) {
   let begun = Instant::now();
-  match client.call(call).await {
+  let result = client.call(call).await;
+  record(&mut tally.calls, begun.elapsed());
+  match result {
     Ok(called) if called.status.is_success() => tally.whole += 1,
     Ok(called) => *tally.refused.entry(format!("status {}", called.status)).or_default() += 1,
-    Err(failure) => tally.refuse(&failure),
+    Err(failure) => refused(tally, &failure).await,
   }
-  record(&mut tally.calls, begun.elapsed());
 }
 
 /// Asks for one generation and checks each of its tokens.
@@ -204,12 +205,18 @@
   };
   match result.await {
     Ok(()) => tally.whole += 1,
-    Err(failure) => tally.refuse(&failure),
+    Err(failure) => refused(tally, &failure).await,
   }
   tally.out_of_order += check.faults();
   tally.tokens += check.tokens();
 }
 
+/// Records a job without a whole answer and waits as long as the host asked.
+async fn refused(tally: &mut Tally, failure: &Failure) {
+  tally.refuse(failure);
+  time::sleep(failure.retry_after.unwrap_or_default()).await;
+}
+
 fn record(histogram: &mut Histogram<u64>, duration: Duration) {
   let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
   // The histogram grows as needed; a time beyond its largest value is left out.
--- a/yuccarudder/src/target/table.rs
+++ b/yuccarudder/src/target/table.rs
@@ -39,6 +39,8 @@
   in_hand: u64,
   limit: u64,
   listed: bool,
+  /// When it may be tried again after it bore no more work.
+  paused_until: Option<Instant>,
   retry_at: Option<Instant>,
   takes_work: bool,
 }
@@ -81,7 +83,7 @@
   pub fn admit(&mut self, service: &str, tried: &[Key], now: Instant, random: u64) -> Choice {
     let keys = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
     let candidates =
-      keys.iter().filter(|key| !tried.contains(key)).filter_map(|key| self.candidate(*key));
+      keys.iter().filter(|key| !tried.contains(key)).filter_map(|key| self.candidate(*key, now));
     let choice = choose(candidates, now, random);
     if let Choice::Chosen(key) = choice {
       self.entries[key].in_hand += 1;
@@ -89,12 +91,13 @@
     choice
   }
 
-  fn candidate(&self, key: Key) -> Option<Candidate> {
+  fn candidate(&self, key: Key, now: Instant) -> Option<Candidate> {
     let entry = self.entries.get(key).filter(|entry| entry.takes_work)?;
+    let paused = entry.paused_until.is_some_and(|until| now < until);
     Some(Candidate {
       in_hand: entry.in_hand,
       key,
-      limit: entry.limit,
+      limit: if paused { 0 } else { entry.limit },
       retry_at: entry.retry_at,
     })
   }
@@ -121,10 +124,10 @@
     self.entries.get(key).is_some_and(|entry| entry.takes_work)
   }
 
-  /// Passes a target over for a short while.
+  /// Passes a target that bears no more work over for a short while.
   pub fn pause(&mut self, key: Key, now: Instant) {
     if let Some(entry) = self.entries.get_mut(key) {
-      entry.retry_at = entry.retry_at.max(Some(now + PAUSE));
+      entry.paused_until = Some(now + PAUSE);
     }
   }
 
@@ -195,6 +198,7 @@
       in_hand: 0,
       limit,
       listed: true,
+      paused_until: None,
       retry_at: None,
       takes_work,
     });
--- a/yuccarudder/tests/views.rs
+++ b/yuccarudder/tests/views.rs
@@ -8,7 +8,7 @@
     tally::Tally,
   },
   std::time::{Duration, Instant},
-  tokio::time,
+  tokio::{net::TcpListener, time},
   yuccarudder::{
     caller::Client,
     clock::Clock,
@@ -117,6 +117,29 @@
   assert_eq!(in_force(&fleet, 0), 2);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn starting_host_does_not_serve_before_it_has_asked_its_peers() {
+  let mut fleet = fleet(1, &[]).await;
+  // A peer that accepts the connection and says nothing.
+  let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+  let peers = silent.local_addr().unwrap();
+  let list = format!(
+    "{}- {{callers: \"10.0.0.9:1\", peers: \"{peers}\", data_centre: a, state: live}}\n",
+    fleet.host_list(&[])
+  );
+  fleet.platform.stand_in.publish(Key::Hosts, list);
+  fleet.hosts[0].kill().await;
+  fleet.hosts[0].start_unready().await.unwrap();
+  let host = fleet.hosts[0].host().unwrap().clone();
+  let (_connection, _) = silent.accept().await.unwrap();
+  eventually("the host has no settings", || host.tree().is_ok()).await;
+  assert_eq!(host.serving().err().unwrap().reason, Reason::NoSettings);
+  eventually("the host waits for its peer forever", || {
+    host.serving().is_ok()
+  })
+  .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn host_starts_from_its_seeds_while_the_platform_is_down() {
   let mut fleet = fleet(3, &[]).await;
