Bring the pages up to views, ownership, cold targets and budgets

Cause: the pages described the system before hosts acted together; one refusal reason was never used. Change: design, operations, callers, proofs, measurements, capacity and glossary; a test that the pages name every refusal and every knob.

--- a/yuccarudder/src/gossip/contact.rs
+++ b/yuccarudder/src/gossip/contact.rs
@@ -36,14 +36,9 @@
     self.state.lock().unwrap_or_else(PoisonError::into_inner)
   }
 
-  /// Records that another host was heard.
-  pub fn peer(&self, now: Instant) {
+  /// Records that the platform or another host was heard.
+  pub fn heard(&self, now: Instant) {
     let mut state = self.lock();
     state.last = state.last.max(Some(now));
   }
-
-  /// Records that the platform was heard.
-  pub fn platform(&self, now: Instant) {
-    self.peer(now);
-  }
 }
--- a/yuccarudder/src/gossip/exchange.rs
+++ b/yuccarudder/src/gossip/exchange.rs
@@ -25,7 +25,7 @@
     let asked = host.clock.now();
     let ours = host.view.borrow().digest(asked);
     let theirs = client.exchange(context::current(), ours).await?;
-    host.contact.peer(host.clock.now());
+    host.contact.heard(host.clock.now());
     let (wanted, lacked) = {
       let view = host.view.borrow();
       (view.wanted(&theirs), view.lacked(&theirs))
--- a/yuccarudder/src/gossip/tests.rs
+++ b/yuccarudder/src/gossip/tests.rs
@@ -61,7 +61,7 @@
   let bound = Duration::from_secs(60);
   let contact = Contact::default();
   assert!(contact.is_cut_off(now, bound));
-  contact.peer(now);
+  contact.heard(now);
   assert!(!contact.is_cut_off(now + bound, bound));
   assert!(contact.is_cut_off(now + bound + Duration::from_millis(1), bound));
 }
--- a/yuccarudder/src/platform/watcher.rs
+++ b/yuccarudder/src/platform/watcher.rs
@@ -50,7 +50,7 @@
   let asked = host.clock.now();
   let seen = seen(&host.view.borrow(), key);
   let Document { revision, text } = client.read(key, seen, host.settings.poll).await?;
-  host.contact.platform(host.clock.now());
+  host.contact.heard(host.clock.now());
   match text {
     None => host.view.send_if_modified(|view| {
       view.confirm(key, revision, asked);
--- a/yuccarudder/src/refusal/reason.rs
+++ b/yuccarudder/src/refusal/reason.rs
@@ -52,9 +52,6 @@
   /// The request body is larger than its bound.
   BodyTooLarge, "body_too_large", PAYLOAD_TOO_LARGE,
     "The request body is too large; send a smaller one.";
-  /// The caller closed its connection.
-  CallerGone, "caller_gone", REQUEST_TIMEOUT,
-    "The caller closed its connection.";
   /// The host has heard neither from the platform nor from other hosts for too long.
   CutOff, "cut_off", SERVICE_UNAVAILABLE,
     "This host is cut off; use another one.";
--- a/yuccarudder/tests/commands.rs
+++ b/yuccarudder/tests/commands.rs
@@ -7,6 +7,7 @@
     process::{Command, Output},
   },
   yare::parameterized,
+  yuccarudder::{refusal::Reason, tree::Knobs},
 };
 
 fn example(path: &str) -> String {
@@ -44,6 +45,23 @@
   assert!(output.status.success());
 }
 
+#[test]
+fn pages_name_every_refusal_and_every_knob() {
+  let callers = include_str!("../../docs/CALLERS.md");
+  for reason in Reason::ALL {
+    let row = format!("| `{}` | {} |", reason.name(), reason.status().as_u16());
+    assert!(callers.contains(&row), "docs/CALLERS.md has no row {row}");
+  }
+  let operations = include_str!("../../docs/OPERATIONS.md");
+  for knob in Knobs::NAMES {
+    let row = format!("| `{knob}` | ");
+    assert!(
+      operations.contains(&row),
+      "docs/OPERATIONS.md has no row {row}"
+    );
+  }
+}
+
 #[test]
 fn check_reports_every_fault() {
   let directory = tempfile::tempdir().unwrap();
