Ask targets again for their warmth and rank readers once a sort

Change: what a target says of its warmth counts for 1 s on a connection; ranks are computed once a sort.

--- a/yuccarudder/src/gossip/readers.rs
+++ b/yuccarudder/src/gossip/readers.rs
@@ -22,7 +22,7 @@
 pub fn readers(hosts: &[Entry], key: Key) -> Vec<SocketAddr> {
   let live = hosts.iter().filter(|host| host.state == HostState::Live);
   let mut ranked: Vec<SocketAddr> = live.map(|host| host.callers).collect();
-  ranked.sort_by_key(|host| Reverse(rank(*host, key)));
+  ranked.sort_by_cached_key(|host| Reverse(rank(*host, key)));
   let count = MIN_READERS + ranked.len().checked_ilog2().unwrap_or_default();
   ranked.truncate(usize::try_from(count).unwrap_or(usize::MAX));
   ranked
--- a/yuccarudder/src/upstream/pool.rs
+++ b/yuccarudder/src/upstream/pool.rs
@@ -26,13 +26,14 @@
 const LOAD_PATH: &str = "/v1/load";
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 const MAX_REPORT_BYTES: u64 = 64 << 10;
+const WARM_LIFE: Duration = Duration::from_secs(1);
 
 struct Connection {
   gate: Gate,
   idle_since: Instant,
   sender: SendRequest<Body>,
-  /// Whether the target said on this connection that it is past its cold start.
-  warm: bool,
+  /// When the target last said on this connection that it is past its cold start.
+  warm: Option<Instant>,
 }
 
 type Idle = Arc<Mutex<HashMap<SocketAddr, Vec<Connection>>>>;
@@ -59,10 +60,17 @@
       gate,
       idle_since: self.clock.now(),
       sender,
-      warm: false,
+      warm: None,
     })
   }
 
+  /// A process that restarts loses its connections, but one that turns cold while
+  /// it runs does not, so what it said is asked again from time to time.
+  fn is_warm(&self, connection: &Connection) -> bool {
+    let now = self.clock.now();
+    connection.warm.is_some_and(|at| now.saturating_duration_since(at) < WARM_LIFE)
+  }
+
   /// Builds an empty pool.
   pub fn new(clock: Clock) -> Self {
     Self {
@@ -100,11 +108,13 @@
         Err(cause) => return Err(Error::not_sent(cause, call.request)),
       },
     };
-    if let Some(admission) = call.admission.filter(|_| !connection.warm) {
+    let warm = self.is_warm(&connection);
+    if let Some(admission) = call.admission.filter(|_| !warm) {
+      let asked = self.clock.now();
       let probed = time::timeout(call.connect_timeout, probe(&mut connection, call.address)).await;
       match probed.ok().flatten() {
         Some(report) if report.cold => admission(report).await.map_err(denied)?,
-        Some(_) => connection.warm = true,
+        Some(_) => connection.warm = Some(asked),
         None => return Err(Error::not_sent("the target sent no report", call.request)),
       }
     }
--- a/yuccarudder/src/upstream/tests.rs
+++ b/yuccarudder/src/upstream/tests.rs
@@ -6,10 +6,17 @@
     refusal::{Reason, Refusal},
   },
   hyper::Request,
-  std::{net::SocketAddr, time::Duration},
+  std::{
+    net::SocketAddr,
+    sync::{
+      Arc,
+      atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant, SystemTime},
+  },
   tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
   },
 };
 
@@ -121,3 +128,69 @@
   assert!(!right.take(false));
   assert!(right.take(true));
 }
+
+/// Answers each request on one connection with the next body, and returns the
+/// request lines and the connection, still open.
+async fn answer_in_turn(
+  listener: TcpListener,
+  bodies: Vec<&'static str>,
+) -> (Vec<String>, TcpStream) {
+  let (mut stream, _) = listener.accept().await.unwrap();
+  let mut requests = Vec::new();
+  for body in bodies {
+    let mut bytes = [0; 1024];
+    let length = stream.read(&mut bytes).await.unwrap();
+    let request = String::from_utf8_lossy(&bytes[..length]).into_owned();
+    requests.push(request.lines().next().unwrap_or_default().to_owned());
+    let length = body.len();
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+    stream.write_all(format!("{head}{body}").as_bytes()).await.unwrap();
+  }
+  (requests, stream)
+}
+
+#[tokio::test]
+async fn target_that_turns_cold_while_it_runs_is_noticed() {
+  const COLD: &str = r#"{"cold":true,"incarnation":1}"#;
+  const WARM: &str = r#"{"cold":false,"incarnation":1}"#;
+  let (listener, address) = listen().await;
+  // Two jobs on one report, then a report that says it is cold.
+  let target = tokio::spawn(answer_in_turn(listener, vec![WARM, "ok", "ok", COLD]));
+  let passed = Arc::new(AtomicU64::new(0));
+  let (clock, begun) = (Arc::clone(&passed), Instant::now());
+  let clock = Clock::new(
+    move || begun + Duration::from_millis(clock.load(Ordering::Relaxed)),
+    SystemTime::now,
+  );
+  let pool = Pool::new(clock);
+  let refuse: fn() -> Admission =
+    || Box::new(|_| Box::pin(async { Err(Refusal::not_run(Reason::TargetCold)) }));
+  let send = || async {
+    let call = Call {
+      admission: Some(refuse()),
+      fresh: false,
+      ..call(address, Box::new(|| Ok(())))
+    };
+    let response = pool.send(call).await?;
+    http::collect(response.into_body(), 10).await.unwrap();
+    // The connection is kept by a task of its own.
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    Ok::<_, Error>(())
+  };
+  send().await.unwrap();
+  send().await.unwrap();
+  passed.store(1500, Ordering::Relaxed);
+  let error = send().await.unwrap_err();
+  assert!(
+    matches!(&error, Error::Denied(refusal) if refusal.reason == Reason::TargetCold),
+    "{error:?}"
+  );
+  let (requests, _stream) = target.await.unwrap();
+  let expected = [
+    "GET /v1/load HTTP/1.1",
+    "GET / HTTP/1.1",
+    "GET / HTTP/1.1",
+    "GET /v1/load HTTP/1.1",
+  ];
+  assert_eq!(requests, expected);
+}
