Give the places of killed hosts back and wait for forwarded answers

Cause: found on reading: a host killed with places at a cold target blocked them for the longest deadline and reattach window (10.5 minutes by default); a home that stopped could end while its answer to a forwarded call was still on its way. Change: a grant that is settled either shows in the target's report or its job has ended, so the owner counts settled places by the report; a stop also waits for answers to other hosts; a request for a grant may bring a late report, so a new owner waits for one grant life more. The wait for forwarded answers has no test: the race needs a full socket buffer. Conclusion: a kill during a cold start no longer stops the warm-up.

--- a/yuccarudder/src/cold/ask.rs
+++ b/yuccarudder/src/cold/ask.rs
@@ -86,11 +86,10 @@
   let request = Request {
     bears: knobs.cold_jobs,
     incarnation: report.incarnation,
-    life: knobs.deadline + knobs.reattach_window,
     reported: report.running + report.waiting,
     target,
   };
-  host.ledger().grant(request, terms.wait(), now)
+  host.ledger().grant(request, &terms, now)
 }
 
 /// Takes a place back as the owner of a target.
--- a/yuccarudder/src/cold/ledger.rs
+++ b/yuccarudder/src/cold/ledger.rs
@@ -1,4 +1,5 @@
 use {
+  crate::owner::Terms,
   serde::{Deserialize, Serialize},
   std::{
     collections::HashMap,
@@ -23,11 +24,22 @@
 struct Account {
   /// Most jobs there that may come from grants of an earlier owner.
   foreign: u64,
+  /// When each place was granted.
   places: HashMap<u64, Instant>,
   /// When ownership was last exercised.
   used: Instant,
 }
 
+impl Account {
+  /// Returns the most jobs that the target can have.
+  fn jobs(&self, reported: u64, settled: Duration, now: Instant) -> u64 {
+    let is_young = |granted: &&Instant| now.saturating_duration_since(**granted) < settled;
+    let young = self.places.values().filter(is_young).count() as u64;
+    let old = self.places.len() as u64 - young;
+    young + reported.min(old + self.foreign)
+  }
+}
+
 /// One process of a target. A late request for an earlier one changes nothing here.
 type Process = (SocketAddr, u64);
 
@@ -38,8 +50,6 @@
   pub bears: u64,
   /// The incarnation of the target.
   pub incarnation: u64,
-  /// Longest time of a job.
-  pub life: Duration,
   /// Jobs that the target reports.
   pub reported: u64,
   /// The target.
@@ -58,35 +68,30 @@
   ///
   /// `reported` is the number of jobs that the target itself reports: when an
   /// account is opened it covers all jobs of earlier owners, whose number only
-  /// falls. After a pause of `wait` another host may have been the owner.
-  pub fn grant(&mut self, request: Request, wait: Duration, now: Instant) -> Option<Grant> {
+  /// falls. Once a grant is settled its job shows in the report or has ended, so
+  /// places whose holders died come back. After a pause of `terms.wait()` another
+  /// host may have been the owner.
+  pub fn grant(&mut self, request: Request, terms: &Terms, now: Instant) -> Option<Grant> {
     let Request {
       bears,
       incarnation,
-      life,
       reported,
       target,
     } = request;
-    let recent = |account: &Account| now.saturating_duration_since(account.used) < wait;
-    self.accounts.retain(|_, account| {
-      account.places.retain(|_, until| now < *until);
-      !account.places.is_empty() || recent(account)
-    });
+    let recent = |account: &Account| now.saturating_duration_since(account.used) < terms.wait();
+    self.accounts.retain(|_, account| recent(account));
     let account = self.accounts.entry((target, incarnation)).or_insert_with(|| Account {
       foreign: reported,
       places: HashMap::new(),
       used: now,
     });
-    if !recent(account) {
-      account.foreign = reported;
-    }
     account.foreign = account.foreign.min(reported);
     account.used = now;
-    if account.places.len() as u64 + account.foreign >= bears {
+    if account.jobs(reported, terms.settled(), now) >= bears {
       return None;
     }
     self.next += 1;
-    account.places.insert(self.next, now + life);
+    account.places.insert(self.next, now);
     Some(Grant {
       incarnation,
       number: self.next,
--- a/yuccarudder/src/host/host.rs
+++ b/yuccarudder/src/host/host.rs
@@ -25,6 +25,7 @@
     time::{Duration, Instant},
   },
   tokio::sync::watch,
+  tokio_util::task::TaskTracker,
 };
 
 const ACCOUNT_RETRY: Duration = Duration::from_millis(500);
@@ -45,6 +46,8 @@
   pub contact: Contact,
   /// The stop of the host.
   pub drain: Drain,
+  /// Calls that other hosts forwarded to this one.
+  pub forwarded: TaskTracker,
   /// Names this process among all that had its address.
   pub incarnation: u64,
   ledger: Arc<Mutex<Ledger>>,
@@ -118,6 +121,7 @@
       pool: Pool::new(clock.clone()),
       contact: Contact::default(),
       drain: Drain::default(),
+      forwarded: TaskTracker::new(),
       leaving: Leaving::default(),
       ledger: Arc::default(),
       ownership: Arc::default(),
--- a/yuccarudder/src/owner/terms.rs
+++ b/yuccarudder/src/owner/terms.rs
@@ -27,12 +27,21 @@
     }
   }
 
+  /// Returns how old a grant is when its job shows in every report that comes with a
+  /// request for a usable grant, or has ended.
+  ///
+  /// The grant was used in time, the request was under way for less than the life of
+  /// the grant that it asks for, and the report was late.
+  pub fn settled(&self) -> Duration {
+    2 * self.grant + self.report
+  }
+
   /// Returns how long a new owner waits before it acts.
   ///
-  /// By then a predecessor's view is too old for it to act, its last grants can no
-  /// longer be used, and the jobs sent on them show in the targets' reports.
+  /// By then a predecessor's view is too old for it to act, and its last grants are
+  /// settled.
   pub fn wait(&self) -> Duration {
-    let sum = self.fresh + self.grant + self.lag + self.report;
+    let sum = self.fresh + self.lag + self.settled();
     sum + sum / CLOCK_RATE
   }
 }
--- a/yuccarudder/src/server/run.rs
+++ b/yuccarudder/src/server/run.rs
@@ -109,6 +109,9 @@
   while host.limits.total() > 0 {
     time::sleep(IDLE_POLL).await;
   }
+  // An answer on its way to another host is not counted as a job any more.
+  host.forwarded.close();
+  host.forwarded.wait().await;
   closed.cancel();
 }
 
