Write connecting, weakening and choosing a reason once each

Cause: a last reading of the whole change found three pieces written several times: opening a connection for remote calls (three), weakening a refusal to unknown (five), and the reason for a job without a target (two). Change: control::dial, Refusal::weakened and Choice::reason; behaviour as before. Conclusion: each rule stands in one place.

--- a/yuccarudder/src/cold/ask.rs
+++ b/yuccarudder/src/cold/ask.rs
@@ -3,7 +3,7 @@
   crate::{
     host::Host,
     owner::{Duty, Terms},
-    peer::{Purpose, connect, control},
+    peer::control,
     refusal::{Reason, Refusal},
     view::Entry,
   },
@@ -112,9 +112,7 @@
 
 async fn client(host: &Host, owner: &Entry) -> anyhow::Result<control::ControlClient> {
   let tree = host.tree().map_err(anyhow::Error::new)?;
-  let this = host.identity();
-  let (transport, _) = connect(owner.peers, this, Purpose::Control, &tree.secrets).await?;
-  Ok(control::client(transport))
+  control::dial(host, &tree.secrets, owner.peers).await
 }
 
 async fn give_back(host: &Host, owner: &Entry, grant: Grant) -> anyhow::Result<()> {
--- a/yuccarudder/src/generation/respond.rs
+++ b/yuccarudder/src/generation/respond.rs
@@ -5,7 +5,7 @@
     host::Host,
     http::Body,
     limit::Held,
-    refusal::{Ran, Reason, Refusal},
+    refusal::{Reason, Refusal},
     tree::{AccountKey, Kind, ServiceKey, Tree},
   },
   hyper::Response,
@@ -48,10 +48,7 @@
   let service = tree
     .service(&attachment.service)
     .ok_or_else(|| Refusal::unknown(Reason::GenerationLost))?;
-  let mut job = admit(host, &tree, account, service).map_err(|refusal| Refusal {
-    ran: Ran::Unknown,
-    ..refusal
-  })?;
+  let mut job = admit(host, &tree, account, service).map_err(Refusal::weakened)?;
   job.deadline = host.clock.now() + left;
   job.reattachable = true;
   job.streamed = true;
--- a/yuccarudder/src/generation/session.rs
+++ b/yuccarudder/src/generation/session.rs
@@ -134,11 +134,9 @@
   }
 
   fn exhausted(&self, choice: Choice) -> Refusal {
-    let reason = match choice {
-      _ if self.cold => Reason::TargetCold,
-      Choice::Busy => Reason::TargetsBusy,
-      Choice::Chosen(_) | Choice::None if self.tried.is_empty() => Reason::NoTarget,
-      Choice::Chosen(_) | Choice::None | Choice::Unreachable => Reason::TargetsUnreachable,
+    let reason = match self.cold {
+      true => Reason::TargetCold,
+      false => choice.reason(!self.tried.is_empty()),
     };
     Refusal::new(self.ran, reason).with_retry_after(BUSY_RETRY)
   }
--- a/yuccarudder/src/gossip/exchange.rs
+++ b/yuccarudder/src/gossip/exchange.rs
@@ -1,9 +1,5 @@
 use {
-  crate::{
-    host::Host,
-    peer::{Purpose, connect, control::client},
-    tree::Secret,
-  },
+  crate::{host::Host, peer::control, tree::Secret},
   anyhow::Context,
   std::{net::SocketAddr, time::Duration},
   tarpc::context,
@@ -19,9 +15,7 @@
 /// Fails when the other host cannot be reached or does not answer in time.
 pub async fn exchange(host: &Host, secrets: &[Secret], peers: SocketAddr) -> anyhow::Result<()> {
   let exchanged = async {
-    let this = host.identity();
-    let (transport, _) = connect(peers, this, Purpose::Control, secrets).await?;
-    let client = client(transport);
+    let client = control::dial(host, secrets, peers).await?;
     let asked = host.clock.now();
     let ours = host.view.borrow().digest(asked);
     let theirs = client.exchange(context::current(), ours).await?;
--- a/yuccarudder/src/once/outcome.rs
+++ b/yuccarudder/src/once/outcome.rs
@@ -41,9 +41,8 @@
   /// Weakens a claim that the job did not run, once it was sent.
   pub(super) fn truthful(self, sent: bool) -> Self {
     match self {
-      Self::Refused(mut refusal) if sent && refusal.ran == Ran::NotRun => {
-        refusal.ran = Ran::Unknown;
-        Self::Refused(refusal)
+      Self::Refused(refusal) if sent && refusal.ran == Ran::NotRun => {
+        Self::Refused(refusal.weakened())
       }
       outcome => outcome,
     }
--- a/yuccarudder/src/peer/control.rs
+++ b/yuccarudder/src/peer/control.rs
@@ -120,10 +120,19 @@
   }
 }
 
-/// Starts a client of the remote calls on a connection.
-pub fn client(transport: Transport) -> ControlClient {
+/// Connects to another host for remote calls.
+///
+/// # Errors
+///
+/// Fails when it cannot be reached or does not prove a shared key.
+pub async fn dial(
+  host: &Host,
+  secrets: &[Secret],
+  peers: SocketAddr,
+) -> anyhow::Result<ControlClient> {
+  let (transport, _) = connect(peers, host.identity(), Purpose::Control, secrets).await?;
   let transport = serde_transport::new(transport, Json::default());
-  ControlClient::new(client::Config::default(), transport).spawn()
+  Ok(ControlClient::new(client::Config::default(), transport).spawn())
 }
 
 /// Tells every other host that this one serves or is leaving.
@@ -151,9 +160,8 @@
   notice: Notice,
 ) -> anyhow::Result<()> {
   let called = async {
-    let this = host.identity();
-    let (transport, _) = connect(entry.peers, this, Purpose::Control, secrets).await?;
-    client(transport).announce(context::current(), this.host, notice).await?;
+    let client = dial(host, secrets, entry.peers).await?;
+    client.announce(context::current(), host.settings.callers, notice).await?;
     Ok(())
   };
   time::timeout(ANNOUNCE_TIMEOUT, called).await.context("no answer in time")?
--- a/yuccarudder/src/plain/call.rs
+++ b/yuccarudder/src/plain/call.rs
@@ -6,7 +6,7 @@
     http::{self, Body, Lingering},
     once::Key,
     peer,
-    refusal::{Ran, Reason, Refusal},
+    refusal::{Reason, Refusal},
     ticket::Ticket,
     tree::{AccountKey, Kind, Knobs, ServiceKey, Tree},
   },
@@ -81,10 +81,7 @@
     .ok_or_else(|| unknown(Reason::BadRequest))?
     .into();
   let body =
-    host.memory.hold(&head.headers, body, knobs.body_bytes).await.map_err(|refusal| Refusal {
-      ran: Ran::Unknown,
-      ..refusal
-    })?;
+    host.memory.hold(&head.headers, body, knobs.body_bytes).await.map_err(Refusal::weakened)?;
   strip_request(&mut head.headers);
   let account = inbound.tree.accounts[inbound.account].name.as_str().into();
   let keyed = Keyed {
--- a/yuccarudder/src/plain/dispatch.rs
+++ b/yuccarudder/src/plain/dispatch.rs
@@ -187,11 +187,7 @@
 }
 
 fn exhausted(choice: Choice, tried: &[Key], right: &Right) -> Refusal {
-  let reason = match choice {
-    Choice::Busy => Reason::TargetsBusy,
-    Choice::Chosen(_) | Choice::None if tried.is_empty() => Reason::NoTarget,
-    Choice::Chosen(_) | Choice::None | Choice::Unreachable => Reason::TargetsUnreachable,
-  };
+  let reason = choice.reason(!tried.is_empty());
   refused(Refusal::not_run(reason), right).with_retry_after(BUSY_RETRY)
 }
 
@@ -202,9 +198,9 @@
 }
 
 /// Weakens a claim that a call did not run, once a byte of it may have left.
-fn refused(mut refusal: Refusal, right: &Right) -> Refusal {
+fn refused(refusal: Refusal, right: &Right) -> Refusal {
   if refusal.ran == Ran::NotRun && right.taken() {
-    refusal.ran = Ran::Unknown;
+    return refusal.weakened();
   }
   refusal
 }
--- a/yuccarudder/src/refusal/refusal.rs
+++ b/yuccarudder/src/refusal/refusal.rs
@@ -84,6 +84,13 @@
     Self::new(Ran::Unknown, reason)
   }
 
+  /// Claims no more than that the job may have run.
+  #[must_use]
+  pub fn weakened(mut self) -> Self {
+    self.ran = Ran::Unknown;
+    self
+  }
+
   /// Adds what happened.
   #[must_use]
   pub fn with_detail(mut self, detail: impl Into<String>) -> Self {
--- a/yuccarudder/src/server/callers.rs
+++ b/yuccarudder/src/server/callers.rs
@@ -6,7 +6,7 @@
     host::Host,
     http::{self, Body, Lingering},
     plain::{self, Inbound},
-    refusal::{Ran, Reason, Refusal},
+    refusal::{Reason, Refusal},
     tree::{AccountKey, Tree},
   },
   hyper::{Method, Request, Response, StatusCode, Uri, body::Incoming},
@@ -70,8 +70,7 @@
 
 /// Weakens `not_run`, which only the home may say of a job with a key.
 fn before_home(refusal: Refusal, keyed: bool) -> Refusal {
-  let ran = if keyed { Ran::Unknown } else { refusal.ran };
-  Refusal { ran, ..refusal }
+  if keyed { refusal.weakened() } else { refusal }
 }
 
 async fn call(
--- a/yuccarudder/src/target/choose.rs
+++ b/yuccarudder/src/target/choose.rs
@@ -1,4 +1,4 @@
-use {super::Key, std::time::Instant};
+use {super::Key, crate::refusal::Reason, std::time::Instant};
 
 /// One target that a job could be sent to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -26,6 +26,17 @@
   Unreachable,
 }
 
+impl Choice {
+  /// Returns why a job gets no target; `tried` tells whether some were tried in vain.
+  pub fn reason(self, tried: bool) -> Reason {
+    match self {
+      Self::Busy => Reason::TargetsBusy,
+      Self::Chosen(_) | Self::None if !tried => Reason::NoTarget,
+      Self::Chosen(_) | Self::None | Self::Unreachable => Reason::TargetsUnreachable,
+    }
+  }
+}
+
 /// Chooses the target with the fewest jobs in hand.
 ///
 /// `random` breaks ties, so that hosts with the same view spread out. A target
