--- a/rig/src/overhead.rs
+++ b/rig/src/overhead.rs
@@ -246,6 +246,7 @@
     admission: None,
     connect_timeout: CONNECT_TIMEOUT,
     fresh: false,
+    keep: true,
     permit: Box::new(|| Ok(())),
     request,
   };
--- a/yuccarudder/src/command/status.rs
+++ b/yuccarudder/src/command/status.rs
@@ -31,6 +31,7 @@
         admission: None,
         connect_timeout: CONNECT_TIMEOUT,
         fresh: true,
+        keep: true,
         permit: Box::new(|| Ok(())),
         request: Request::get("/status").body(http::empty())?,
       };
--- /dev/null
+++ b/yuccarudder/src/gateway/call.rs
@@ -0,0 +1,71 @@
+use {
+  super::Gateway,
+  crate::{
+    dialect::Ask,
+    limit::Held,
+    routing::{AccountKey, Catalog, Route, RouteKey, Service},
+  },
+  hyper::{HeaderMap, Method, Uri},
+  std::{
+    sync::Arc,
+    time::{Duration, Instant},
+  },
+};
+
+/// Lowest and default ranks that engines know.
+const LAST_URGENCY: u32 = 9;
+
+/// One request that was let in, with the catalog that let it in.
+pub struct Call {
+  pub account: Option<AccountKey>,
+  pub arrived: Instant,
+  pub ask: Ask,
+  pub body: Held,
+  pub catalog: Arc<Catalog>,
+  pub deadline: Instant,
+  pub gateway: Gateway,
+  pub headers: HeaderMap,
+  pub method: Method,
+  pub route: RouteKey,
+  pub service: String,
+  pub uri: Uri,
+}
+
+impl Call {
+  /// Returns the name of the account.
+  pub fn account_name(&self) -> Option<&str> {
+    self.account.map(|key| self.catalog.accounts[key].name.as_str())
+  }
+
+  /// Returns the request's name in logs.
+  pub fn id(&self) -> &str {
+    self.ask.request_id.as_deref().unwrap_or("-")
+  }
+
+  /// Returns the time since the request arrived.
+  pub fn elapsed(&self) -> Duration {
+    self.gateway.clock.now().saturating_duration_since(self.arrived)
+  }
+
+  /// Returns what is left until the caller or the route gives up.
+  pub fn left(&self) -> Duration {
+    self.deadline.saturating_duration_since(self.gateway.clock.now())
+  }
+
+  /// Returns the route.
+  pub fn route(&self) -> &Route {
+    &self.catalog.routes[self.route]
+  }
+
+  /// Returns the service.
+  pub fn service(&self) -> Option<&Service> {
+    self.catalog.service(&self.service)
+  }
+
+  /// Returns the rank at an engine: the account's goes before the route's.
+  pub fn urgency(&self) -> u8 {
+    let account = self.account.and_then(|key| self.catalog.accounts[key].priority);
+    let rank = account.unwrap_or(0).saturating_mul(3).saturating_add(self.route().priority);
+    u8::try_from(rank.min(LAST_URGENCY)).unwrap_or(9)
+  }
+}
--- /dev/null
+++ b/yuccarudder/src/gateway/front.rs
@@ -0,0 +1,97 @@
+use {
+  super::{Gateway, answer, call::Call, plain, stream},
+  crate::{
+    http::{Body, Lingering},
+    refusal::{Reason, Refusal},
+    routing::{self, Arrival, Kind},
+  },
+  hyper::{Request, Response, body::Incoming, header::HOST, http::request::Parts},
+  siphasher::sip::SipHasher13,
+  std::{hash::Hasher, time::Duration},
+};
+
+const CONNECT_RETRY: Duration = Duration::from_millis(300);
+const PREFIX: &str = "front";
+
+/// Answers one request of a caller.
+pub async fn handle(gateway: Gateway, request: Request<Incoming>) -> Response<Body> {
+  let (parts, body) = request.into_parts();
+  let id = (gateway.dialect.read_request)(&parts.headers).request_id;
+  let mut response = match serve(&gateway, parts, Lingering::new(body)).await {
+    Ok(response) => response,
+    Err(refusal) => {
+      gateway.metrics.refuse(&refusal);
+      let response = answer::refuse(&refusal);
+      log::info!(
+        target: PREFIX, id = id.as_deref().unwrap_or("-"), status = response.status().as_u16(),
+        reason = refusal.reason.name(), ran = refusal.ran.name(), detail = refusal.detail.as_str();
+        "Refused a request."
+      );
+      response
+    }
+  };
+  if gateway.is_leaving() {
+    answer::close(&mut response);
+  }
+  response
+}
+
+async fn serve(
+  gateway: &Gateway,
+  parts: Parts,
+  body: Lingering,
+) -> Result<Response<Body>, Refusal> {
+  let call = admit(gateway, parts, body).await?;
+  match call.route().kind {
+    Kind::Stream { .. } => stream::serve(call).await,
+    Kind::Once | Kind::Repeatable => plain::serve(call).await,
+  }
+}
+
+async fn admit(gateway: &Gateway, parts: Parts, body: Lingering) -> Result<Call, Refusal> {
+  let arrived = gateway.clock.now();
+  let ask = (gateway.dialect.read_request)(&parts.headers);
+  let (catalog, age) = {
+    let state = gateway.lock();
+    let age = state.freshness.age(gateway.clock.boot());
+    (state.catalog.clone(), age)
+  };
+  let unknown = || Refusal::not_run(Reason::NoSettings).with_retry_after(CONNECT_RETRY);
+  let catalog = catalog.ok_or_else(unknown)?;
+  let host = parts.headers.get(HOST).and_then(|value| value.to_str().ok());
+  let authority = host.or_else(|| parts.uri.authority().map(|authority| authority.as_str()));
+  let arrival = Arrival {
+    age,
+    authority: authority.unwrap_or_default(),
+    credential: ask.credential.as_deref(),
+    path: parts.uri.path(),
+  };
+  let admitted = routing::admit(&catalog, &arrival, &gateway.bounds())?;
+  let route = &catalog.routes[admitted.route];
+  let pick = hash(ask.request_id.as_deref().unwrap_or_default());
+  let service = route.service(pick).ok_or_else(|| Refusal::not_run(Reason::NoTarget))?.to_owned();
+  let wait = ask.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
+  let bound = gateway.settings().promises.repeats;
+  gateway.lock().repeats.request(&service, &bound, arrived);
+  let body = gateway.memory.hold(&parts.headers, body, catalog.limits.body_bytes).await?;
+  Ok(Call {
+    account: admitted.account,
+    arrived,
+    ask,
+    body,
+    deadline: arrived + wait,
+    gateway: gateway.clone(),
+    headers: parts.headers,
+    method: parts.method,
+    route: admitted.route,
+    service,
+    uri: parts.uri,
+    catalog,
+  })
+}
+
+fn hash(text: &str) -> u64 {
+  let mut hasher = SipHasher13::new();
+  hasher.write(text.as_bytes());
+  hasher.finish()
+}
--- /dev/null
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -0,0 +1,389 @@
+use {
+  crate::{
+    clock::Clock,
+    dialect::Dialect,
+    limit::{Memory, Repeats},
+    member::{self, Phase},
+    metrics::Metrics,
+    placement::{Health, Outcome, Places},
+    reader::{Area, Change, Error, Snapshot, Subject},
+    roster::{Key, Roster},
+    routing::{Bounds, Catalog, Freshness},
+    settings,
+    upstream::Pool,
+  },
+  bytes::Bytes,
+  std::{
+    collections::HashMap,
+    fmt,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+  },
+  tokio::sync::{Notify, Semaphore, watch},
+};
+
+/// Share of the memory of the host that bodies held whole may take.
+const HELD_SHARE: f64 = 0.25;
+/// Time after trouble with the platform in which a removed entry may have lapsed.
+const RECOVERY: Duration = Duration::from_millis(2500);
+/// Taken off a bound on the age of the catalog for the time that a decision takes.
+const AGE_MARGIN: Duration = Duration::from_millis(250);
+/// Pause between questions of the host that reads the targets for the others.
+const FIRST_READER_PAUSE: Duration = Duration::from_millis(60);
+/// Pause between questions of the host that stands in for it.
+const SECOND_READER_PAUSE: Duration = Duration::from_millis(250);
+/// Pause between questions of all others, who hear of news from the first two.
+const READER_PAUSE: Duration = Duration::from_millis(900);
+const PREFIX: &str = "gateway";
+
+/// What a host knows and has in hand.
+pub(super) struct State {
+  pub(super) catalog: Option<Arc<Catalog>>,
+  pub(super) freshness: Freshness,
+  pub(super) health: Health,
+  pub(super) leaving: bool,
+  pub(super) members: member::Table,
+  pub(super) published: Bytes,
+  pub(super) repeats: Repeats,
+  pub(super) roster: Roster,
+  pub(super) settings: Arc<settings::Gateway>,
+  copy_turns: HashMap<u64, Arc<Semaphore>>,
+  listed_targets: bool,
+  troubled: HashMap<&'static str, Instant>,
+  recovered: Option<Instant>,
+}
+
+/// The state that the tasks of one host share.
+#[derive(Clone)]
+pub struct Gateway {
+  /// The clock.
+  pub clock: Clock,
+  pub(super) dialect: Dialect,
+  pub(super) memory: Memory,
+  /// Metrics.
+  pub metrics: Arc<Metrics>,
+  pub(super) news: Arc<Notify>,
+  pub(super) places: Places,
+  pub(super) pool: Pool,
+  pub(super) roster_changes: watch::Sender<u64>,
+  state: Arc<Mutex<State>>,
+}
+
+impl Gateway {
+  /// Takes in changes that the platform told of.
+  pub fn apply(&self, area: Area, changes: Vec<Change>, asked: Duration) {
+    let mut leaving = Vec::new();
+    for change in changes {
+      leaving.extend(self.apply_one(change, asked));
+    }
+    if area == Area::Operator {
+      self.lock().freshness.confirm(asked);
+    }
+    self.tell_leaving(&leaving, "platform");
+  }
+
+  fn apply_one(&self, change: Change, asked: Duration) -> Option<Key> {
+    let now = self.clock.now();
+    let revision = change.revision;
+    match change.subject {
+      Subject::Catalog(Some(bytes)) => {
+        self.offer_catalog(bytes, Some(asked), "platform");
+        None
+      }
+      Subject::Catalog(None) | Subject::Other => None,
+      Subject::Evacuation { data_centre, out } => {
+        log::info!(target: PREFIX, data_centre, out, revision; "A data centre was taken out or back.");
+        self.lock().roster.evacuate(&data_centre, out);
+        None
+      }
+      Subject::Target { id, listing } => {
+        if listing.is_none() {
+          log::warn!(target: PREFIX, target:% = id, revision; "The entry of a target cannot be read.");
+        }
+        self.lock().roster.put(&id, revision, listing, now)
+      }
+      Subject::TargetExpired { id } => {
+        let mut state = self.lock();
+        let recovering = state.recovering(now);
+        log::info!(target: PREFIX, target:% = id, revision, recovering; "The entry of a target was removed.");
+        state.roster.expire(&id, revision, recovering, now)
+      }
+    }
+  }
+
+  pub(super) fn bounds(&self) -> Bounds {
+    let state = self.lock();
+    let promises = &state.settings.promises;
+    Bounds {
+      denial: promises.catalog_applied,
+      revocation: promises.revocation.saturating_sub(AGE_MARGIN),
+    }
+  }
+
+  /// Returns the turns of this host's copies from one process of a target.
+  pub(super) fn copy_turns(&self, target: u64) -> Arc<Semaphore> {
+    let mut state = self.lock();
+    state.copy_turns.retain(|_, turns| Arc::strong_count(turns) > 1);
+    Arc::clone(state.copy_turns.entry(target).or_insert_with(|| Arc::new(Semaphore::new(1))))
+  }
+
+  /// Returns whether callers are to be sent to this host.
+  pub fn is_ready(&self) -> bool {
+    self.phase() == Phase::Ready
+  }
+
+  /// Announces that this host leaves.
+  pub fn leave(&self) {
+    self.lock().leaving = true;
+    self.news.notify_one();
+  }
+
+  /// Returns whether this host leaves.
+  pub fn is_leaving(&self) -> bool {
+    self.lock().leaving
+  }
+
+  pub(super) fn lock(&self) -> MutexGuard<'_, State> {
+    self.state.lock().unwrap_or_else(PoisonError::into_inner)
+  }
+
+  /// Records that the platform gave no answer.
+  pub fn missed_platform(&self, area: Area, error: &Error) {
+    let now = self.clock.now();
+    let first = self.lock().troubled.insert(area.name(), now).is_none();
+    if first {
+      log::warn!(target: PREFIX, area = area.name(), error:? = error; "The platform cannot be read.");
+    }
+  }
+
+  /// Builds the state of a host that knows nothing yet.
+  pub fn new(settings: settings::Gateway, dialect: Dialect, pool: Pool, clock: Clock) -> Self {
+    let incarnation = rand::random();
+    let held = settings.memory_bytes as f64 * HELD_SHARE;
+    let state = State {
+      catalog: None,
+      copy_turns: HashMap::new(),
+      freshness: Freshness::default(),
+      health: Health::default(),
+      leaving: false,
+      listed_targets: false,
+      members: member::Table::new(settings.peers, incarnation, settings.seeds.clone()),
+      published: Bytes::new(),
+      recovered: None,
+      repeats: Repeats::new(clock.now()),
+      roster: Roster::default(),
+      settings: Arc::new(settings),
+      troubled: HashMap::new(),
+    };
+    Self {
+      pool,
+      clock,
+      dialect,
+      memory: Memory::new(held as u64),
+      metrics: Arc::default(),
+      news: Arc::default(),
+      places: Places::default(),
+      roster_changes: watch::Sender::new(0),
+      state: Arc::new(Mutex::new(state)),
+    }
+  }
+
+  /// Takes a published catalog if it is newer than the one in force.
+  pub(super) fn offer_catalog(&self, bytes: Bytes, asked: Option<Duration>, source: &str) {
+    let catalog = match (self.dialect.read_catalog)(&bytes) {
+      Ok(catalog) => catalog,
+      Err(error) => {
+        log::error!(target: PREFIX, source, error:% = error; "A catalog cannot be read; the one in force stays.");
+        self.metrics.settings_refused.inc();
+        return;
+      }
+    };
+    let mut state = self.lock();
+    let in_force = state.version();
+    if catalog.version < in_force {
+      self.metrics.stale_documents.inc();
+      return;
+    }
+    if catalog.version > in_force {
+      log::info!(target: PREFIX, version = catalog.version, in_force, source; "A catalog is in force.");
+      state.catalog = Some(Arc::new(catalog));
+      state.published = bytes;
+      state.freshness.restart(asked);
+      drop(state);
+      self.news.notify_one();
+    } else if let Some(asked) = asked {
+      state.freshness.confirm(asked);
+    }
+  }
+
+  /// Returns the phase that the other hosts are told.
+  pub fn phase(&self) -> Phase {
+    let state = self.lock();
+    if state.leaving {
+      return Phase::Leaving;
+    }
+    let revocation = state.settings.promises.revocation.saturating_sub(AGE_MARGIN);
+    let fresh = state.freshness.is_within(revocation, self.clock.boot());
+    if state.listed_targets && fresh {
+      Phase::Ready
+    } else {
+      Phase::Starting
+    }
+  }
+
+  /// Records that the platform answered.
+  pub fn reached_platform(&self, area: Area) {
+    let mut state = self.lock();
+    if state.troubled.remove(area.name()).is_some() {
+      state.recovered = Some(self.clock.now());
+      drop(state);
+      log::info!(target: PREFIX, area = area.name(); "The platform can be read again.");
+    }
+  }
+
+  /// Returns how long to wait between two questions to the platform.
+  ///
+  /// Two hosts follow the targets closely and tell the others of those that leave.
+  pub fn read_pause(&self, area: Area) -> Duration {
+    if area == Area::Operator {
+      return Duration::ZERO;
+    }
+    let state = self.lock();
+    let this = state.settings.peers;
+    let members = state.members.live(self.clock.boot());
+    let before = members.filter(|(address, member)| member.reads && *address < this).count();
+    match before {
+      0 => FIRST_READER_PAUSE,
+      1 => SECOND_READER_PAUSE,
+      _ => READER_PAUSE,
+    }
+  }
+
+  pub(super) fn record(&self, key: Key, outcome: Outcome) {
+    let now = self.clock.now();
+    let mut state = self.lock();
+    let ejection = state.health.record(key, outcome, now);
+    if let Some(ejection) = ejection
+      && let Some(target) = state.roster.get(key)
+    {
+      log::warn!(
+        target: PREFIX, target:% = target.id, outcome:? = outcome, ejection_ms = ejection.as_millis() as u64;
+        "A target failed too often and is passed over."
+      );
+    }
+  }
+
+  /// Takes in settings that were changed.
+  pub fn reload(&self, settings: settings::Gateway) {
+    let mut state = self.lock();
+    state.members.set_seeds(settings.seeds.clone());
+    state.settings = Arc::new(settings);
+    log::info!(target: PREFIX, seeds = state.settings.seeds.len(); "Took in changed settings.");
+  }
+
+  /// Takes in all documents of an area.
+  pub fn replace(&self, area: Area, snapshot: Snapshot, asked: Duration) {
+    match area {
+      Area::Operator => self.replace_operator(snapshot, asked),
+      Area::Targets => self.replace_targets(snapshot),
+    }
+  }
+
+  fn replace_operator(&self, snapshot: Snapshot, asked: Duration) {
+    let mut evacuated = Vec::new();
+    for change in snapshot.changes {
+      match change.subject {
+        Subject::Catalog(Some(bytes)) => self.offer_catalog(bytes, Some(asked), "platform"),
+        Subject::Evacuation {
+          data_centre,
+          out: true,
+        } => evacuated.push(data_centre),
+        _ => {}
+      }
+    }
+    self.lock().roster.set_evacuated(evacuated);
+  }
+
+  fn replace_targets(&self, snapshot: Snapshot) {
+    let now = self.clock.now();
+    let entries = snapshot.changes.into_iter().filter_map(|change| match change.subject {
+      Subject::Target { id, listing } => Some((id, change.revision, listing)),
+      _ => None,
+    });
+    let entries: Vec<_> = entries.collect();
+    let mut state = self.lock();
+    let recovering = state.recovering(now);
+    log::info!(target: PREFIX, targets = entries.len(), revision = snapshot.revision, recovering; "Listed the targets.");
+    let leaving = state.roster.replace(entries, snapshot.revision, recovering, now);
+    state.listed_targets = true;
+    drop(state);
+    self.tell_leaving(&leaving, "platform");
+  }
+
+  pub(super) fn settings(&self) -> Arc<settings::Gateway> {
+    Arc::clone(&self.lock().settings)
+  }
+
+  /// Takes a repeat of a request for a service from this host's part of the budget.
+  pub(super) fn spend_repeat(&self, service: &str) -> bool {
+    let mut state = self.lock();
+    let bound = state.settings.promises.repeats;
+    let hosts = state.members.count();
+    let now = self.clock.now();
+    state.repeats.spend(service, &bound, hosts, now)
+  }
+
+  /// Tells the tasks and the other hosts that targets leave.
+  pub(super) fn tell_leaving(&self, keys: &[Key], source: &str) {
+    // New targets, too, are a reason to look again.
+    self.places.wake();
+    if keys.is_empty() {
+      return;
+    }
+    for key in keys {
+      let state = self.lock();
+      if let Some(target) = state.roster.get(*key) {
+        log::info!(target: PREFIX, target:% = target.id, source; "A target leaves.");
+      }
+    }
+    self.roster_changes.send_modify(|count| *count += 1);
+    self.news.notify_one();
+  }
+
+  pub(super) fn tick(&self) {
+    let gone = self.lock().roster.tick(self.clock.now());
+    if !gone.is_empty() {
+      self.tell_leaving(&gone, "lapse");
+    }
+  }
+}
+
+impl State {
+  pub(super) fn reads(&self) -> bool {
+    self.troubled.is_empty() && self.listed_targets
+  }
+
+  fn recovering(&self, now: Instant) -> bool {
+    let recently = |at: Instant| now.saturating_duration_since(at) < RECOVERY;
+    !self.troubled.is_empty() || self.recovered.is_some_and(recently)
+  }
+
+  /// Returns where callers reach the hosts that take them.
+  pub(super) fn ready_hosts(&self, now: Duration) -> Vec<SocketAddr> {
+    let ready = |(_, member): (SocketAddr, &member::Member)| {
+      (member.phase == Phase::Ready).then_some(member.callers)
+    };
+    self.members.live(now).filter_map(ready).collect()
+  }
+
+  pub(super) fn version(&self) -> u64 {
+    self.catalog.as_ref().map_or(0, |catalog| catalog.version)
+  }
+}
+
+impl fmt::Debug for Gateway {
+  fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    write!(f, "Gateway({})", self.settings().name)
+  }
+}
--- /dev/null
+++ b/yuccarudder/src/gateway/placed.rs
@@ -0,0 +1,124 @@
+use {
+  super::{call::Call, lengths},
+  crate::{
+    placement::{self, Candidate, Choice, Need, Place, Run},
+    refusal::{Reason, Refusal},
+    roster::{Key, Target},
+    routing::{Engine, Kind},
+  },
+  std::time::{Duration, Instant},
+  tokio::time,
+};
+
+/// Share of an engine's memory that the expected needs of its runs may fill; the rest is
+/// for estimates that fall short.
+const FILL: f64 = 0.92;
+/// Share of the objective that a request may wait for room; the rest is for reading it in.
+const PATIENCE: f64 = 0.6;
+/// How often a waiting request looks for room that no news told of.
+const RECHECK: Duration = Duration::from_millis(25);
+/// When room at full targets may be expected.
+const FULL_RETRY: Duration = Duration::from_millis(1500);
+/// When a target may be expected where there is none.
+const NONE_RETRY: Duration = Duration::from_millis(1000);
+
+/// A target with the place that a request takes there.
+pub struct Spot {
+  pub key: Key,
+  pub place: Place,
+  pub target: Target,
+}
+
+impl Call {
+  /// Takes a place at a target, waiting for room as long as that helps the caller.
+  ///
+  /// # Errors
+  ///
+  /// Refuses when there is no room or no target in time.
+  pub async fn place(&self, tried: &[Key]) -> Result<Spot, Refusal> {
+    let patience = self.route().latency_objective.mul_f64(PATIENCE);
+    let give_up = (self.arrived + patience).min(self.deadline);
+    loop {
+      let freed = self.gateway.places.freed();
+      let refusal = match self.try_place(tried) {
+        Ok(spot) => return Ok(spot),
+        Err(refusal) => refusal,
+      };
+      let now = self.gateway.clock.now();
+      if now >= give_up {
+        return Err(refusal);
+      }
+      let recheck = (now + RECHECK).min(give_up);
+      // Both a place that was freed and the time to look again lead to another look.
+      let _ = time::timeout_at(recheck.into(), freed).await;
+    }
+  }
+
+  fn try_place(&self, tried: &[Key]) -> Result<Spot, Refusal> {
+    let now = self.gateway.clock.now();
+    let engine = self.service().and_then(|service| service.engine.as_ref());
+    let need = self.need(engine);
+    let near = self.gateway.settings().data_centre.clone();
+    match self.choose(tried, &need, &near, now) {
+      Choice::Chosen(key) => Ok(self.take(key, &need)),
+      Choice::Full => Err(Refusal::not_run(Reason::TargetsBusy).with_retry_after(FULL_RETRY)),
+      Choice::None => Err(Refusal::not_run(Reason::NoTarget).with_retry_after(NONE_RETRY)),
+    }
+  }
+
+  /// Chooses where a run may go on; targets in the data centre `near` go first.
+  pub fn choose_next(&self, from: Key, near: &str, tokens: u64) -> Option<Spot> {
+    let now = self.gateway.clock.now();
+    let engine = self.service().and_then(|service| service.engine.as_ref());
+    let need = Need {
+      tokens,
+      ..self.need(engine)
+    };
+    match self.choose(&[from], &need, near, now) {
+      Choice::Chosen(key) => Some(self.take(key, &need)),
+      Choice::Full | Choice::None => None,
+    }
+  }
+
+  fn choose(&self, tried: &[Key], need: &Need, near: &str, now: Instant) -> Choice {
+    let state = self.gateway.lock();
+    let ledger = self.gateway.places.lock();
+    let candidates = state.roster.open(&self.service).map(|(key, target)| Candidate {
+      ejected: state.health.is_ejected(key, now),
+      key,
+      load: ledger.load(target.fingerprint),
+      near: target.listing.data_centre == near,
+      slots: target.listing.slots,
+      tried: tried.contains(&key),
+    });
+    placement::choose(candidates, need, || rand::random_range(0.0..1.0))
+  }
+
+  fn need(&self, engine: Option<&Engine>) -> Need {
+    let stream = matches!(self.route().kind, Kind::Stream { .. });
+    Need {
+      memory: engine.map(|engine| (engine.memory_tokens as f64 * FILL) as u64),
+      tokens: if stream {
+        lengths::expected_memory(&self.ask, 0)
+      } else {
+        0
+      },
+    }
+  }
+
+  fn take(&self, key: Key, need: &Need) -> Spot {
+    let state = self.gateway.lock();
+    let target = state.roster.get(key).expect("a chosen target is listed").clone();
+    drop(state);
+    let place = self.gateway.places.take(Run {
+      arriving: if need.memory.is_some() {
+        self.ask.prompt_tokens
+      } else {
+        0
+      },
+      target: target.fingerprint,
+      tokens: need.tokens,
+    });
+    Spot { key, place, target }
+  }
+}
--- /dev/null
+++ b/yuccarudder/src/gateway/pulses.rs
@@ -0,0 +1,157 @@
+use {
+  super::Gateway,
+  crate::{
+    member::{self, Codec, Known, Phase, Pulse, Sent},
+    placement::Load,
+  },
+  bytes::Bytes,
+  futures::{SinkExt, StreamExt, stream::SplitSink},
+  prost::Message,
+  std::{collections::HashMap, net::SocketAddr, time::Duration},
+  tokio::{net::UdpSocket, time},
+  tokio_util::udp::UdpFramed,
+};
+
+/// Time between two pulses of a host.
+const PERIOD: Duration = Duration::from_millis(200);
+/// Shortest time between two pulses when there is news.
+const MIN_PERIOD: Duration = Duration::from_millis(10);
+const PREFIX: &str = "member";
+const RECEIVE_DELAY: Duration = Duration::from_millis(10);
+
+type Sender = SplitSink<UdpFramed<Codec>, (Bytes, SocketAddr)>;
+
+/// Exchanges pulses with the other hosts until the task is dropped.
+pub async fn run(gateway: Gateway, socket: UdpSocket) {
+  let (mut sender, mut receiver) = UdpFramed::new(socket, Codec).split();
+  let receiving = async {
+    loop {
+      match receiver.next().await {
+        Some(Ok((Some(pulse), _))) => receive(&gateway, &pulse),
+        Some(Ok((None, from))) => {
+          log::warn!(target: PREFIX, from:% = from; "A pulse cannot be read.");
+        }
+        // The system tells of peers that cannot be reached; their silence counts.
+        Some(Err(_)) | None => time::sleep(RECEIVE_DELAY).await,
+      }
+    }
+  };
+  let sending = async {
+    let mut sequence = 0;
+    loop {
+      gateway.tick();
+      sequence += 1;
+      send(&gateway, &mut sender, sequence).await;
+      time::sleep(MIN_PERIOD).await;
+      // Both news and the end of the period are a reason to send.
+      let _ = time::timeout(PERIOD - MIN_PERIOD, gateway.news.notified()).await;
+    }
+  };
+  tokio::join!(receiving, sending);
+}
+
+async fn send(gateway: &Gateway, sender: &mut Sender, sequence: u64) {
+  let (pulse, known) = compose(gateway, sequence);
+  for Known { address, echo } in known {
+    let pulse = Pulse {
+      echo,
+      ..pulse.clone()
+    };
+    let datagram = pulse.encode_to_vec().into();
+    if let Err(error) = sender.send((datagram, address)).await {
+      log::debug!(target: PREFIX, address:% = address, error:% = error; "A pulse was not sent.");
+    }
+  }
+}
+
+fn compose(gateway: &Gateway, sequence: u64) -> (Pulse, Vec<Known>) {
+  let phase = gateway.phase();
+  let now = gateway.clock.boot();
+  let loads = gateway.places.lock().loads();
+  let mut state = gateway.lock();
+  let (known, forgotten) = state.members.outgoing(now);
+  state.members.record_sent(Sent { at: now, sequence });
+  let age = state.freshness.age(now);
+  let pulse = Pulse {
+    callers: state.settings.callers.to_string(),
+    catalog_age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX) + 1),
+    catalog_version: state.version(),
+    echo: None,
+    incarnation: state.members.incarnation(),
+    leaving: state.roster.leaving().map(|target| target.fingerprint).collect(),
+    loads: loads
+      .into_iter()
+      .map(|(target, load)| member::Load {
+        arriving: load.arriving,
+        runs: load.runs,
+        target,
+        tokens: load.tokens,
+      })
+      .collect(),
+    members: state.members.live(now).map(|(address, _)| address.to_string()).collect(),
+    phase: phase.number(),
+    reads: state.reads(),
+    sender: state.settings.peers.to_string(),
+    sequence,
+    weight: state.settings.weight,
+  };
+  drop(state);
+  for host in forgotten {
+    log::info!(target: PREFIX, host:% = host; "A host is silent for long and forgotten.");
+    gateway.places.lock().forget(host);
+  }
+  (pulse, known)
+}
+
+fn receive(gateway: &Gateway, pulse: &Pulse) {
+  let now = gateway.clock.boot();
+  let mut state = gateway.lock();
+  let Some(news) = state.members.receive(pulse, now) else {
+    return;
+  };
+  let version = state.version();
+  if pulse.catalog_version == version && version > 0 {
+    if let Some(confirmed) = news.confirmed {
+      state.freshness.confirm(confirmed);
+    }
+  }
+  let leaving: Vec<_> =
+    pulse.leaving.iter().filter_map(|target| state.roster.learn_leaving(*target)).collect();
+  drop(state);
+  if !leaving.is_empty() {
+    gateway.tell_leaving(&leaving, "host");
+  }
+  learn_loads(gateway, pulse, news.sender);
+  if pulse.catalog_version > version {
+    tokio::spawn(take_catalog(gateway.clone(), news.sender, version));
+  }
+}
+
+fn learn_loads(gateway: &Gateway, pulse: &Pulse, sender: SocketAddr) {
+  let leaves = Phase::from_number(pulse.phase) == Phase::Leaving;
+  let loads = pulse.loads.iter().map(|load| {
+    let known = Load {
+      arriving: load.arriving,
+      runs: load.runs,
+      tokens: load.tokens,
+    };
+    (load.target, known)
+  });
+  let loads: HashMap<u64, Load> = loads.collect();
+  let mut ledger = gateway.places.lock();
+  if leaves && loads.is_empty() {
+    ledger.forget(sender);
+  } else {
+    ledger.learn(sender, loads);
+  }
+}
+
+async fn take_catalog(gateway: Gateway, host: SocketAddr, above: u64) {
+  match member::fetch(host, above).await {
+    Ok(bytes) if bytes.is_empty() => {}
+    Ok(bytes) => gateway.offer_catalog(bytes, None, "host"),
+    Err(error) => {
+      log::warn!(target: PREFIX, host:% = host, error:% = error; "Another host's catalog was not taken.");
+    }
+  }
+}
--- /dev/null
+++ b/yuccarudder/src/gateway/retrying.rs
@@ -0,0 +1,55 @@
+use {
+  super::call::Call,
+  crate::{
+    attempt::{self, Outcome, State, Verdict},
+    metrics::Retry,
+    refusal::{Reason, Refusal},
+  },
+  std::time::Duration,
+};
+
+const PREFIX: &str = "retrying";
+/// When a target that refused may take work again.
+const REFUSED_RETRY: Duration = Duration::from_millis(500);
+
+impl Call {
+  /// Returns what the caller is told after the last try.
+  pub fn given_up(&self, state: &State, outcome: Outcome) -> Refusal {
+    if state.runs == 0 {
+      let reason = match outcome {
+        Outcome::NotSent => Reason::TargetsUnreachable,
+        _ => Reason::TargetsBusy,
+      };
+      return Refusal::not_run(reason).with_retry_after(REFUSED_RETRY);
+    }
+    let reason = if self.left().is_zero() {
+      Reason::DeadlinePassed
+    } else {
+      Reason::TargetLost
+    };
+    Refusal::unknown(reason)
+  }
+
+  /// Decides whether another try follows, and takes it from the retry budget.
+  pub fn retries(&self, state: &State, outcome: Outcome) -> bool {
+    let Verdict::Retry { arrives } = attempt::decide(outcome, state) else {
+      return false;
+    };
+    if self.left().is_zero() {
+      return false;
+    }
+    let granted = !arrives || self.gateway.spend_repeat(&self.service);
+    log::info!(
+      target: PREFIX, id = self.id(), outcome = outcome.name(), tries = state.tries, runs = state.runs, granted;
+      "Considered another try."
+    );
+    if granted {
+      self.gateway.metrics.retry(match outcome {
+        Outcome::Failed | Outcome::Lost => Retry::TargetLost,
+        Outcome::NotRun => Retry::TargetRefused,
+        Outcome::NotSent => Retry::Connect,
+      });
+    }
+    granted
+  }
+}
--- /dev/null
+++ b/yuccarudder/src/gateway/session.rs
@@ -0,0 +1,366 @@
+use {
+  super::{
+    call::Call,
+    lengths,
+    movement::{Movement, Step},
+    placed::Spot,
+  },
+  crate::{
+    attempt::{Outcome, State},
+    dialect::Resume,
+    http::{Body, BodyError},
+    refusal::{Reason, Refusal},
+    relay::Cursor,
+    relocation::{Copied, Failure},
+    roster::Standing,
+    routing::Engine,
+  },
+  bytes::Bytes,
+  futures::stream,
+  http_body_util::{BodyExt, StreamBody},
+  hyper::body::{Frame, Incoming},
+  std::time::Duration,
+  tokio::{sync::mpsc, time},
+};
+
+/// Pieces that may wait for a caller that reads slowly.
+const PIECES_IN_HAND: usize = 64;
+const PREFIX: &str = "session";
+/// Longest wait for the last events of a run that stopped to be copied.
+const LAST_EVENTS: Duration = Duration::from_millis(300);
+/// Longest wait for the head of the answer where a run goes on.
+const SWITCH_PATIENCE: Duration = Duration::from_secs(3);
+/// Events after which the memory that a run takes is told anew.
+const TELL_EVENTS: u64 = 16;
+
+/// How a stream ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum End {
+  CallerGone,
+  Complete,
+  Deadline,
+  Disordered,
+  Lost,
+}
+
+impl End {
+  fn name(self) -> &'static str {
+    match self {
+      Self::CallerGone => "caller_gone",
+      Self::Complete => "complete",
+      Self::Deadline => "deadline",
+      Self::Disordered => "disordered",
+      Self::Lost => "lost",
+    }
+  }
+}
+
+/// A stream on its way to its caller, over all targets where it runs.
+pub struct Session {
+  call: Call,
+  caller: mpsc::Sender<Result<Bytes, BodyError>>,
+  cursor: Cursor,
+  /// Whether the run's connection has ended while the outcome of a copy is awaited.
+  ended: Option<Ended>,
+  events: Incoming,
+  movement: Movement,
+  moves: u32,
+  spot: Spot,
+  state: State,
+  /// The copy of a run that stopped, until its last events are in.
+  stopped: Option<(Copied, Spot)>,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Ended {
+  Broken,
+  Whole,
+}
+
+impl Session {
+  /// Relays events in a task of their own and returns the body for the caller.
+  pub fn start(call: Call, state: State, spot: Spot, events: Incoming) -> Body {
+    let (caller, mut pieces) = mpsc::channel(PIECES_IN_HAND);
+    let session = Self {
+      cursor: Cursor::new(call.ask.last_event),
+      call,
+      caller,
+      ended: None,
+      events,
+      movement: Movement::default(),
+      moves: 0,
+      spot,
+      state,
+      stopped: None,
+    };
+    tokio::spawn(session.run());
+    let pieces = stream::poll_fn(move |cx| pieces.poll_recv(cx));
+    StreamBody::new(futures::StreamExt::map(pieces, |piece| {
+      piece.map(Frame::data)
+    }))
+    .boxed_unsync()
+  }
+
+  async fn run(mut self) {
+    let end = self.relay().await;
+    log::info!(
+      target: PREFIX, id = self.call.id(), target:% = self.spot.target.id, end = end.name(),
+      events = self.cursor.events(), moves = self.moves, runs = self.state.runs,
+      elapsed_ms = self.call.elapsed().as_millis() as u64;
+      "A stream ended."
+    );
+    self.movement.abandon(&self.call, &self.spot);
+    if let Some((copied, _)) = self.stopped.take() {
+      self.release(copied);
+    }
+    let reason = match end {
+      End::Complete => {
+        self.call.gateway.metrics.answered.inc();
+        return;
+      }
+      End::CallerGone => return,
+      End::Deadline => Reason::DeadlinePassed,
+      End::Disordered | End::Lost => Reason::GenerationLost,
+    };
+    let refusal = Refusal::failed(reason);
+    self.call.gateway.metrics.refuse(&refusal);
+    // The error breaks the caller's connection, so the answer does not look complete.
+    let _ = self.caller.send(Err(refusal.into())).await;
+  }
+
+  async fn relay(&mut self) -> End {
+    let mut changes = self.call.gateway.roster_changes.subscribe();
+    let mut deadline = Box::pin(time::sleep_until(self.call.deadline.into()));
+    self.consider_move();
+    loop {
+      let end = tokio::select! {
+        biased;
+        () = self.caller.closed() => Some(End::CallerGone),
+        () = &mut deadline => Some(End::Deadline),
+        step = self.movement.next() => self.step(step).await,
+        frame = self.events.frame(), if self.ended.is_none() => self.take(frame).await,
+        changed = changes.changed() => {
+          if changed.is_ok() {
+            self.consider_move();
+          }
+          None
+        }
+      };
+      if let Some(end) = end {
+        return end;
+      }
+    }
+  }
+
+  /// Takes what came on the connection of the run.
+  async fn take(&mut self, frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> Option<End> {
+    let ended = match frame {
+      Some(Ok(frame)) => match frame.into_data() {
+        Ok(bytes) => return self.pass_on(&bytes).await,
+        Err(_) => return None,
+      },
+      Some(Err(_)) => Ended::Broken,
+      None if self.cursor.is_partial() => Ended::Broken,
+      None => Ended::Whole,
+    };
+    if let Some((copied, destination)) = self.stopped.take() {
+      return self.switch(copied, destination).await;
+    }
+    if self.movement.is_copying() && (ended == Ended::Broken || self.movement.is_stopping()) {
+      self.ended = Some(ended);
+      return None;
+    }
+    match ended {
+      Ended::Whole => Some(End::Complete),
+      Ended::Broken => self.recover().await,
+    }
+  }
+
+  async fn pass_on(&mut self, bytes: &[u8]) -> Option<End> {
+    let before = self.cursor.events();
+    let events = match self.cursor.feed(bytes) {
+      Ok(events) => events,
+      Err(fault) => {
+        log::error!(target: PREFIX, id = self.call.id(), target:% = self.spot.target.id, fault:% = fault; "A target broke the order of events.");
+        return Some(End::Disordered);
+      }
+    };
+    if events.is_empty() {
+      return None;
+    }
+    let count = self.cursor.events();
+    if before == 0 || before / TELL_EVENTS != count / TELL_EVENTS {
+      self.spot.place.update(0, self.memory());
+    }
+    if before == 0 {
+      log::debug!(target: PREFIX, id = self.call.id(), elapsed_ms = self.call.elapsed().as_millis() as u64; "The first event came.");
+    }
+    let sent = time::timeout_at(self.call.deadline.into(), self.caller.send(Ok(events))).await;
+    match sent {
+      Ok(Ok(())) => None,
+      Ok(Err(_)) => Some(End::CallerGone),
+      Err(_) => Some(End::Deadline),
+    }
+  }
+
+  fn engine(&self) -> Option<&Engine> {
+    self.call.service()?.engine.as_ref()
+  }
+
+  fn generated(&self) -> u64 {
+    self.cursor.last().unwrap_or(0) * self.engine().map_or(1, |engine| engine.event_tokens)
+  }
+
+  /// Returns the tokens of memory that the run is expected to need in the end.
+  fn memory(&self) -> u64 {
+    lengths::expected_memory(&self.call.ask, self.generated())
+  }
+
+  /// Returns the tokens of memory that the run takes now.
+  fn held(&self) -> u64 {
+    self.call.ask.prompt_tokens + self.generated()
+  }
+
+  /// Begins to move the run if its target leaves.
+  fn consider_move(&mut self) {
+    let Some(engine) = self.engine().filter(|engine| engine.relocatable) else {
+      return;
+    };
+    if !self.movement.is_idle() || self.ended.is_some() || self.stopped.is_some() {
+      return;
+    }
+    let left = self.call.ask.max_tokens.saturating_sub(self.generated());
+    if left <= engine.event_tokens {
+      return;
+    }
+    let leaves = {
+      let state = self.call.gateway.lock();
+      let target = state.roster.get(self.spot.key);
+      target.is_none_or(|target| matches!(target.standing, Standing::Gone(_) | Standing::Leaving))
+    };
+    if leaves {
+      let engine = engine.clone();
+      self.movement.wait(&self.call, &self.spot, &engine);
+    }
+  }
+
+  async fn step(&mut self, step: Step) -> Option<End> {
+    match step {
+      Step::Turn => {
+        let tokens = self.memory();
+        let copied = self.held();
+        self.movement.copy(&self.call, &self.spot, tokens, copied);
+        None
+      }
+      Step::LastEvents => {
+        let (copied, destination) = self.stopped.take()?;
+        self.switch(copied, destination).await
+      }
+      Step::Copied {
+        destination,
+        result,
+        stop,
+      } => self.copied(destination, result, stop).await,
+    }
+  }
+
+  async fn copied(
+    &mut self,
+    destination: Spot,
+    result: Result<Copied, Failure>,
+    stop: bool,
+  ) -> Option<End> {
+    log::info!(
+      target: PREFIX, id = self.call.id(), source:% = self.spot.target.id, destination:% = destination.target.id,
+      stop, result:? = result, ended:? = self.ended, events = self.cursor.events();
+      "A copy of a run was answered."
+    );
+    match (result, stop, self.ended) {
+      (Ok(copied), true, None) => {
+        self.stopped = Some((copied, destination));
+        self.movement.await_last_events(LAST_EVENTS);
+        None
+      }
+      (Ok(copied), _, Some(_)) => self.switch(copied, destination).await,
+      (Ok(_), false, None) => {
+        self.movement.stop(&self.call, &self.spot, destination);
+        None
+      }
+      (Err(Failure::NoRoom(Some(handle))), true, _) => {
+        // The run stands still with its memory where it was; it goes on there.
+        let here = self.call.stay(&self.spot, self.memory());
+        let copied = Copied {
+          events: self.cursor.events(),
+          handle,
+        };
+        self.switch(copied, here).await
+      }
+      (Err(_), _, Some(Ended::Whole)) => Some(End::Complete),
+      (Err(_), _, Some(Ended::Broken)) => self.recover().await,
+      (Err(_), _, None) => {
+        drop(destination);
+        self.movement.retry();
+        None
+      }
+    }
+  }
+
+  /// Goes on at the engine that holds the copy, or where the run stopped.
+  async fn switch(&mut self, copied: Copied, destination: Spot) -> Option<End> {
+    self.movement = Movement::default();
+    let source = self.spot.target.listing.address;
+    let resume = Resume {
+      copy: Some(format!("{source}/{}", copied.handle)),
+      last_event: self.cursor.last(),
+    };
+    let patience = SWITCH_PATIENCE.min(self.call.left());
+    match self.call.send(&destination, Some(&resume), patience).await {
+      Ok(response) if response.status().is_success() => {
+        self.moves += 1;
+        self.continue_with(destination, response.into_body());
+        None
+      }
+      Ok(_) | Err(_) => {
+        self.release(copied);
+        self.recover().await
+      }
+    }
+  }
+
+  fn continue_with(&mut self, spot: Spot, events: Incoming) {
+    self.cursor.restart();
+    self.ended = None;
+    self.events = events;
+    self.spot = spot;
+    self.consider_move();
+  }
+
+  /// Starts another run after the last event, where that is allowed.
+  async fn recover(&mut self) -> Option<End> {
+    self.movement.abandon(&self.call, &self.spot);
+    self.state.runs += 1;
+    if !self.call.retries(&self.state, Outcome::Lost) {
+      return Some(End::Lost);
+    }
+    let Ok(spot) = self.call.place(&[self.spot.key]).await else {
+      return Some(End::Lost);
+    };
+    self.state.tries += 1;
+    let resume = Resume {
+      copy: None,
+      last_event: self.cursor.last(),
+    };
+    match self.call.send(&spot, Some(&resume), self.call.left()).await {
+      Ok(response) if response.status().is_success() => {
+        self.continue_with(spot, response.into_body());
+        None
+      }
+      Ok(_) | Err(_) => Some(End::Lost),
+    }
+  }
+
+  fn release(&self, copied: Copied) {
+    let source = self.spot.target.listing.address;
+    tokio::spawn((self.call.gateway.dialect.release)(source, copied.handle));
+  }
+}
--- a/yuccarudder/src/generation/engine.rs
+++ b/yuccarudder/src/generation/engine.rs
@@ -85,6 +85,7 @@
       admission,
       connect_timeout: self.knobs.connect_timeout,
       fresh: false,
+      keep: true,
       permit,
       request,
     };
@@ -142,6 +143,7 @@
       admission: None,
       connect_timeout,
       fresh: false,
+      keep: true,
       permit: Box::new(|| Ok(())),
       request: request.body(http::empty()).expect("the request is valid"),
     };
--- a/yuccarudder/src/lib.rs
+++ b/yuccarudder/src/lib.rs
@@ -3,26 +3,38 @@
 //! The library is split into slices by duty. Each slice holds its own state,
 //! messages and tests; the daemon in `main.rs` only parses the command line.
 
+pub mod attempt;
 pub mod caller;
 pub mod clock;
 pub mod cold;
 pub mod command;
+pub mod dialect;
 pub mod drain;
 pub mod entries;
+pub mod gateway;
 pub mod generation;
 pub mod gossip;
 pub mod host;
 pub mod http;
 pub mod limit;
+pub mod logs;
+pub mod member;
 pub mod metrics;
 pub mod once;
 pub mod owner;
 pub mod peer;
+pub mod placement;
 pub mod plain;
 pub mod platform;
+pub mod reader;
 pub mod refusal;
+pub mod relay;
+pub mod relocation;
+pub mod roster;
+pub mod routing;
 pub mod server;
 pub mod settings;
+pub mod socket;
 pub mod target;
 pub mod ticket;
 pub mod tree;
--- a/yuccarudder/src/limit/held.rs
+++ b/yuccarudder/src/limit/held.rs
@@ -34,8 +34,9 @@
     if announced > limit {
       return Err(too_large());
     }
-    let reserved = self.reserve(announced)?;
+    let mut reserved = self.reserve(announced)?;
     let bytes = http::collect(body, announced).await.ok_or_else(too_large)?;
+    reserved.shrink(bytes.len() as u64);
     Ok(Held { bytes, reserved })
   }
 }
--- a/yuccarudder/src/limit/memory.rs
+++ b/yuccarudder/src/limit/memory.rs
@@ -31,7 +31,7 @@
     let units = u32::try_from(bytes.div_ceil(UNIT_BYTES)).ok();
     units
       .and_then(|units| Arc::clone(&self.units).try_acquire_many_owned(units).ok())
-      .map(|units| Reserved { _units: units })
+      .map(|units| Reserved { units })
       .ok_or_else(|| Refusal::not_run(Reason::HostBusy).with_retry_after(RETRY))
   }
 }
@@ -39,5 +39,14 @@
 /// Room that is given back when it is dropped.
 #[derive(Debug)]
 pub struct Reserved {
-  _units: OwnedSemaphorePermit,
+  units: OwnedSemaphorePermit,
+}
+
+impl Reserved {
+  /// Gives back all but the room for `bytes`.
+  pub fn shrink(&mut self, bytes: u64) {
+    let kept = usize::try_from(bytes.div_ceil(UNIT_BYTES)).unwrap_or(usize::MAX);
+    let surplus = self.units.num_permits().saturating_sub(kept);
+    drop(self.units.split(surplus));
+  }
 }
--- /dev/null
+++ b/yuccarudder/src/member/codec.rs
@@ -0,0 +1,32 @@
+use {
+  super::Pulse,
+  bytes::{Bytes, BytesMut},
+  prost::Message,
+  std::io,
+  tokio_util::codec::{Decoder, Encoder},
+};
+
+/// One pulse a datagram. Datagrams that cannot be read are dropped.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Codec;
+
+impl Decoder for Codec {
+  type Item = Option<Pulse>;
+  type Error = io::Error;
+
+  fn decode(&mut self, buffer: &mut BytesMut) -> io::Result<Option<Self::Item>> {
+    if buffer.is_empty() {
+      return Ok(None);
+    }
+    Ok(Some(Pulse::decode(buffer.split()).ok()))
+  }
+}
+
+impl Encoder<Bytes> for Codec {
+  type Error = io::Error;
+
+  fn encode(&mut self, datagram: Bytes, buffer: &mut BytesMut) -> io::Result<()> {
+    buffer.extend_from_slice(&datagram);
+    Ok(())
+  }
+}
--- /dev/null
+++ b/yuccarudder/src/member/pulse.rs
@@ -0,0 +1,71 @@
+/// The newest pulse of the recipient that the sender had seen.
+#[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
+pub struct Echo {
+  /// The process of the recipient.
+  #[prost(fixed64, tag = "1")]
+  pub incarnation: u64,
+  /// The number of the pulse.
+  #[prost(uint64, tag = "2")]
+  pub sequence: u64,
+}
+
+/// What the sender has at one target.
+#[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
+pub struct Load {
+  /// Tokens still to be read in or copied.
+  #[prost(uint64, tag = "1")]
+  pub arriving: u64,
+  /// Requests.
+  #[prost(uint32, tag = "2")]
+  pub runs: u32,
+  /// The process of the target.
+  #[prost(fixed64, tag = "3")]
+  pub target: u64,
+  /// Tokens of memory.
+  #[prost(uint64, tag = "4")]
+  pub tokens: u64,
+}
+
+/// What one host tells another.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct Pulse {
+  /// Where callers reach the sender.
+  #[prost(string, tag = "1")]
+  pub callers: String,
+  /// Age of the sender's last confirmation of its catalog, in milliseconds.
+  #[prost(uint64, optional, tag = "2")]
+  pub catalog_age_ms: Option<u64>,
+  /// Version of the sender's catalog, 0 without one.
+  #[prost(uint64, tag = "3")]
+  pub catalog_version: u64,
+  /// The newest pulse of the recipient that the sender had seen.
+  #[prost(message, optional, tag = "4")]
+  pub echo: Option<Echo>,
+  /// The process of the sender.
+  #[prost(fixed64, tag = "5")]
+  pub incarnation: u64,
+  /// Processes of targets that announced that they leave.
+  #[prost(fixed64, repeated, tag = "6")]
+  pub leaving: Vec<u64>,
+  /// The sender's loads.
+  #[prost(message, repeated, tag = "7")]
+  pub loads: Vec<Load>,
+  /// Hosts that the sender heard from lately.
+  #[prost(string, repeated, tag = "8")]
+  pub members: Vec<String>,
+  /// The sender's phase.
+  #[prost(uint32, tag = "9")]
+  pub phase: u32,
+  /// Whether the sender reads the platform without trouble.
+  #[prost(bool, tag = "10")]
+  pub reads: bool,
+  /// Where other hosts reach the sender.
+  #[prost(string, tag = "11")]
+  pub sender: String,
+  /// Number of the pulse, which rises within one process.
+  #[prost(uint64, tag = "12")]
+  pub sequence: u64,
+  /// How much the sender can carry, in thousandths of a core.
+  #[prost(uint32, tag = "13")]
+  pub weight: u32,
+}
--- /dev/null
+++ b/yuccarudder/src/member/table.rs
@@ -0,0 +1,198 @@
+use {
+  super::{Echo, Phase, Pulse},
+  std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+    time::Duration,
+  },
+};
+
+/// Silence after which a host is no longer named to callers.
+const SILENCE: Duration = Duration::from_millis(1300);
+/// Silence after which a host is no longer sent pulses, unless it is a seed.
+const FORGET: Duration = Duration::from_secs(60);
+/// Own pulses whose sending times are kept.
+const SENT_KEPT: usize = 64;
+/// Hosts beyond which no further ones are taken in.
+const MAX_MEMBERS: usize = 1024;
+
+/// Another host.
+#[derive(Clone, Debug)]
+pub struct Member {
+  /// Where callers reach it.
+  pub callers: SocketAddr,
+  heard: Duration,
+  incarnation: u64,
+  /// Its phase.
+  pub phase: Phase,
+  /// Whether it reads the platform without trouble.
+  pub reads: bool,
+  sequence: u64,
+  /// How much it can carry, in thousandths of a core.
+  pub weight: u32,
+}
+
+/// A host that pulses are sent to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Known {
+  /// Its address.
+  pub address: SocketAddr,
+  /// What to tell it of its own pulses.
+  pub echo: Option<Echo>,
+}
+
+/// What a pulse says of the sender's catalog.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct News {
+  /// When at the latest the catalog was confirmed, by this host's clock; `None` when
+  /// the sender could not prove it to this host.
+  pub confirmed: Option<Duration>,
+  /// Where the sender is reached by other hosts.
+  pub sender: SocketAddr,
+}
+
+/// A pulse of this host.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Sent {
+  /// When it was sent.
+  pub at: Duration,
+  /// Its number.
+  pub sequence: u64,
+}
+
+/// What a host knows of the others.
+///
+/// Times are those of the clock that counts suspension.
+#[derive(Clone, Debug)]
+pub struct Table {
+  candidates: HashMap<SocketAddr, Duration>,
+  incarnation: u64,
+  members: HashMap<SocketAddr, Member>,
+  seeds: Vec<SocketAddr>,
+  sent: VecDeque<Sent>,
+  this: SocketAddr,
+}
+
+impl Table {
+  /// Returns the hosts that were heard lately.
+  pub fn live(&self, now: Duration) -> impl Iterator<Item = (SocketAddr, &Member)> {
+    let live = move |member: &&Member| now.saturating_sub(member.heard) < SILENCE;
+    self
+      .members
+      .iter()
+      .map(|(address, member)| (*address, member))
+      .filter(move |(_, m)| live(m))
+  }
+
+  /// Returns the number of hosts, with this one, that may hold a part of a bound.
+  pub fn count(&self) -> usize {
+    self.members.len() + 1
+  }
+
+  /// Returns the number that tells this process from others of the same host.
+  pub fn incarnation(&self) -> u64 {
+    self.incarnation
+  }
+
+  /// Builds the table of a process that knows only seeds.
+  pub fn new(this: SocketAddr, incarnation: u64, seeds: Vec<SocketAddr>) -> Self {
+    Self {
+      candidates: HashMap::new(),
+      incarnation,
+      members: HashMap::new(),
+      seeds,
+      sent: VecDeque::new(),
+      this,
+    }
+  }
+
+  /// Returns whom to send a pulse, and forgets hosts that are silent for long.
+  ///
+  /// Returns the hosts that were forgotten, too.
+  pub fn outgoing(&mut self, now: Duration) -> (Vec<Known>, Vec<SocketAddr>) {
+    let old = |at: Duration| now.saturating_sub(at) >= FORGET;
+    let forgotten: Vec<SocketAddr> =
+      self.members.iter().filter(|(_, member)| old(member.heard)).map(|(at, _)| *at).collect();
+    for address in &forgotten {
+      self.members.remove(address);
+    }
+    self.candidates.retain(|_, at| !old(*at));
+    let mut addresses: Vec<SocketAddr> = self.members.keys().copied().collect();
+    addresses.extend(self.candidates.keys().chain(&self.seeds));
+    addresses.sort_unstable();
+    addresses.dedup();
+    addresses.retain(|address| *address != self.this);
+    let known = addresses.into_iter().map(|address| Known {
+      address,
+      echo: self.members.get(&address).map(|member| Echo {
+        incarnation: member.incarnation,
+        sequence: member.sequence,
+      }),
+    });
+    (known.collect(), forgotten)
+  }
+
+  /// Takes in a pulse; returns `None` for one that is older than another or not readable.
+  pub fn receive(&mut self, pulse: &Pulse, now: Duration) -> Option<News> {
+    let sender: SocketAddr = pulse.sender.parse().ok()?;
+    let callers: SocketAddr = pulse.callers.parse().ok()?;
+    if sender == self.this || self.members.len() >= MAX_MEMBERS {
+      return None;
+    }
+    if let Some(member) = self.members.get(&sender)
+      && member.incarnation == pulse.incarnation
+      && member.sequence >= pulse.sequence
+    {
+      return None;
+    }
+    self.candidates.remove(&sender);
+    self.members.insert(
+      sender,
+      Member {
+        callers,
+        heard: now,
+        incarnation: pulse.incarnation,
+        phase: Phase::from_number(pulse.phase),
+        reads: pulse.reads,
+        sequence: pulse.sequence,
+        weight: pulse.weight,
+      },
+    );
+    for address in pulse.members.iter().filter_map(|text| text.parse().ok()) {
+      if address != self.this
+        && !self.members.contains_key(&address)
+        && self.candidates.len() < MAX_MEMBERS
+      {
+        self.candidates.entry(address).or_insert(now);
+      }
+    }
+    Some(News {
+      confirmed: self.anchor(pulse),
+      sender,
+    })
+  }
+
+  /// Returns a time that the sender's confirmation is not older than.
+  ///
+  /// The sender made its pulse after it had the one that it echoes, so the age that it
+  /// states is counted from the sending of that one, however long the pulse was on its way.
+  fn anchor(&self, pulse: &Pulse) -> Option<Duration> {
+    let echo = pulse.echo.filter(|echo| echo.incarnation == self.incarnation)?;
+    let sent = self.sent.iter().find(|sent| sent.sequence == echo.sequence)?;
+    let age = Duration::from_millis(pulse.catalog_age_ms?);
+    sent.at.checked_sub(age)
+  }
+
+  /// Records that pulses were sent.
+  pub fn record_sent(&mut self, sent: Sent) {
+    self.sent.push_back(sent);
+    if self.sent.len() > SENT_KEPT {
+      self.sent.pop_front();
+    }
+  }
+
+  /// Replaces the seeds.
+  pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+    self.seeds = seeds;
+  }
+}
--- /dev/null
+++ b/yuccarudder/src/placement/choose.rs
@@ -0,0 +1,86 @@
+use {super::Load, crate::roster::Key};
+
+/// Weight of a token that is still to be read in against one that is held: reading one
+/// prompt in delays its neighbours about as much as a third of the memory being full.
+const ARRIVING_WEIGHT: f64 = 4.0;
+/// Share of the memory by which choices of hosts that see the same loads differ.
+const JITTER: f64 = 0.04;
+
+/// A target that takes new work.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+  /// Whether it lately failed so often that others are to be preferred.
+  pub ejected: bool,
+  /// The target.
+  pub key: Key,
+  /// Its load from all hosts.
+  pub load: Load,
+  /// Whether it is in the same data centre as whoever is to reach it.
+  pub near: bool,
+  /// Requests that it runs at once.
+  pub slots: u32,
+  /// Whether the request has been there already.
+  pub tried: bool,
+}
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Need {
+  /// Tokens that one target may hold; `None` where memory does not bind.
+  pub memory: Option<u64>,
+  /// Tokens that the request is expected to need in the end.
+  pub tokens: u64,
+}
+
+/// The outcome of a choice.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Choice {
+  /// This target.
+  Chosen(Key),
+  /// Every target that the request may go to is full.
+  Full,
+  /// There is no target that the request may go to.
+  None,
+}
+
+/// Chooses the least loaded target with room.
+///
+/// Targets that lately failed are used only when all did; `random` returns numbers
+/// from 0 to 1.
+pub fn choose(
+  candidates: impl IntoIterator<Item = Candidate>,
+  need: &Need,
+  mut random: impl FnMut() -> f64,
+) -> Choice {
+  let mut candidates: Vec<Candidate> =
+    candidates.into_iter().filter(|candidate| !candidate.tried).collect();
+  if candidates.iter().any(|candidate| !candidate.ejected) {
+    candidates.retain(|candidate| !candidate.ejected);
+  }
+  if candidates.is_empty() {
+    return Choice::None;
+  }
+  let rooms = candidates.iter().filter(|candidate| has_room(candidate, need));
+  let ranked = rooms.map(|candidate| (cost(candidate, need) + JITTER * random(), candidate.key));
+  match ranked.min_by(|a, b| a.0.total_cmp(&b.0)) {
+    Some((_, key)) => Choice::Chosen(key),
+    None => Choice::Full,
+  }
+}
+
+fn has_room(candidate: &Candidate, need: &Need) -> bool {
+  let memory = need.memory.is_none_or(|memory| candidate.load.tokens + need.tokens <= memory);
+  memory && candidate.load.runs < candidate.slots
+}
+
+fn cost(candidate: &Candidate, need: &Need) -> f64 {
+  let distance = if candidate.near { 0.0 } else { JITTER };
+  let slots = f64::from(candidate.load.runs) / f64::from(candidate.slots.max(1));
+  match need.memory {
+    Some(memory) => {
+      let arriving = ARRIVING_WEIGHT * candidate.load.arriving as f64;
+      (candidate.load.tokens as f64 + arriving) / memory.max(1) as f64 + distance
+    }
+    None => slots + distance,
+  }
+}
--- /dev/null
+++ b/yuccarudder/src/placement/ledger.rs
@@ -0,0 +1,106 @@
+use {
+  super::Load,
+  slotmap::{SlotMap, new_key_type},
+  std::{collections::HashMap, net::SocketAddr},
+};
+
+new_key_type! {
+  /// Names a request that this host has at a target.
+  pub struct RunKey;
+}
+
+/// What one request takes at its target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Run {
+  /// Tokens that are still to be read in or copied there.
+  pub arriving: u64,
+  /// The process of the target.
+  pub target: u64,
+  /// Tokens of memory that it is expected to need in the end.
+  pub tokens: u64,
+}
+
+/// The requests of this host and the loads that other hosts tell of.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+  peers: HashMap<SocketAddr, HashMap<u64, Load>>,
+  runs: SlotMap<RunKey, Run>,
+}
+
+impl Ledger {
+  /// Adds a request.
+  pub fn add(&mut self, run: Run) -> RunKey {
+    self.runs.insert(run)
+  }
+
+  /// Forgets the loads of a host that is gone.
+  pub fn forget(&mut self, host: SocketAddr) {
+    self.peers.remove(&host);
+  }
+
+  /// Returns the load of a target from all hosts.
+  pub fn load(&self, target: u64) -> Load {
+    let mut load = self.own(target);
+    for peer in self.peers.values() {
+      load += peer.get(&target).copied().unwrap_or_default();
+    }
+    load
+  }
+
+  /// Returns the loads of this host by target.
+  pub fn loads(&self) -> HashMap<u64, Load> {
+    let mut loads: HashMap<u64, Load> = HashMap::new();
+    for run in self.runs.values() {
+      *loads.entry(run.target).or_default() += of(run);
+    }
+    loads
+  }
+
+  /// Returns the load of a target from this host.
+  pub fn own(&self, target: u64) -> Load {
+    let mut load = Load::default();
+    for run in self.runs.values().filter(|run| run.target == target) {
+      load += of(run);
+    }
+    load
+  }
+
+  /// Returns the load that one other host has at a target.
+  pub fn peer(&self, host: SocketAddr, target: u64) -> Load {
+    let loads = self.peers.get(&host);
+    loads.and_then(|loads| loads.get(&target)).copied().unwrap_or_default()
+  }
+
+  /// Takes in the loads that another host tells of.
+  pub fn learn(&mut self, host: SocketAddr, loads: HashMap<u64, Load>) {
+    self.peers.insert(host, loads);
+  }
+
+  /// Returns the number of this host's requests.
+  pub fn len(&self) -> usize {
+    self.runs.len()
+  }
+
+  /// Returns whether this host has no request anywhere.
+  pub fn is_empty(&self) -> bool {
+    self.runs.is_empty()
+  }
+
+  /// Removes a request.
+  pub fn remove(&mut self, key: RunKey) {
+    self.runs.remove(key);
+  }
+
+  /// Returns a request for changes.
+  pub fn run_mut(&mut self, key: RunKey) -> Option<&mut Run> {
+    self.runs.get_mut(key)
+  }
+}
+
+fn of(run: &Run) -> Load {
+  Load {
+    arriving: run.arriving,
+    runs: 1,
+    tokens: run.tokens,
+  }
+}
--- /dev/null
+++ b/yuccarudder/src/placement/mod.rs
@@ -0,0 +1,16 @@
+//! The load of the targets as all hosts see it, and the choice among them.
+
+mod choose;
+mod health;
+mod ledger;
+mod load;
+mod place;
+
+pub use choose::{Candidate, Choice, Need, choose};
+pub use health::{Health, Outcome};
+pub use ledger::{Ledger, Run, RunKey};
+pub use load::Load;
+pub use place::{Place, Places};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/yuccarudder/src/placement/place.rs
@@ -0,0 +1,62 @@
+use {
+  super::{Ledger, Run, RunKey},
+  std::sync::{Arc, Mutex, MutexGuard, PoisonError},
+  tokio::sync::Notify,
+};
+
+/// The ledger of a host, shared by its tasks.
+#[derive(Clone, Debug, Default)]
+pub struct Places {
+  freed: Arc<Notify>,
+  ledger: Arc<Mutex<Ledger>>,
+}
+
+impl Places {
+  /// Waits until a request has left its target.
+  pub async fn freed(&self) {
+    self.freed.notified().await;
+  }
+
+  /// Locks the ledger.
+  pub fn lock(&self) -> MutexGuard<'_, Ledger> {
+    self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+  }
+
+  /// Counts a request at a target until the place is dropped.
+  pub fn take(&self, run: Run) -> Place {
+    let key = self.lock().add(run);
+    Place {
+      key,
+      places: self.clone(),
+    }
+  }
+
+  /// Wakes those that wait for room.
+  pub fn wake(&self) {
+    self.freed.notify_waiters();
+  }
+}
+
+/// One request's place at a target.
+#[derive(Debug)]
+pub struct Place {
+  key: RunKey,
+  places: Places,
+}
+
+impl Place {
+  /// Records what the request takes now.
+  pub fn update(&self, arriving: u64, tokens: u64) {
+    if let Some(run) = self.places.lock().run_mut(self.key) {
+      run.arriving = arriving;
+      run.tokens = tokens;
+    }
+  }
+}
+
+impl Drop for Place {
+  fn drop(&mut self) {
+    self.places.lock().remove(self.key);
+    self.places.wake();
+  }
+}
--- /dev/null
+++ b/yuccarudder/src/placement/tests.rs
@@ -0,0 +1,1 @@
+use super::*;
--- a/yuccarudder/src/plain/dispatch.rs
+++ b/yuccarudder/src/plain/dispatch.rs
@@ -151,6 +151,7 @@
       admission: None,
       connect_timeout: knobs.connect_timeout,
       fresh: !dispatch.repeatable,
+      keep: true,
       permit: dispatch.permit(host, &chosen, right),
       request: dispatch.request(),
     };
--- a/yuccarudder/src/platform/client.rs
+++ b/yuccarudder/src/platform/client.rs
@@ -71,6 +71,7 @@
       admission: None,
       connect_timeout: CONNECT_TIMEOUT,
       fresh: false,
+      keep: true,
       permit: Box::new(|| Ok(())),
       request: Request::get(uri).body(http::empty())?,
     };
--- /dev/null
+++ b/yuccarudder/src/reader/run.rs
@@ -0,0 +1,80 @@
+use {
+  super::{Area, Changes, Error, Store},
+  crate::gateway::Gateway,
+  anyhow::anyhow,
+  std::time::Duration,
+  tokio::time,
+};
+
+/// How long one question waits for a change. It is longer than the time for which a
+/// platform that drops its history keeps watches from hearing of changes, so a question
+/// that ends without a change proves that there was none before it was asked.
+const WAIT: Duration = Duration::from_secs(1);
+/// Time beyond the wait after which a connection counts as silent.
+const WAIT_MARGIN: Duration = Duration::from_millis(500);
+const LIST_TIMEOUT: Duration = Duration::from_millis(1500);
+const MIN_BACKOFF: Duration = Duration::from_millis(80);
+const MAX_BACKOFF: Duration = Duration::from_millis(500);
+const PREFIX: &str = "reader";
+
+/// Follows an area until the task is dropped.
+pub async fn run(gateway: Gateway, store: Store, area: Area) {
+  let mut backoff = MIN_BACKOFF;
+  loop {
+    let asked = gateway.clock.boot();
+    let listed = time::timeout(LIST_TIMEOUT, (store.list)(area)).await;
+    match listed.unwrap_or_else(|_| Err(timed_out())) {
+      Ok(snapshot) => {
+        backoff = MIN_BACKOFF;
+        let revision = snapshot.revision;
+        gateway.reached_platform(area);
+        gateway.replace(area, snapshot, asked);
+        follow(&gateway, &store, area, revision).await;
+      }
+      Err(error) => {
+        gateway.missed_platform(area, &error);
+        backoff = pause(backoff).await;
+      }
+    }
+  }
+}
+
+/// Takes in changes until the platform no longer keeps those that are next.
+async fn follow(gateway: &Gateway, store: &Store, area: Area, mut revision: u64) {
+  let mut backoff = MIN_BACKOFF;
+  loop {
+    let asked = gateway.clock.boot();
+    let watched = time::timeout(WAIT + WAIT_MARGIN, (store.watch)(area, revision, WAIT)).await;
+    match watched.unwrap_or_else(|_| Err(timed_out())) {
+      Ok(Changes {
+        changes,
+        revision: reached,
+      }) => {
+        backoff = MIN_BACKOFF;
+        revision = reached.max(revision);
+        gateway.reached_platform(area);
+        gateway.apply(area, changes, asked);
+        time::sleep(gateway.read_pause(area)).await;
+      }
+      Err(Error::Compacted) => {
+        log::info!(target: PREFIX, area = area.name(), revision; "The history after the revision is gone; listing again.");
+        return;
+      }
+      Err(error) => {
+        gateway.missed_platform(area, &error);
+        backoff = pause(backoff).await;
+      }
+    }
+  }
+}
+
+/// Waits with jitter and returns the next wait.
+async fn pause(backoff: Duration) -> Duration {
+  let jitter = rand::random_range(0.5..1.0);
+  time::sleep(backoff.mul_f64(jitter)).await;
+  (backoff * 2).min(MAX_BACKOFF)
+}
+
+fn timed_out() -> Error {
+  Error::Unavailable(anyhow!("no answer in time"))
+}
--- /dev/null
+++ b/yuccarudder/src/roster/mod.rs
@@ -0,0 +1,10 @@
+//! The targets that a platform lists, and which of them take new work.
+
+mod listing;
+mod roster;
+
+pub use listing::{Listing, State};
+pub use roster::{Key, Roster, Standing, Target, fingerprint};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/yuccarudder/src/roster/roster.rs
@@ -0,0 +1,235 @@
+use {
+  super::{Listing, State},
+  siphasher::sip::SipHasher13,
+  slotmap::{SlotMap, new_key_type},
+  std::{
+    collections::{HashMap, HashSet},
+    hash::{Hash, Hasher},
+    sync::Arc,
+    time::{Duration, Instant},
+  },
+};
+
+/// How long a target whose entry lapsed with the platform away is still taken for alive;
+/// the platform's users give live targets about this long to come back.
+const LAPSE: Duration = Duration::from_secs(2);
+/// How long a target that is gone is remembered, for the requests that it still has.
+const MEMORY: Duration = Duration::from_secs(60);
+
+new_key_type! {
+  /// Names one process of a target.
+  pub struct Key;
+}
+
+/// Whether a target takes new work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Standing {
+  /// Its entry is gone.
+  Gone(Instant),
+  /// Its entry lapsed while the platform was away.
+  Lapsed(Instant),
+  /// It announced that it leaves.
+  Leaving,
+  /// It takes work.
+  Serving,
+}
+
+/// One process of a target.
+#[derive(Clone, Debug)]
+pub struct Target {
+  /// Names the process among all hosts.
+  pub fingerprint: u64,
+  /// The name under which it is listed.
+  pub id: Arc<str>,
+  /// What it last published.
+  pub listing: Listing,
+  revision: u64,
+  /// Whether it takes new work.
+  pub standing: Standing,
+}
+
+/// Names a process of a target among all hosts.
+pub fn fingerprint(id: &str, born: Option<u64>) -> u64 {
+  let mut hasher = SipHasher13::new();
+  id.hash(&mut hasher);
+  born.hash(&mut hasher);
+  hasher.finish()
+}
+
+/// The targets of all services.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+  evacuated: HashSet<String>,
+  keys: HashMap<Arc<str>, Key>,
+  targets: SlotMap<Key, Target>,
+}
+
+impl Roster {
+  /// Returns the targets that are listed or still have requests.
+  pub fn all(&self) -> impl Iterator<Item = (Key, &Target)> {
+    self.targets.iter()
+  }
+
+  /// Records that an entry was removed at a revision; returns a target that leaves by it.
+  ///
+  /// `recovering` tells that the platform was away lately, so the entry may have lapsed.
+  pub fn expire(&mut self, id: &str, revision: u64, recovering: bool, now: Instant) -> Option<Key> {
+    let key = *self.keys.get(id)?;
+    let target = &mut self.targets[key];
+    if revision <= target.revision {
+      return None;
+    }
+    target.revision = revision;
+    match target.standing {
+      Standing::Serving if recovering => {
+        target.standing = Standing::Lapsed(now + LAPSE);
+        None
+      }
+      Standing::Lapsed(_) | Standing::Gone(_) => None,
+      Standing::Leaving | Standing::Serving => self.remove(key, now),
+    }
+  }
+
+  /// Records that a data centre is taken out of service or back.
+  pub fn evacuate(&mut self, data_centre: &str, out: bool) {
+    if out {
+      self.evacuated.insert(data_centre.into());
+    } else {
+      self.evacuated.remove(data_centre);
+    }
+  }
+
+  /// Returns a target.
+  pub fn get(&self, key: Key) -> Option<&Target> {
+    self.targets.get(key)
+  }
+
+  /// Returns the data centres that are out of service.
+  pub fn evacuated(&self) -> impl Iterator<Item = &str> {
+    self.evacuated.iter().map(String::as_str)
+  }
+
+  /// Returns whether a target may get new requests.
+  pub fn is_open(&self, key: Key) -> bool {
+    self.targets.get(key).is_some_and(|target| self.takes_work(target))
+  }
+
+  /// Records that another host knows that a process leaves; returns it if that is news.
+  pub fn learn_leaving(&mut self, fingerprint: u64) -> Option<Key> {
+    let serving = |target: &Target| matches!(target.standing, Standing::Serving);
+    let found = self
+      .targets
+      .iter_mut()
+      .find(|(_, target)| target.fingerprint == fingerprint && serving(target))?;
+    found.1.standing = Standing::Leaving;
+    Some(found.0)
+  }
+
+  /// Returns the processes that announced that they leave.
+  pub fn leaving(&self) -> impl Iterator<Item = &Target> {
+    self.targets.values().filter(|target| target.standing == Standing::Leaving)
+  }
+
+  /// Returns the targets of a service that may get new requests.
+  pub fn open<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (Key, &'a Target)> {
+    self
+      .targets
+      .iter()
+      .filter(move |(_, target)| target.listing.service == service && self.takes_work(target))
+  }
+
+  /// Records an entry; `None` is one that cannot be read. Returns a target that leaves by it.
+  pub fn put(
+    &mut self,
+    id: &str,
+    revision: u64,
+    listing: Option<Listing>,
+    now: Instant,
+  ) -> Option<Key> {
+    let known = self.keys.get(id).copied();
+    if known.is_some_and(|key| revision <= self.targets[key].revision) {
+      return None;
+    }
+    let Some(listing) = listing else {
+      return known.and_then(|key| self.remove(key, now));
+    };
+    let standing = match listing.state {
+      State::Available => Standing::Serving,
+      State::Draining => Standing::Leaving,
+    };
+    let print = fingerprint(id, listing.born);
+    if let Some(key) = known {
+      let target = &mut self.targets[key];
+      if target.fingerprint == print && target.listing.address == listing.address {
+        let leaves = standing == Standing::Leaving && target.standing != Standing::Leaving;
+        // A process that announced its leave elsewhere does not come back.
+        if target.standing != Standing::Leaving {
+          target.standing = standing;
+        }
+        target.listing = listing;
+        target.revision = revision;
+        return leaves.then_some(key);
+      }
+      self.remove(key, now);
+    }
+    let id: Arc<str> = id.into();
+    let key = self.targets.insert(Target {
+      fingerprint: print,
+      id: Arc::clone(&id),
+      listing,
+      revision,
+      standing,
+    });
+    self.keys.insert(id, key);
+    None
+  }
+
+  fn remove(&mut self, key: Key, now: Instant) -> Option<Key> {
+    let target = &mut self.targets[key];
+    let leaves = matches!(target.standing, Standing::Serving | Standing::Lapsed(_));
+    target.standing = Standing::Gone(now + MEMORY);
+    self.keys.remove(&target.id);
+    leaves.then_some(key)
+  }
+
+  /// Applies a whole list taken at a revision; returns the targets that leave by it.
+  pub fn replace(
+    &mut self,
+    entries: Vec<(Arc<str>, u64, Option<Listing>)>,
+    revision: u64,
+    recovering: bool,
+    now: Instant,
+  ) -> Vec<Key> {
+    let listed: HashSet<Arc<str>> = entries.iter().map(|(id, ..)| Arc::clone(id)).collect();
+    let missing: Vec<Arc<str>> =
+      self.keys.keys().filter(|id| !listed.contains(*id)).cloned().collect();
+    let expired = missing.iter().filter_map(|id| self.expire(id, revision, recovering, now));
+    let mut leaving: Vec<Key> = expired.collect();
+    for (id, revision, listing) in entries {
+      leaving.extend(self.put(&id, revision, listing, now));
+    }
+    leaving
+  }
+
+  /// Sets which data centres are out of service.
+  pub fn set_evacuated(&mut self, data_centres: impl IntoIterator<Item = String>) {
+    self.evacuated = data_centres.into_iter().collect();
+  }
+
+  fn takes_work(&self, target: &Target) -> bool {
+    let standing = matches!(target.standing, Standing::Serving | Standing::Lapsed(_));
+    standing && !self.evacuated.contains(&target.listing.data_centre)
+  }
+
+  /// Ends lapses that lasted too long; returns the targets that are gone by it.
+  pub fn tick(&mut self, now: Instant) -> Vec<Key> {
+    let lapsed = |target: &Target| matches!(target.standing, Standing::Lapsed(at) if at <= now);
+    let keys: Vec<Key> =
+      self.targets.iter().filter(|(_, target)| lapsed(target)).map(|(key, _)| key).collect();
+    let gone = keys.into_iter().filter_map(|key| self.remove(key, now)).collect();
+    self
+      .targets
+      .retain(|_, target| !matches!(target.standing, Standing::Gone(at) if at <= now));
+    gone
+  }
+}
--- /dev/null
+++ b/yuccarudder/src/routing/mod.rs
@@ -0,0 +1,18 @@
+//! Routes, services and client accounts that a platform publishes, and who may use them.
+
+mod account;
+mod admission;
+mod catalog;
+mod freshness;
+mod route;
+mod service;
+
+pub use account::Account;
+pub use admission::{Admitted, Arrival, Bounds, admit};
+pub use catalog::{AccountKey, CallerLimits, Catalog, Parts, RouteKey};
+pub use freshness::Freshness;
+pub use route::{Kind, Route, Share};
+pub use service::{Engine, Service};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/yuccarudder/src/routing/service.rs
@@ -0,0 +1,45 @@
+use std::time::Duration;
+
+/// What the model engines of a service have in common.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Engine {
+  /// Whether an engine keeps a copy of a run at another one while it grows.
+  pub backups: bool,
+  /// Tokens in one event of a stream.
+  pub event_tokens: u64,
+  /// How long a copied run is kept for whoever goes on with it.
+  pub handle_life: Duration,
+  /// Bytes a second of the link between engines.
+  pub link_bytes: f64,
+  /// Tokens that one engine holds.
+  pub memory_tokens: u64,
+  /// Whether a run can go on at another engine.
+  pub relocatable: bool,
+  /// Requests that run at once.
+  pub slots: u32,
+  /// Bytes of memory a token takes.
+  pub token_bytes: f64,
+}
+
+impl Engine {
+  /// Returns how long the link takes for `tokens`.
+  pub fn copy_time(&self, tokens: u64) -> Duration {
+    if self.link_bytes <= 0.0 {
+      return Duration::ZERO;
+    }
+    Duration::from_secs_f64(tokens as f64 * self.token_bytes / self.link_bytes)
+  }
+}
+
+/// One service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+  /// Requests a second that a target bears in its cold start; none when it has none.
+  pub cold_rate: Option<f64>,
+  /// What its engines have in common, if it is served by model engines.
+  pub engine: Option<Engine>,
+  /// Most connections that one target takes.
+  pub max_connections: u32,
+  /// The name of the service.
+  pub name: String,
+}
--- a/yuccarudder/src/server/connections.rs
+++ b/yuccarudder/src/server/connections.rs
@@ -1,5 +1,5 @@
 use {
-  crate::http::Body,
+  crate::{http::Body, socket},
   hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn},
   hyper_util::{
     rt::{TokioIo, TokioTimer},
@@ -40,7 +40,8 @@
         }
       },
     };
-    if stream.set_nodelay(true).is_err() {
+    if let Err(error) = socket::tune(&stream) {
+      log::debug!(target: PREFIX, "A connection ended at once: {error}.");
       continue;
     }
     let handle = handle.clone();
--- a/yuccarudder/src/server/mod.rs
+++ b/yuccarudder/src/server/mod.rs
@@ -1,7 +1,7 @@
 //! The HTTP servers of a host: one for callers, one for operators.
 
 mod callers;
-mod connections;
+pub(crate) mod connections;
 mod models;
 mod operators;
 mod run;
--- a/yuccarudder/src/settings/host.rs
+++ b/yuccarudder/src/settings/host.rs
@@ -6,7 +6,8 @@
   std::{net::SocketAddr, time::Duration},
 };
 
-const LOG_FORMATS: [(&str, LogFormat); 2] = [("json", LogFormat::Json), ("text", LogFormat::Text)];
+pub(super) const LOG_FORMATS: [(&str, LogFormat); 2] =
+  [("json", LogFormat::Json), ("text", LogFormat::Text)];
 const POLL: Duration = Duration::from_secs(10);
 
 /// Shape of the log lines.
--- a/yuccarudder/src/settings/mod.rs
+++ b/yuccarudder/src/settings/mod.rs
@@ -1,7 +1,10 @@
 //! The settings file of one host: what its process cannot learn elsewhere.
 
+mod gateway;
 mod host;
 
+pub use gateway::{Gateway, Promises};
+use host::LOG_FORMATS;
 pub use host::{Host, LogFormat};
 
 #[cfg(test)]
--- a/yuccarudder/src/upstream/call.rs
+++ b/yuccarudder/src/upstream/call.rs
@@ -21,6 +21,8 @@
   pub connect_timeout: Duration,
   /// Whether to open a new connection instead of reusing an idle one.
   pub fresh: bool,
+  /// Whether the connection may serve further calls.
+  pub keep: bool,
   /// Decides immediately before the first byte goes out.
   pub permit: Permit,
   /// What to send.
--- a/yuccarudder/src/upstream/pool.rs
+++ b/yuccarudder/src/upstream/pool.rs
@@ -5,6 +5,7 @@
     cold::Report,
     http::{self, Body},
     refusal::Refusal,
+    socket,
   },
   hyper::{
     Request, Response,
@@ -51,7 +52,7 @@
       .await
       .map_err(|_| "the connection timed out".to_owned())?
       .map_err(|error| error.to_string())?;
-    stream.set_nodelay(true).map_err(|error| error.to_string())?;
+    socket::tune(&stream).map_err(|error| error.to_string())?;
     let gate = Gate::default();
     let io = TokioIo::new(Gated::new(stream, gate.clone()));
     let (sender, driver) = http1::handshake(io).await.map_err(|error| error.to_string())?;
@@ -124,7 +125,9 @@
     let gate = connection.gate.clone();
     match response {
       Ok(response) => {
-        self.keep(call.address, connection);
+        if call.keep {
+          self.keep(call.address, connection);
+        }
         Ok(response)
       }
       Err(mut error) => {
--- a/yuccarudder/src/upstream/tests.rs
+++ b/yuccarudder/src/upstream/tests.rs
@@ -26,6 +26,7 @@
     admission: None,
     connect_timeout: Duration::from_secs(5),
     fresh: true,
+    keep: true,
     permit,
     request: Request::get("/").body(http::empty()).unwrap(),
   }
@@ -103,6 +104,7 @@
   for _ in 0..2 {
     let call = Call {
       fresh: false,
+      keep: true,
       ..call(address, Box::new(|| Ok(())))
     };
     let response = pool.send(call).await.unwrap();
@@ -169,6 +171,7 @@
     let call = Call {
       admission: Some(refuse()),
       fresh: false,
+      keep: true,
       ..call(address, Box::new(|| Ok(())))
     };
     let response = pool.send(call).await?;
--- a/yuccarudder/src/yaml/node.rs
+++ b/yuccarudder/src/yaml/node.rs
@@ -81,6 +81,23 @@
     }
   }
 
+  /// Reads a number within `range`.
+  pub fn fraction(&self, range: &RangeInclusive<f64>) -> Option<f64> {
+    let value = match &self.node.data {
+      YamlData::Value(Scalar::FloatingPoint(value)) => Some(value.into_inner()),
+      YamlData::Value(Scalar::Integer(value)) => Some(*value as f64),
+      _ => None,
+    };
+    match value.filter(|value| range.contains(value)) {
+      Some(value) => Some(value),
+      None => self.reject(&format!(
+        "a number from {} to {}",
+        range.start(),
+        range.end()
+      )),
+    }
+  }
+
   /// Reads a whole number within `range`.
   pub fn integer(&self, range: &RangeInclusive<u64>) -> Option<u64> {
     let value = match &self.node.data {
