Spread copies over links and tell other hosts of targets whose entry was removed

The copies of several hosts chose the same, emptiest destination, whose link carries one copy after another; and four of six hosts learned of a leave up to 1.4 s late, since pulses named only targets that said they drain, not those whose entry was removed. Left: streams that are late after a move.

--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -30,11 +30,11 @@
 /// Taken off a bound on the age of the catalog for the time that a decision takes.
 const AGE_MARGIN: Duration = Duration::from_millis(250);
 /// Pause between questions of the host that reads the targets for the others.
-const FIRST_READER_PAUSE: Duration = Duration::from_millis(60);
+const FIRST_READER_PAUSE: Duration = Duration::from_millis(120);
 /// Pause between questions of the host that stands in for it.
-const SECOND_READER_PAUSE: Duration = Duration::from_millis(250);
+const SECOND_READER_PAUSE: Duration = Duration::from_millis(500);
 /// Pause between questions of all others, who hear of news from the first two.
-const READER_PAUSE: Duration = Duration::from_millis(900);
+const READER_PAUSE: Duration = Duration::from_millis(1500);
 const PREFIX: &str = "gateway";
 
 /// What a host knows and has in hand.
--- a/yuccarudder/src/gateway/mod.rs
+++ b/yuccarudder/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod gateway;
 mod lengths;
 mod movement;
+mod pauses;
 mod placed;
 mod plain;
 mod probes;
--- a/yuccarudder/src/gateway/movement.rs
+++ b/yuccarudder/src/gateway/movement.rs
@@ -1,7 +1,6 @@
 use {
   super::{call::Call, placed::Spot},
   crate::{
-    placement::Run,
     relocation::{self, Copied, Failure, Order},
     routing::Engine,
   },
@@ -78,13 +77,11 @@
   }
 
   /// Orders the copy to another engine, if one has room.
-  pub fn copy(&mut self, call: &Call, source: &Spot, tokens: u64, held: u64) {
-    let near = &source.target.listing.data_centre;
-    let Some(destination) = call.choose_next(source.key, near, tokens) else {
+  pub fn copy(&mut self, call: &Call, source: &Spot, held: u64, tokens: u64) {
+    let Some(destination) = call.destination(&source.target, held, tokens) else {
       self.retry();
       return;
     };
-    destination.place.update(held, tokens);
     let copy_time = self.engine.as_ref().map(|engine| engine.copy_time(held));
     let stop = copy_time.is_some_and(|time| time <= STANDSTILL_COPY);
     self.order(call, source, destination, stop);
@@ -186,19 +183,3 @@
     })));
   }
 }
-
-impl Call {
-  /// Takes a place where a run goes on at the target that it has.
-  pub fn stay(&self, spot: &Spot, tokens: u64) -> Spot {
-    let place = self.gateway.places.take(Run {
-      arriving: 0,
-      target: spot.target.fingerprint,
-      tokens,
-    });
-    Spot {
-      key: spot.key,
-      place,
-      target: spot.target.clone(),
-    }
-  }
-}
--- a/yuccarudder/src/gateway/placed.rs
+++ b/yuccarudder/src/gateway/placed.rs
@@ -1,8 +1,9 @@
 use {
   super::{call::Call, lengths},
   crate::{
-    placement::{self, Candidate, Choice, Need, Place, Run},
+    placement::{self, Candidate, Choice, Load, Need, Place, Run},
     refusal::{Reason, Refusal},
+    relocation,
     roster::{Key, Target},
     routing::{Engine, Kind},
   },
@@ -60,24 +61,42 @@
     let need = self.need(engine);
     let near = self.gateway.settings().data_centre.clone();
     match self.choose(tried, &need, &near, now) {
-      Choice::Chosen(key) => Ok(self.take(key, &need)),
+      Choice::Chosen(key) => Ok(self.take(key, self.first_load(&need))),
       Choice::Full => Err(Refusal::not_run(Reason::TargetsBusy).with_retry_after(FULL_RETRY)),
       Choice::None => Err(Refusal::not_run(Reason::NoTarget).with_retry_after(NONE_RETRY)),
     }
   }
 
-  /// Chooses where a run may go on; targets in the data centre `near` go first.
-  pub fn choose_next(&self, from: Key, near: &str, tokens: u64) -> Option<Spot> {
+  /// Takes a place where a run goes on that holds `held` tokens and will need `tokens`.
+  pub fn destination(&self, source: &Target, held: u64, tokens: u64) -> Option<Spot> {
+    let engine = self.service()?.engine.as_ref()?;
     let now = self.gateway.clock.now();
-    let engine = self.service().and_then(|service| service.engine.as_ref());
-    let need = Need {
+    let state = self.gateway.lock();
+    let ledger = self.gateway.places.lock();
+    let open = state.roster.open(&self.service);
+    let candidates =
+      open.filter(|(_, target)| target.fingerprint != source.fingerprint).map(|(key, target)| {
+        relocation::Candidate {
+          ejected: state.health.is_ejected(key, now),
+          key,
+          load: ledger.load(target.fingerprint),
+          near: target.listing.data_centre == source.listing.data_centre,
+        }
+      });
+    let random = || rand::random_range(0.0..1.0);
+    let key = relocation::destination(candidates, engine, held, tokens, random)?;
+    drop((ledger, state));
+    let load = Load {
+      copying: held,
+      held,
+      runs: 1,
       tokens,
-      ..self.need(engine)
+      ..Load::default()
     };
-    match self.choose(&[from], &need, near, now) {
-      Choice::Chosen(key) => Some(self.take(key, &need)),
-      Choice::Full | Choice::None => None,
-    }
+    let spot = self.take(key, load);
+    // The other hosts choose by what is on its way already.
+    self.gateway.news.notify_one();
+    Some(spot)
   }
 
   fn choose(&self, tried: &[Key], need: &Need, near: &str, now: Instant) -> Choice {
@@ -106,18 +125,34 @@
     }
   }
 
-  fn take(&self, key: Key, need: &Need) -> Spot {
+  /// Returns what a request takes that has not been read in.
+  fn first_load(&self, need: &Need) -> Load {
+    let arriving = if need.memory.is_some() {
+      self.ask.prompt_tokens
+    } else {
+      0
+    };
+    Load {
+      arriving,
+      held: arriving,
+      runs: 1,
+      tokens: need.tokens,
+      ..Load::default()
+    }
+  }
+
+  /// Takes a place at the target where a run is already.
+  pub fn stay(&self, spot: &Spot, load: Load) -> Spot {
+    self.take(spot.key, load)
+  }
+
+  fn take(&self, key: Key, load: Load) -> Spot {
     let state = self.gateway.lock();
     let target = state.roster.get(key).expect("a chosen target is listed").clone();
     drop(state);
     let place = self.gateway.places.take(Run {
-      arriving: if need.memory.is_some() {
-        self.ask.prompt_tokens
-      } else {
-        0
-      },
+      load,
       target: target.fingerprint,
-      tokens: need.tokens,
     });
     Spot { key, place, target }
   }
--- a/yuccarudder/src/gateway/pulses.rs
+++ b/yuccarudder/src/gateway/pulses.rs
@@ -1,9 +1,6 @@
 use {
   super::Gateway,
-  crate::{
-    member::{self, Codec, Known, Phase, Pulse, Sent},
-    placement::Load,
-  },
+  crate::member::{self, Codec, Known, Phase, Pulse, Sent},
   bytes::Bytes,
   futures::{SinkExt, StreamExt, stream::SplitSink},
   prost::Message,
@@ -78,16 +75,12 @@
     catalog_version: state.version(),
     echo: None,
     incarnation: state.members.incarnation(),
-    leaving: state.roster.leaving().map(|target| target.fingerprint).collect(),
-    loads: loads
-      .into_iter()
-      .map(|(target, load)| member::Load {
-        arriving: load.arriving,
-        runs: load.runs,
-        target,
-        tokens: load.tokens,
-      })
+    leaving: state
+      .roster
+      .leaving(gateway.clock.now())
+      .map(|(target, revision)| member::Leaving { revision, target })
       .collect(),
+    loads: loads.into_iter().map(|(target, load)| member::Load::new(target, load)).collect(),
     members: state.members.live(now).map(|(address, _)| address.to_string()).collect(),
     phase: phase.number(),
     reads: state.reads(),
@@ -115,8 +108,10 @@
       state.freshness.confirm(confirmed);
     }
   }
-  let leaving: Vec<_> =
-    pulse.leaving.iter().filter_map(|target| state.roster.learn_leaving(*target)).collect();
+  let told = pulse.leaving.iter();
+  let leaving: Vec<_> = told
+    .filter_map(|leaving| state.roster.learn_leaving(leaving.target, leaving.revision))
+    .collect();
   drop(state);
   if !leaving.is_empty() {
     gateway.tell_leaving(&leaving, "host");
@@ -129,15 +124,7 @@
 
 fn learn_loads(gateway: &Gateway, pulse: &Pulse, sender: SocketAddr) {
   let leaves = Phase::from_number(pulse.phase) == Phase::Leaving;
-  let loads = pulse.loads.iter().map(|load| {
-    let known = Load {
-      arriving: load.arriving,
-      runs: load.runs,
-      tokens: load.tokens,
-    };
-    (load.target, known)
-  });
-  let loads: HashMap<u64, Load> = loads.collect();
+  let loads: HashMap<_, _> = pulse.loads.iter().map(|load| (load.target, load.load())).collect();
   let mut ledger = gateway.places.lock();
   if leaves && loads.is_empty() {
     ledger.forget(sender);
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -3,12 +3,14 @@
     call::Call,
     lengths,
     movement::{Movement, Step},
+    pauses::Pauses,
     placed::Spot,
   },
   crate::{
     attempt::{Outcome, State},
     dialect::Resume,
     http::{Body, BodyError},
+    placement::Load,
     refusal::{Reason, Refusal},
     relay::Cursor,
     relocation::{Copied, Failure},
@@ -65,6 +67,9 @@
   events: Incoming,
   movement: Movement,
   moves: u32,
+  pauses: Pauses,
+  /// A copy at the destination that was made while the run went on.
+  spare: Option<Copied>,
   spot: Spot,
   state: State,
   /// The copy of a run that stopped, until its last events are in.
@@ -89,6 +94,8 @@
       events,
       movement: Movement::default(),
       moves: 0,
+      pauses: Pauses::default(),
+      spare: None,
       spot,
       state,
       stopped: None,
@@ -106,6 +113,8 @@
     log::info!(
       target: PREFIX, id = self.call.id(), target:% = self.spot.target.id, end = end.name(),
       events = self.cursor.events(), moves = self.moves, runs = self.state.runs,
+      longest_pause_ms = self.pauses.longest.as_millis() as u64,
+      first_event_ms = self.pauses.first.map(|at| at.saturating_duration_since(self.call.arrived).as_millis() as u64),
       elapsed_ms = self.call.elapsed().as_millis() as u64;
       "A stream ended."
     );
@@ -190,11 +199,9 @@
     }
     let count = self.cursor.events();
     if before == 0 || before / TELL_EVENTS != count / TELL_EVENTS {
-      self.spot.place.update(0, self.memory());
-    }
-    if before == 0 {
-      log::debug!(target: PREFIX, id = self.call.id(), elapsed_ms = self.call.elapsed().as_millis() as u64; "The first event came.");
+      self.spot.place.update(self.load());
     }
+    self.pauses.event(self.call.gateway.clock.now());
     let sent = time::timeout_at(self.call.deadline.into(), self.caller.send(Ok(events))).await;
     match sent {
       Ok(Ok(())) => None,
@@ -216,6 +223,16 @@
     lengths::expected_memory(&self.call.ask, self.generated())
   }
 
+  /// Returns what the run takes once it has been read in.
+  fn load(&self) -> Load {
+    Load {
+      held: self.held(),
+      runs: 1,
+      tokens: self.memory(),
+      ..Load::default()
+    }
+  }
+
   /// Returns the tokens of memory that the run takes now.
   fn held(&self) -> u64 {
     self.call.ask.prompt_tokens + self.generated()
@@ -247,9 +264,8 @@
   async fn step(&mut self, step: Step) -> Option<End> {
     match step {
       Step::Turn => {
-        let tokens = self.memory();
-        let copied = self.held();
-        self.movement.copy(&self.call, &self.spot, tokens, copied);
+        let (held, tokens) = (self.held(), self.memory());
+        self.movement.copy(&self.call, &self.spot, held, tokens);
         None
       }
       Step::LastEvents => {
@@ -282,13 +298,14 @@
         None
       }
       (Ok(copied), _, Some(_)) => self.switch(copied, destination).await,
-      (Ok(_), false, None) => {
+      (Ok(copied), false, None) => {
+        self.spare = Some(copied);
         self.movement.stop(&self.call, &self.spot, destination);
         None
       }
       (Err(Failure::NoRoom(Some(handle))), true, _) => {
         // The run stands still with its memory where it was; it goes on there.
-        let here = self.call.stay(&self.spot, self.memory());
+        let here = self.call.stay(&self.spot, self.load());
         let copied = Copied {
           events: self.cursor.events(),
           handle,
@@ -296,7 +313,11 @@
         self.switch(copied, here).await
       }
       (Err(_), _, Some(Ended::Whole)) => Some(End::Complete),
-      (Err(_), _, Some(Ended::Broken)) => self.recover().await,
+      (Err(_), _, Some(Ended::Broken)) => match self.spare.take() {
+        // The source is gone, but the destination has most of the run's memory.
+        Some(copied) => self.switch(copied, destination).await,
+        None => self.recover().await,
+      },
       (Err(_), _, None) => {
         drop(destination);
         self.movement.retry();
@@ -332,6 +353,8 @@
     self.ended = None;
     self.events = events;
     self.spot = spot;
+    self.spare = None;
+    self.spot.place.update(self.load());
     self.consider_move();
   }
 
--- a/yuccarudder/src/member/mod.rs
+++ b/yuccarudder/src/member/mod.rs
@@ -12,7 +12,7 @@
 
 pub use codec::Codec;
 pub use phase::Phase;
-pub use pulse::{Echo, Load, Pulse};
+pub use pulse::{Echo, Leaving, Load, Pulse};
 pub use table::{Known, Member, News, Sent, Table};
 pub use transfer::{fetch, serve};
 
--- a/yuccarudder/src/member/pulse.rs
+++ b/yuccarudder/src/member/pulse.rs
@@ -1,3 +1,5 @@
+use crate::placement;
+
 /// The newest pulse of the recipient that the sender had seen.
 #[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
 pub struct Echo {
@@ -9,23 +11,65 @@
   pub sequence: u64,
 }
 
+/// A target that takes no more work.
+#[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
+pub struct Leaving {
+  /// The platform's revision that told of it.
+  #[prost(uint64, tag = "1")]
+  pub revision: u64,
+  /// The process of the target.
+  #[prost(fixed64, tag = "2")]
+  pub target: u64,
+}
+
 /// What the sender has at one target.
 #[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
 pub struct Load {
-  /// Tokens still to be read in or copied.
+  /// Tokens still to be read in.
   #[prost(uint64, tag = "1")]
   pub arriving: u64,
+  /// Tokens being copied there.
+  #[prost(uint64, tag = "5")]
+  pub copying: u64,
+  /// Tokens of memory taken now.
+  #[prost(uint64, tag = "6")]
+  pub held: u64,
   /// Requests.
   #[prost(uint32, tag = "2")]
   pub runs: u32,
   /// The process of the target.
   #[prost(fixed64, tag = "3")]
   pub target: u64,
-  /// Tokens of memory.
+  /// Tokens of memory needed in the end.
   #[prost(uint64, tag = "4")]
   pub tokens: u64,
 }
 
+impl Load {
+  /// Names the target of a load.
+  pub fn new(target: u64, load: placement::Load) -> Self {
+    Self {
+      arriving: load.arriving,
+      copying: load.copying,
+      held: load.held,
+      runs: load.runs,
+      target,
+      tokens: load.tokens,
+    }
+  }
+
+  /// Returns the load without its target.
+  pub fn load(&self) -> placement::Load {
+    placement::Load {
+      arriving: self.arriving,
+      copying: self.copying,
+      held: self.held,
+      runs: self.runs,
+      tokens: self.tokens,
+    }
+  }
+}
+
 /// What one host tells another.
 #[derive(Clone, Eq, PartialEq, prost::Message)]
 pub struct Pulse {
@@ -44,9 +88,9 @@
   /// The process of the sender.
   #[prost(fixed64, tag = "5")]
   pub incarnation: u64,
-  /// Processes of targets that announced that they leave.
-  #[prost(fixed64, repeated, tag = "6")]
-  pub leaving: Vec<u64>,
+  /// Targets that left or announced it lately.
+  #[prost(message, repeated, tag = "6")]
+  pub leaving: Vec<Leaving>,
   /// The sender's loads.
   #[prost(message, repeated, tag = "7")]
   pub loads: Vec<Load>,
--- a/yuccarudder/src/placement/ledger.rs
+++ b/yuccarudder/src/placement/ledger.rs
@@ -9,15 +9,13 @@
   pub struct RunKey;
 }
 
-/// What one request takes at its target.
+/// One request at its target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Run {
-  /// Tokens that are still to be read in or copied there.
-  pub arriving: u64,
+  /// What it takes there.
+  pub load: Load,
   /// The process of the target.
   pub target: u64,
-  /// Tokens of memory that it is expected to need in the end.
-  pub tokens: u64,
 }
 
 /// The requests of this host and the loads that other hosts tell of.
@@ -51,7 +49,7 @@
   pub fn loads(&self) -> HashMap<u64, Load> {
     let mut loads: HashMap<u64, Load> = HashMap::new();
     for run in self.runs.values() {
-      *loads.entry(run.target).or_default() += of(run);
+      *loads.entry(run.target).or_default() += run.load;
     }
     loads
   }
@@ -60,7 +58,7 @@
   pub fn own(&self, target: u64) -> Load {
     let mut load = Load::default();
     for run in self.runs.values().filter(|run| run.target == target) {
-      load += of(run);
+      load += run.load;
     }
     load
   }
@@ -96,11 +94,3 @@
     self.runs.get_mut(key)
   }
 }
-
-fn of(run: &Run) -> Load {
-  Load {
-    arriving: run.arriving,
-    runs: 1,
-    tokens: run.tokens,
-  }
-}
--- a/yuccarudder/src/placement/place.rs
+++ b/yuccarudder/src/placement/place.rs
@@ -1,5 +1,5 @@
 use {
-  super::{Ledger, Run, RunKey},
+  super::{Ledger, Load, Run, RunKey},
   std::sync::{Arc, Mutex, MutexGuard, PoisonError},
   tokio::sync::Notify,
 };
@@ -46,10 +46,9 @@
 
 impl Place {
   /// Records what the request takes now.
-  pub fn update(&self, arriving: u64, tokens: u64) {
+  pub fn update(&self, load: Load) {
     if let Some(run) = self.places.lock().run_mut(self.key) {
-      run.arriving = arriving;
-      run.tokens = tokens;
+      run.load = load;
     }
   }
 }
--- a/yuccarudder/src/relocation/plan.rs
+++ b/yuccarudder/src/relocation/plan.rs
@@ -30,5 +30,5 @@
 }
 
 fn drain_time(engine: &Engine, load: &Load) -> Duration {
-  engine.copy_time(load.tokens) + COPY_OVERHEAD * load.runs
+  engine.copy_time(load.held) + COPY_OVERHEAD * load.runs
 }
--- a/yuccarudder/src/roster/roster.rs
+++ b/yuccarudder/src/roster/roster.rs
@@ -13,6 +13,8 @@
 /// How long a target whose entry lapsed with the platform away is still taken for alive;
 /// the platform's users give live targets about this long to come back.
 const LAPSE: Duration = Duration::from_secs(2);
+/// How long other hosts are told of a target that is gone; by then they have read it.
+const TOLD: Duration = Duration::from_secs(3);
 /// How long a target that is gone is remembered, for the requests that it still has.
 const MEMORY: Duration = Duration::from_secs(60);
 
@@ -114,20 +116,28 @@
     self.targets.get(key).is_some_and(|target| self.takes_work(target))
   }
 
-  /// Records that another host knows that a process leaves; returns it if that is news.
-  pub fn learn_leaving(&mut self, fingerprint: u64) -> Option<Key> {
-    let serving = |target: &Target| matches!(target.standing, Standing::Serving);
-    let found = self
-      .targets
-      .iter_mut()
-      .find(|(_, target)| target.fingerprint == fingerprint && serving(target))?;
-    found.1.standing = Standing::Leaving;
-    Some(found.0)
+  /// Records that another host knows a revision by which a process leaves; returns the
+  /// process if that is news.
+  pub fn learn_leaving(&mut self, fingerprint: u64, revision: u64) -> Option<Key> {
+    let news = |target: &Target| {
+      let serving = matches!(target.standing, Standing::Serving | Standing::Lapsed(_));
+      target.fingerprint == fingerprint && serving && target.revision < revision
+    };
+    let (key, target) = self.targets.iter_mut().find(|(_, target)| news(target))?;
+    target.standing = Standing::Leaving;
+    target.revision = revision;
+    Some(key)
   }
 
-  /// Returns the processes that announced that they leave.
-  pub fn leaving(&self) -> impl Iterator<Item = &Target> {
-    self.targets.values().filter(|target| target.standing == Standing::Leaving)
+  /// Returns the processes that leave or have left lately, with the revisions that told it.
+  pub fn leaving(&self, now: Instant) -> impl Iterator<Item = (u64, u64)> {
+    let told = move |target: &&Target| match target.standing {
+      Standing::Gone(forgotten) => now + MEMORY < forgotten + TOLD,
+      Standing::Leaving => true,
+      Standing::Lapsed(_) | Standing::Serving => false,
+    };
+    let targets = self.targets.values().filter(told);
+    targets.map(|target| (target.fingerprint, target.revision))
   }
 
   /// Returns the targets of a service that may get new requests.
@@ -162,10 +172,7 @@
       let target = &mut self.targets[key];
       if target.fingerprint == print && target.listing.address == listing.address {
         let leaves = standing == Standing::Leaving && target.standing != Standing::Leaving;
-        // A process that announced its leave elsewhere does not come back.
-        if target.standing != Standing::Leaving {
-          target.standing = standing;
-        }
+        target.standing = standing;
         target.listing = listing;
         target.revision = revision;
         return leaves.then_some(key);
