Stop moved runs when the links of the engines are idle

Ruled out: turns by address and estimated length (the try before): copies to other data centres take twice as long, so turns overlapped.

--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -7,12 +7,14 @@
     metrics::Metrics,
     placement::{Health, Outcome, Places},
     reader::{Area, Change, Error, Snapshot, Subject},
+    relocation::Queue,
     roster::{Key, Roster},
     routing::{Bounds, Catalog, Freshness},
     settings,
     upstream::Pool,
   },
   bytes::Bytes,
+  slotmap::SecondaryMap,
   std::{
     collections::HashMap,
     fmt,
@@ -20,7 +22,7 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
   },
-  tokio::sync::{Notify, Semaphore, watch},
+  tokio::sync::{Notify, watch},
 };
 
 /// Share of the memory of the host that bodies held whole may take.
@@ -48,7 +50,8 @@
   pub(super) repeats: Repeats,
   pub(super) roster: Roster,
   pub(super) settings: Arc<settings::Gateway>,
-  copy_turns: HashMap<u64, Arc<Semaphore>>,
+  /// This host's copies from engines that leave.
+  pub(super) copies: SecondaryMap<Key, Queue>,
   listed_targets: bool,
   troubled: HashMap<&'static str, Instant>,
   recovered: Option<Instant>,
@@ -121,13 +124,6 @@
     }
   }
 
-  /// Returns the turns of this host's copies from one process of a target.
-  pub(super) fn copy_turns(&self, target: u64) -> Arc<Semaphore> {
-    let mut state = self.lock();
-    state.copy_turns.retain(|_, turns| Arc::strong_count(turns) > 1);
-    Arc::clone(state.copy_turns.entry(target).or_insert_with(|| Arc::new(Semaphore::new(1))))
-  }
-
   /// Returns whether callers are to be sent to this host.
   pub fn is_ready(&self) -> bool {
     self.phase() == Phase::Ready
@@ -163,7 +159,7 @@
     let held = settings.memory_bytes as f64 * HELD_SHARE;
     let state = State {
       catalog: None,
-      copy_turns: HashMap::new(),
+      copies: SecondaryMap::new(),
       freshness: Freshness::default(),
       health: Health::default(),
       leaving: false,
--- a/yuccarudder/src/gateway/movement.rs
+++ b/yuccarudder/src/gateway/movement.rs
@@ -1,19 +1,25 @@
 use {
   super::{call::Call, placed::Spot},
   crate::{
-    relocation::{self, Copied, Failure, Order},
+    relocation::{self, Copied, Failure, Order, Queue, Schedule},
+    roster::Target,
     routing::Engine,
   },
   futures::future::{self, BoxFuture},
-  std::time::Duration,
-  tokio::{sync::OwnedSemaphorePermit, time},
+  std::time::{Duration, Instant},
+  tokio::time,
 };
 
 /// Pause before another try after an engine did not copy.
 const RETRY: Duration = Duration::from_millis(40);
-/// Memory that is copied while the run stands still; copying it takes less than a pause
-/// that callers notice.
-const STANDSTILL_COPY: Duration = Duration::from_millis(40);
+/// Engines whose leaves were noticed within this time leave together.
+const TOGETHER: Duration = Duration::from_millis(1500);
+
+/// What is done at the end of a pause.
+enum Due {
+  Copy,
+  Stop(Spot),
+}
 
 /// What a move waits for.
 enum Wait {
@@ -23,7 +29,10 @@
     stop: bool,
   },
   LastEvents(BoxFuture<'static, ()>),
-  Turn(BoxFuture<'static, Option<OwnedSemaphorePermit>>),
+  Pause {
+    due: Due,
+    end: BoxFuture<'static, ()>,
+  },
 }
 
 /// What a move has come to.
@@ -34,18 +43,18 @@
     result: Result<Copied, Failure>,
     stop: bool,
   },
+  /// It is time to copy the run.
+  CopyDue,
   /// The last events of a run that stopped are overdue.
   LastEvents,
-  /// It is this run's turn to be copied.
-  Turn,
+  /// It is time to stop the run, which the engine has a copy of.
+  StopDue(Spot),
 }
 
 /// The move of a run to another engine.
 #[derive(Default)]
 pub struct Movement {
-  engine: Option<Engine>,
-  /// The turn at the link of the source, held until the run has gone.
-  turn: Option<OwnedSemaphorePermit>,
+  stop_at: Option<Instant>,
   wait: Option<Wait>,
 }
 
@@ -68,7 +77,6 @@
         }
       });
     }
-    self.turn = None;
   }
 
   /// Waits for the last events of a run that stopped.
@@ -76,15 +84,21 @@
     self.wait = Some(Wait::LastEvents(Box::pin(time::sleep(longest))));
   }
 
+  /// Begins to move a run from an engine that leaves.
+  pub fn begin(&mut self, call: &Call, source: &Spot, engine: &Engine, held: u64) {
+    let now = call.gateway.clock.now();
+    let (since, schedule) = plan(call, source, engine, held);
+    let since = since.unwrap_or(now);
+    self.stop_at = Some(since + schedule.stop);
+    self.pause(since + schedule.copy, Due::Copy);
+  }
+
   /// Orders the copy to another engine, if one has room.
   pub fn copy(&mut self, call: &Call, source: &Spot, held: u64, tokens: u64) {
-    let Some(destination) = call.destination(&source.target, held, tokens) else {
-      self.retry();
-      return;
-    };
-    let copy_time = self.engine.as_ref().map(|engine| engine.copy_time(held));
-    let stop = copy_time.is_some_and(|time| time <= STANDSTILL_COPY);
-    self.order(call, source, destination, stop);
+    match call.destination(&source.target, held, tokens) {
+      Some(destination) => self.order(call, source, destination, false),
+      None => self.retry(call),
+    }
   }
 
   /// Returns whether a copy is on its way.
@@ -106,17 +120,8 @@
   pub async fn next(&mut self) -> Step {
     match &mut self.wait {
       None => future::pending().await,
-      Some(Wait::Turn(turn)) => {
-        let turn = turn.await;
-        self.turn = turn.or(self.turn.take());
-        self.wait = None;
-        Step::Turn
-      }
-      Some(Wait::LastEvents(overdue)) => {
-        overdue.await;
-        self.wait = None;
-        Step::LastEvents
-      }
+      Some(Wait::Pause { end, .. }) => end.await,
+      Some(Wait::LastEvents(overdue)) => overdue.await,
       Some(Wait::Copy { answer, .. }) => {
         let result = answer.await;
         let Some(Wait::Copy {
@@ -125,13 +130,21 @@
         else {
           unreachable!("the wait was for a copy");
         };
-        Step::Copied {
+        return Step::Copied {
           destination,
           result,
           stop,
-        }
+        };
       }
     }
+    match self.wait.take() {
+      Some(Wait::Pause {
+        due: Due::Stop(destination),
+        ..
+      }) => Step::StopDue(destination),
+      Some(Wait::Pause { due: Due::Copy, .. }) => Step::CopyDue,
+      _ => Step::LastEvents,
+    }
   }
 
   fn order(&mut self, call: &Call, source: &Spot, destination: Spot, stop: bool) {
@@ -148,12 +161,14 @@
     });
   }
 
+  fn pause(&mut self, until: Instant, due: Due) {
+    let end = Box::pin(time::sleep_until(until.into()));
+    self.wait = Some(Wait::Pause { due, end });
+  }
+
   /// Tries again after a short pause.
-  pub fn retry(&mut self) {
-    self.wait = Some(Wait::Turn(Box::pin(async {
-      time::sleep(RETRY).await;
-      None
-    })));
+  pub fn retry(&mut self, call: &Call) {
+    self.pause(call.gateway.clock.now() + RETRY, Due::Copy);
   }
 
   /// Stops the run and copies what is new since the copy before.
@@ -161,25 +176,56 @@
     self.order(call, source, destination, true);
   }
 
-  /// Waits for this run's turn at the link of its engine.
-  pub fn wait(&mut self, call: &Call, source: &Spot, engine: &Engine) {
-    let gateway = &call.gateway;
-    let target = source.target.fingerprint;
-    let this = gateway.settings().peers;
-    let state = gateway.lock();
-    let hosts: Vec<_> = state.members.live(gateway.clock.boot()).map(|(host, _)| host).collect();
-    drop(state);
-    let ledger = gateway.places.lock();
-    let loads = hosts.into_iter().map(|host| (host, ledger.peer(host, target)));
-    let turn = relocation::turn(engine, this, loads);
-    drop(ledger);
-    let at = gateway.clock.now() + turn.after;
-    let turns = gateway.copy_turns(target);
-    self.engine = Some(engine.clone());
-    self.wait = Some(Wait::Turn(Box::pin(async move {
-      let permit = turns.acquire_owned().await.ok();
-      time::sleep_until(at.into()).await;
-      permit
-    })));
+  /// Waits until the run is to be stopped.
+  pub fn stop_when_due(&mut self, call: &Call, destination: Spot) {
+    let at = self.stop_at.unwrap_or_else(|| call.gateway.clock.now());
+    self.pause(at, Due::Stop(destination));
+  }
+
+  /// Takes the destination that has a copy of the run, which still goes on.
+  pub fn take_destination(&mut self) -> Option<Spot> {
+    match self.wait.take() {
+      Some(Wait::Pause {
+        due: Due::Stop(destination),
+        ..
+      }) => Some(destination),
+      wait => {
+        self.wait = wait;
+        None
+      }
+    }
+  }
+}
+
+/// Plans the copy of a run with what this host knows of all runs at engines that leave.
+fn plan(call: &Call, source: &Spot, engine: &Engine, held: u64) -> (Option<Instant>, Schedule) {
+  let gateway = &call.gateway;
+  let mut state = gateway.lock();
+  let this = state.settings.peers;
+  let hosts: Vec<_> = state.members.live(gateway.clock.boot()).map(|(host, _)| host).collect();
+  let since = state.roster.get(source.key).and_then(|target| target.leaving_since);
+  let ledger = gateway.places.lock();
+  let mut before = Queue::default();
+  for host in hosts.into_iter().filter(|host| *host < this) {
+    let load = ledger.peer(host, source.target.fingerprint);
+    before = before.with(load.runs, load.held);
+  }
+  let own = state.copies.entry(source.key).map(|own| own.or_default());
+  if let Some(own) = own {
+    before = before.with(own.runs, own.tokens);
+    *own = own.with(1, held);
   }
+  let together = |target: &Target| {
+    target.listing.service == call.service
+      && target.leaving_since.zip(since).is_some_and(|(one, other)| {
+        one.max(other).saturating_duration_since(one.min(other)) < TOGETHER
+      })
+  };
+  let leaving = state.roster.all().filter(|(_, target)| together(target));
+  let queues = leaving.map(|(_, target)| {
+    let load = ledger.load(target.fingerprint);
+    Queue::default().with(load.runs, load.held)
+  });
+  let longest = queues.max_by_key(|queue| queue.tokens).unwrap_or_default();
+  (since, relocation::schedule(engine, before, longest, held))
 }
--- a/yuccarudder/src/gateway/pulses.rs
+++ b/yuccarudder/src/gateway/pulses.rs
@@ -97,6 +97,7 @@
 }
 
 fn receive(gateway: &Gateway, pulse: &Pulse) {
+  let heard = gateway.clock.now();
   let now = gateway.clock.boot();
   let mut state = gateway.lock();
   let Some(news) = state.members.receive(pulse, now) else {
@@ -110,7 +111,7 @@
   }
   let told = pulse.leaving.iter();
   let leaving: Vec<_> = told
-    .filter_map(|leaving| state.roster.learn_leaving(leaving.target, leaving.revision))
+    .filter_map(|leaving| state.roster.learn_leaving(leaving.target, leaving.revision, heard))
     .collect();
   drop(state);
   if !leaving.is_empty() {
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -181,7 +181,15 @@
     }
     match ended {
       Ended::Whole => Some(End::Complete),
-      Ended::Broken => self.recover().await,
+      Ended::Broken => self.go_on_from_spare().await,
+    }
+  }
+
+  /// Goes on from the copy of a run that broke off before it was stopped, if there is one.
+  async fn go_on_from_spare(&mut self) -> Option<End> {
+    match (self.spare.take(), self.movement.take_destination()) {
+      (Some(copied), Some(destination)) => self.switch(copied, destination).await,
+      _ => self.recover().await,
     }
   }
 
@@ -257,17 +265,22 @@
     };
     if leaves {
       let engine = engine.clone();
-      self.movement.wait(&self.call, &self.spot, &engine);
+      let held = self.held();
+      self.movement.begin(&self.call, &self.spot, &engine, held);
     }
   }
 
   async fn step(&mut self, step: Step) -> Option<End> {
     match step {
-      Step::Turn => {
+      Step::CopyDue => {
         let (held, tokens) = (self.held(), self.memory());
         self.movement.copy(&self.call, &self.spot, held, tokens);
         None
       }
+      Step::StopDue(destination) => {
+        self.movement.stop(&self.call, &self.spot, destination);
+        None
+      }
       Step::LastEvents => {
         let (copied, destination) = self.stopped.take()?;
         self.switch(copied, destination).await
@@ -300,7 +313,7 @@
       (Ok(copied), _, Some(_)) => self.switch(copied, destination).await,
       (Ok(copied), false, None) => {
         self.spare = Some(copied);
-        self.movement.stop(&self.call, &self.spot, destination);
+        self.movement.stop_when_due(&self.call, destination);
         None
       }
       (Err(Failure::NoRoom(Some(handle))), true, _) => {
@@ -320,7 +333,7 @@
       },
       (Err(_), _, None) => {
         drop(destination);
-        self.movement.retry();
+        self.movement.retry(&self.call);
         None
       }
     }
--- a/yuccarudder/src/relocation/mod.rs
+++ b/yuccarudder/src/relocation/mod.rs
@@ -6,7 +6,7 @@
 
 pub use destination::{Candidate, destination};
 pub use order::{Copied, Failure, Order};
-pub use plan::{Turn, turn};
+pub use plan::{Queue, Schedule, schedule};
 
 #[cfg(test)]
 mod tests;
--- a/yuccarudder/src/roster/roster.rs
+++ b/yuccarudder/src/roster/roster.rs
@@ -45,6 +45,8 @@
   pub id: Arc<str>,
   /// What it last published.
   pub listing: Listing,
+  /// When this host learned that it leaves.
+  pub leaving_since: Option<Instant>,
   revision: u64,
   /// Whether it takes new work.
   pub standing: Standing,
@@ -118,13 +120,14 @@
 
   /// Records that another host knows a revision by which a process leaves; returns the
   /// process if that is news.
-  pub fn learn_leaving(&mut self, fingerprint: u64, revision: u64) -> Option<Key> {
+  pub fn learn_leaving(&mut self, fingerprint: u64, revision: u64, now: Instant) -> Option<Key> {
     let news = |target: &Target| {
       let serving = matches!(target.standing, Standing::Serving | Standing::Lapsed(_));
       target.fingerprint == fingerprint && serving && target.revision < revision
     };
     let (key, target) = self.targets.iter_mut().find(|(_, target)| news(target))?;
     target.standing = Standing::Leaving;
+    target.leaving_since = Some(now);
     target.revision = revision;
     Some(key)
   }
@@ -173,6 +176,10 @@
       if target.fingerprint == print && target.listing.address == listing.address {
         let leaves = standing == Standing::Leaving && target.standing != Standing::Leaving;
         target.standing = standing;
+        target.leaving_since = match standing {
+          Standing::Leaving => target.leaving_since.or(Some(now)),
+          _ => None,
+        };
         target.listing = listing;
         target.revision = revision;
         return leaves.then_some(key);
@@ -183,6 +190,7 @@
     let key = self.targets.insert(Target {
       fingerprint: print,
       id: Arc::clone(&id),
+      leaving_since: (standing == Standing::Leaving).then_some(now),
       listing,
       revision,
       standing,
@@ -195,6 +203,7 @@
     let target = &mut self.targets[key];
     let leaves = matches!(target.standing, Standing::Serving | Standing::Lapsed(_));
     target.standing = Standing::Gone(now + MEMORY);
+    target.leaving_since = target.leaving_since.or(Some(now));
     self.keys.remove(&target.id);
     leaves.then_some(key)
   }
