--- a/yuccarudder/src/gateway/placed.rs
+++ b/yuccarudder/src/gateway/placed.rs
@@ -14,6 +14,7 @@
 /// Share of an engine's memory that the expected needs of its runs may fill; the rest is
 /// for estimates that fall short.
 const FILL: f64 = 0.92;
+const PREFIX: &str = "placed";
 /// Share of the objective that a request may wait for room; the rest is for reading it in.
 const PATIENCE: f64 = 0.6;
 /// How often a waiting request looks for room that no news told of.
@@ -94,8 +95,6 @@
       ..Load::default()
     };
     let spot = self.take(key, load);
-    // The other hosts choose by what is on its way already.
-    self.gateway.news.notify_one();
     Some(spot)
   }
 
@@ -150,10 +149,21 @@
     let state = self.gateway.lock();
     let target = state.roster.get(key).expect("a chosen target is listed").clone();
     drop(state);
+    let found = self.gateway.places.lock().load(target.fingerprint);
+    log::info!(
+      target: PREFIX, id = self.id(), target:% = target.id, runs = found.runs, tokens = found.tokens,
+      arriving = found.arriving, copying = found.copying, need = load.tokens,
+      waited_ms = self.elapsed().as_millis() as u64;
+      "Chose a target."
+    );
     let place = self.gateway.places.take(Run {
       load,
       target: target.fingerprint,
     });
+    if load.tokens > 0 {
+      // The other hosts are to choose by this load, too.
+      self.gateway.news.notify_one();
+    }
     Spot { key, place, target }
   }
 }
--- a/yuccarudder/src/gateway/pulses.rs
+++ b/yuccarudder/src/gateway/pulses.rs
@@ -11,8 +11,8 @@
 
 /// Time between two pulses of a host.
 const PERIOD: Duration = Duration::from_millis(200);
-/// Shortest time between two pulses when there is news.
-const MIN_PERIOD: Duration = Duration::from_millis(10);
+/// Shortest time between two pulses when there is news, for each host that they go to.
+const NEWS_PERIOD: Duration = Duration::from_millis(2);
 const PREFIX: &str = "member";
 const RECEIVE_DELAY: Duration = Duration::from_millis(10);
 
@@ -38,17 +38,20 @@
     loop {
       gateway.tick();
       sequence += 1;
-      send(&gateway, &mut sender, sequence).await;
-      time::sleep(MIN_PERIOD).await;
+      let hosts = send(&gateway, &mut sender, sequence).await;
+      let pause = (NEWS_PERIOD * hosts).min(PERIOD);
+      time::sleep(pause).await;
       // Both news and the end of the period are a reason to send.
-      let _ = time::timeout(PERIOD - MIN_PERIOD, gateway.news.notified()).await;
+      let _ = time::timeout(PERIOD - pause, gateway.news.notified()).await;
     }
   };
   tokio::join!(receiving, sending);
 }
 
-async fn send(gateway: &Gateway, sender: &mut Sender, sequence: u64) {
+/// Sends a pulse to every host; returns their number.
+async fn send(gateway: &Gateway, sender: &mut Sender, sequence: u64) -> u32 {
   let (pulse, known) = compose(gateway, sequence);
+  let hosts = u32::try_from(known.len()).unwrap_or(u32::MAX);
   for Known { address, echo } in known {
     let pulse = Pulse {
       echo,
@@ -59,6 +62,7 @@
       log::debug!(target: PREFIX, address:% = address, error:% = error; "A pulse was not sent.");
     }
   }
+  hosts
 }
 
 fn compose(gateway: &Gateway, sequence: u64) -> (Pulse, Vec<Known>) {
