--- a/yuccarudder/src/dialect.rs
+++ b/yuccarudder/src/dialect.rs
@@ -76,12 +76,16 @@
     + Send
     + Sync,
 >;
+/// Asks an engine what it reports of itself; `None` when it gives no answer.
+pub type Inspect = Arc<dyn Fn(SocketAddr) -> BoxFuture<'static, Option<Report>> + Send + Sync>;
 /// Frees the copy that an engine holds of a run.
 pub type Release = Arc<dyn Fn(SocketAddr, String) -> BoxFuture<'static, ()> + Send + Sync>;
 
 /// The translations of one platform.
 #[derive(Clone)]
 pub struct Dialect {
+  /// Asks an engine for its report.
+  pub inspect: Inspect,
   /// Reads a published catalog.
   pub read_catalog: fn(&[u8]) -> anyhow::Result<Catalog>,
   /// Reads the headers of a request.
--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -7,7 +7,7 @@
     metrics::Metrics,
     placement::{Health, Outcome, Places},
     reader::{Area, Change, Error, Snapshot, Subject},
-    relocation::Queue,
+    relocation::{self, Queue},
     roster::{Key, Roster},
     routing::{Bounds, Catalog, Freshness},
     settings,
@@ -16,19 +16,24 @@
   bytes::Bytes,
   slotmap::SecondaryMap,
   std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     fmt,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
   },
-  tokio::sync::{Notify, watch},
+  tokio::{
+    sync::{Notify, watch},
+    time,
+  },
 };
 
 /// Share of the memory of the host that bodies held whole may take.
 const HELD_SHARE: f64 = 0.25;
 /// Time after trouble with the platform in which a removed entry may have lapsed.
 const RECOVERY: Duration = Duration::from_millis(2500);
+/// Heartbeats of a target that the platform must have missed for its entry to lapse.
+const MISSED_HEARTBEATS: u32 = 2;
 /// Taken off a bound on the age of the catalog for the time that a decision takes.
 const AGE_MARGIN: Duration = Duration::from_millis(250);
 /// Pause between questions of the host that reads the targets for the others.
@@ -53,7 +58,9 @@
   /// This host's copies from engines that leave.
   pub(super) copies: SecondaryMap<Key, Queue>,
   listed_targets: bool,
-  troubled: HashMap<&'static str, Instant>,
+  /// When the platform last answered, by area.
+  answered: HashMap<&'static str, Instant>,
+  troubled: HashSet<&'static str>,
   recovered: Option<Instant>,
 }
 
@@ -146,8 +153,7 @@
 
   /// Records that the platform gave no answer.
   pub fn missed_platform(&self, area: Area, error: &Error) {
-    let now = self.clock.now();
-    let first = self.lock().troubled.insert(area.name(), now).is_none();
+    let first = self.lock().troubled.insert(area.name());
     if first {
       log::warn!(target: PREFIX, area = area.name(), error:? = error; "The platform cannot be read.");
     }
@@ -170,7 +176,8 @@
       repeats: Repeats::new(clock.now()),
       roster: Roster::default(),
       settings: Arc::new(settings),
-      troubled: HashMap::new(),
+      answered: HashMap::new(),
+      troubled: HashSet::new(),
     };
     Self {
       pool,
@@ -230,9 +237,14 @@
 
   /// Records that the platform answered.
   pub fn reached_platform(&self, area: Area) {
+    let now = self.clock.now();
     let mut state = self.lock();
-    if state.troubled.remove(area.name()).is_some() {
-      state.recovered = Some(self.clock.now());
+    let last = state.answered.insert(area.name(), now);
+    let silence = last.map_or(Duration::ZERO, |last| now.saturating_duration_since(last));
+    if silence >= state.settings.promises.heartbeat * MISSED_HEARTBEATS {
+      state.recovered = Some(now);
+    }
+    if state.troubled.remove(area.name()) {
       drop(state);
       log::info!(target: PREFIX, area = area.name(); "The platform can be read again.");
     }
@@ -343,10 +355,41 @@
         log::info!(target: PREFIX, target:% = target.id, source; "A target leaves.");
       }
     }
+    for key in keys {
+      self.learn_departure(*key);
+    }
     self.roster_changes.send_modify(|count| *count += 1);
     self.news.notify_one();
   }
 
+  /// Asks a target that leaves, where this host has runs, when it is gone.
+  fn learn_departure(&self, key: Key) {
+    let state = self.lock();
+    let Some(target) = state.roster.get(key) else {
+      return;
+    };
+    let service =
+      state.catalog.as_ref().and_then(|catalog| catalog.service(&target.listing.service));
+    let relocatable = service
+      .and_then(|service| service.engine.as_ref())
+      .is_some_and(|engine| engine.relocatable);
+    if !relocatable || self.places.lock().own(target.fingerprint).runs == 0 {
+      return;
+    }
+    let asked = (self.dialect.inspect)(target.listing.address);
+    drop(state);
+    let gateway = self.clone();
+    tokio::spawn(async move {
+      time::sleep(relocation::REPORT_LAG).await;
+      let made = gateway.clock.now() - relocation::REPORT_AGE;
+      let leaves_in = asked.await.and_then(|report| report.leaves_in);
+      log::info!(target: PREFIX, leaves_in_ms = leaves_in.map(|time| time.as_millis() as u64); "An engine that leaves was asked when.");
+      if let Some(leaves_in) = leaves_in {
+        gateway.lock().roster.set_leaves_at(key, made + leaves_in);
+      }
+    });
+  }
+
   pub(super) fn tick(&self) {
     let gone = self.lock().roster.tick(self.clock.now());
     if !gone.is_empty() {
@@ -362,7 +405,7 @@
 
   fn recovering(&self, now: Instant) -> bool {
     let recently = |at: Instant| now.saturating_duration_since(at) < RECOVERY;
-    !self.troubled.is_empty() || self.recovered.is_some_and(recently)
+    self.recovered.is_some_and(recently)
   }
 
   /// Returns where callers reach the hosts that take them.
--- a/yuccarudder/src/gateway/movement.rs
+++ b/yuccarudder/src/gateway/movement.rs
@@ -1,7 +1,7 @@
 use {
   super::{call::Call, placed::Spot},
   crate::{
-    relocation::{self, Copied, Failure, Order, Queue, Schedule},
+    relocation::{Copied, Failure, Order, Plan, Queue},
     roster::Target,
     routing::Engine,
   },
@@ -54,7 +54,7 @@
 /// The move of a run to another engine.
 #[derive(Default)]
 pub struct Movement {
-  stop_at: Option<Instant>,
+  plan: Option<(Engine, Plan)>,
   wait: Option<Wait>,
 }
 
@@ -86,15 +86,21 @@
 
   /// Begins to move a run from an engine that leaves.
   pub fn begin(&mut self, call: &Call, source: &Spot, engine: &Engine, held: u64) {
-    let now = call.gateway.clock.now();
-    let (since, schedule) = plan(call, source, engine, held);
-    let since = since.unwrap_or(now);
-    self.stop_at = Some(since + schedule.stop);
-    self.pause(since + schedule.copy, Due::Copy);
+    let plan = plan(call, source, held);
+    let (since, notice) = notice(call, source);
+    self.plan = Some((engine.clone(), plan));
+    self.pause(since + plan.copy_at(engine, notice), Due::Copy);
   }
 
   /// Orders the copy to another engine, if one has room.
   pub fn copy(&mut self, call: &Call, source: &Spot, held: u64, tokens: u64) {
+    // What was learned of the notice since may leave no time, or more.
+    let (since, notice) = notice(call, source);
+    let due = self.plan.as_ref().map(|(engine, plan)| since + plan.copy_at(engine, notice));
+    if let Some(due) = due.filter(|due| *due > call.gateway.clock.now()) {
+      self.pause(due, Due::Copy);
+      return;
+    }
     match call.destination(&source.target, held, tokens) {
       Some(destination) => self.order(call, source, destination, false),
       None => self.retry(call),
@@ -171,15 +177,17 @@
     self.pause(call.gateway.clock.now() + RETRY, Due::Copy);
   }
 
-  /// Stops the run and copies what is new since the copy before.
+  /// Stops the run when it is due, and copies what is new since the copy before.
   pub fn stop(&mut self, call: &Call, source: &Spot, destination: Spot) {
-    self.order(call, source, destination, true);
-  }
-
-  /// Waits until the run is to be stopped.
-  pub fn stop_when_due(&mut self, call: &Call, destination: Spot) {
-    let at = self.stop_at.unwrap_or_else(|| call.gateway.clock.now());
-    self.pause(at, Due::Stop(destination));
+    let now = call.gateway.clock.now();
+    let (since, notice) = notice(call, source);
+    let plan = self.plan.as_ref();
+    let due = plan.map_or(now, |(engine, plan)| since + plan.stop_at(engine, notice));
+    if due <= now {
+      self.order(call, source, destination, true);
+    } else {
+      self.pause(due, Due::Stop(destination));
+    }
   }
 
   /// Takes the destination that has a copy of the run, which still goes on.
@@ -198,7 +206,7 @@
 }
 
 /// Plans the copy of a run with what this host knows of all runs at engines that leave.
-fn plan(call: &Call, source: &Spot, engine: &Engine, held: u64) -> (Option<Instant>, Schedule) {
+fn plan(call: &Call, source: &Spot, held: u64) -> Plan {
   let gateway = &call.gateway;
   let mut state = gateway.lock();
   let this = state.settings.peers;
@@ -227,5 +235,22 @@
     Queue::default().with(load.runs, load.held)
   });
   let longest = queues.max_by_key(|queue| queue.tokens).unwrap_or_default();
-  (since, relocation::schedule(engine, before, longest, held))
+  Plan {
+    before,
+    longest,
+    tokens: held,
+  }
+}
+
+/// Returns when the leave was noticed, and the time from then until the target is gone.
+fn notice(call: &Call, source: &Spot) -> (Instant, Option<Duration>) {
+  let state = call.gateway.lock();
+  let target = state.roster.get(source.key);
+  let since = target.and_then(|target| target.leaving_since);
+  let since = since.unwrap_or_else(|| call.gateway.clock.now());
+  let until = target.and_then(|target| target.leaves_at);
+  (
+    since,
+    until.map(|until| until.saturating_duration_since(since)),
+  )
 }
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -313,7 +313,7 @@
       (Ok(copied), _, Some(_)) => self.switch(copied, destination).await,
       (Ok(copied), false, None) => {
         self.spare = Some(copied);
-        self.movement.stop_when_due(&self.call, destination);
+        self.movement.stop(&self.call, &self.spot, destination);
         None
       }
       (Err(Failure::NoRoom(Some(handle))), true, _) => {
--- a/yuccarudder/src/relocation/mod.rs
+++ b/yuccarudder/src/relocation/mod.rs
@@ -6,7 +6,7 @@
 
 pub use destination::{Candidate, destination};
 pub use order::{Copied, Failure, Order};
-pub use plan::{Queue, Schedule, schedule};
+pub use plan::{Plan, Queue, REPORT_AGE, REPORT_LAG};
 
 #[cfg(test)]
 mod tests;
--- a/yuccarudder/src/roster/roster.rs
+++ b/yuccarudder/src/roster/roster.rs
@@ -45,6 +45,8 @@
   pub id: Arc<str>,
   /// What it last published.
   pub listing: Listing,
+  /// When it will be gone, if it said so.
+  pub leaves_at: Option<Instant>,
   /// When this host learned that it leaves.
   pub leaving_since: Option<Instant>,
   revision: u64,
@@ -190,6 +192,7 @@
     let key = self.targets.insert(Target {
       fingerprint: print,
       id: Arc::clone(&id),
+      leaves_at: None,
       leaving_since: (standing == Standing::Leaving).then_some(now),
       listing,
       revision,
@@ -227,6 +230,13 @@
     leaving
   }
 
+  /// Records when a target that leaves will be gone.
+  pub fn set_leaves_at(&mut self, key: Key, at: Instant) {
+    if let Some(target) = self.targets.get_mut(key) {
+      target.leaves_at = Some(at);
+    }
+  }
+
   /// Sets which data centres are out of service.
   pub fn set_evacuated(&mut self, data_centres: impl IntoIterator<Item = String>) {
     self.evacuated = data_centres.into_iter().collect();
--- a/yuccarudder/src/settings/gateway.rs
+++ b/yuccarudder/src/settings/gateway.rs
@@ -20,6 +20,8 @@
   pub catalog_applied: Duration,
   /// Time from the signal to stop until the process is killed.
   pub grace: Duration,
+  /// How often targets renew their entries.
+  pub heartbeat: Duration,
   /// The retry budget of a service over all hosts.
   pub repeats: RepeatBound,
   /// Time from the acceptance of a revocation until the credential is good for nothing.
@@ -125,6 +127,7 @@
     node.fraction(&range).map(|value| Duration::from_secs_f64(value / 1000.0))
   };
   let catalog_applied = milliseconds("catalog_applied_ms");
+  let heartbeat = milliseconds("heartbeat_ms");
   let revocation = milliseconds("revocation_ms");
   let mut number = |key| map.require(key, "a number").and_then(|node| node.fraction(&(0.0..=1e6)));
   let allowance = number("retry_allowance");
@@ -134,6 +137,7 @@
     catalog_applied: catalog_applied?,
     directory_keep: directory_keep?,
     grace: grace?,
+    heartbeat: heartbeat?,
     repeats: RepeatBound {
       allowance: allowance?,
       share: share?,
