Plan the copies of all hosts' runs alike, each host doing its own part

Cause: at a leave all hosts chose the same, emptiest destination in the same millisecond; its link took one copy after another, and the runs stopped while others were being copied. Now: the copies of all runs are planned in the time of both links; copies start before the notice is known.

--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -7,7 +7,7 @@
     metrics::Metrics,
     placement::{Health, Outcome, Places},
     reader::{Area, Change, Error, Snapshot, Subject},
-    relocation::{self, Queue},
+    relocation,
     roster::{Key, Roster},
     routing::{Bounds, Catalog, Freshness},
     settings,
@@ -55,8 +55,8 @@
   pub(super) repeats: Repeats,
   pub(super) roster: Roster,
   pub(super) settings: Arc<settings::Gateway>,
-  /// This host's copies from engines that leave.
-  pub(super) copies: SecondaryMap<Key, Queue>,
+  /// The number of this host's runs that are to be copied from engines that leave.
+  pub(super) copies: SecondaryMap<Key, u32>,
   listed_targets: bool,
   /// When the platform last answered, by area.
   answered: HashMap<&'static str, Instant>,
--- a/yuccarudder/src/gateway/movement.rs
+++ b/yuccarudder/src/gateway/movement.rs
@@ -1,9 +1,8 @@
 use {
   super::{call::Call, placed::Spot},
   crate::{
-    relocation::{Copied, Failure, Order, Plan, Queue},
+    relocation::{Copied, Failure, Order, Plan, Position, Run, Source, Window},
     roster::Target,
-    routing::Engine,
   },
   futures::future::{self, BoxFuture},
   std::time::{Duration, Instant},
@@ -14,6 +13,9 @@
 const RETRY: Duration = Duration::from_millis(40);
 /// Engines whose leaves were noticed within this time leave together.
 const TOGETHER: Duration = Duration::from_millis(1500);
+/// Pause of a run that cannot be copied in time; it may end by itself before its engine.
+const HOPELESS: Duration = Duration::from_secs(1);
+const PREFIX: &str = "movement";
 
 /// What is done at the end of a pause.
 enum Due {
@@ -54,7 +56,7 @@
 /// The move of a run to another engine.
 #[derive(Default)]
 pub struct Movement {
-  plan: Option<(Engine, Plan)>,
+  plan: Option<Plan>,
   wait: Option<Wait>,
 }
 
@@ -85,25 +87,37 @@
   }
 
   /// Begins to move a run from an engine that leaves.
-  pub fn begin(&mut self, call: &Call, source: &Spot, engine: &Engine, held: u64) {
-    let plan = plan(call, source, held);
-    let (since, notice) = notice(call, source);
-    self.plan = Some((engine.clone(), plan));
-    self.pause(since + plan.copy_at(engine, notice), Due::Copy);
+  pub fn begin(&mut self, call: &Call, source: &Spot, run: Run) {
+    self.plan = plan(call, source, run);
+    match self.plan {
+      Some(_) => self.pause(call.gateway.clock.now(), Due::Copy),
+      None => self.retry(call),
+    }
   }
 
-  /// Orders the copy to another engine, if one has room.
-  pub fn copy(&mut self, call: &Call, source: &Spot, held: u64, tokens: u64) {
-    // What was learned of the notice since may leave no time, or more.
-    let (since, notice) = notice(call, source);
-    let due = self.plan.as_ref().map(|(engine, plan)| since + plan.copy_at(engine, notice));
-    if let Some(due) = due.filter(|due| *due > call.gateway.clock.now()) {
-      self.pause(due, Due::Copy);
+  /// Orders the copy to another engine when it is due.
+  pub fn copy(&mut self, call: &Call, source: &Spot, run: Run) {
+    let now = call.gateway.clock.now();
+    let (since, window) = window(call, source);
+    let Some(plan) = self.plan.take().or_else(|| plan_alone(call, source, run)) else {
+      self.retry(call);
       return;
-    }
-    match call.destination(&source.target, held, tokens) {
-      Some(destination) => self.order(call, source, destination, false),
-      None => self.retry(call),
+    };
+    self.plan = Some(plan);
+    match window.copy_at(&plan).map(|at| since + at) {
+      None => {
+        log::info!(
+          target: PREFIX, id = call.id(), source:% = source.target.id, end_ms = plan.end.as_millis() as u64,
+          notice_ms = window.notice.map(|notice| notice.as_millis() as u64);
+          "The notice is too short to copy a run."
+        );
+        self.pause(now + HOPELESS, Due::Copy);
+      }
+      Some(due) if due > now => self.pause(due, Due::Copy),
+      Some(_) => match call.take_planned(plan.destination, run) {
+        Some(destination) => self.order(call, source, destination, false),
+        None => self.retry(call),
+      },
     }
   }
 
@@ -174,15 +188,15 @@
 
   /// Tries again after a short pause.
   pub fn retry(&mut self, call: &Call) {
+    self.plan = None;
     self.pause(call.gateway.clock.now() + RETRY, Due::Copy);
   }
 
   /// Stops the run when it is due, and copies what is new since the copy before.
   pub fn stop(&mut self, call: &Call, source: &Spot, destination: Spot) {
     let now = call.gateway.clock.now();
-    let (since, notice) = notice(call, source);
-    let plan = self.plan.as_ref();
-    let due = plan.map_or(now, |(engine, plan)| since + plan.stop_at(engine, notice));
+    let (since, window) = window(call, source);
+    let due = self.plan.map_or(now, |plan| since + window.stop_at(&plan));
     if due <= now {
       self.order(call, source, destination, true);
     } else {
@@ -206,51 +220,79 @@
 }
 
 /// Plans the copy of a run with what this host knows of all runs at engines that leave.
-fn plan(call: &Call, source: &Spot, held: u64) -> Plan {
-  let gateway = &call.gateway;
-  let mut state = gateway.lock();
-  let this = state.settings.peers;
-  let hosts: Vec<_> = state.members.live(gateway.clock.boot()).map(|(host, _)| host).collect();
+fn plan(call: &Call, source: &Spot, run: Run) -> Option<Plan> {
+  let position = position(call, source);
+  let state = call.gateway.lock();
   let since = state.roster.get(source.key).and_then(|target| target.leaving_since);
-  let ledger = gateway.places.lock();
-  let mut before = Queue::default();
-  for host in hosts.into_iter().filter(|host| *host < this) {
-    let load = ledger.peer(host, source.target.fingerprint);
-    before = before.with(load.runs, load.held);
-  }
-  let own = state.copies.entry(source.key).map(|own| own.or_default());
-  if let Some(own) = own {
-    before = before.with(own.runs, own.tokens);
-    *own = own.with(1, held);
-  }
   let together = |target: &Target| {
     target.listing.service == call.service
       && target.leaving_since.zip(since).is_some_and(|(one, other)| {
         one.max(other).saturating_duration_since(one.min(other)) < TOGETHER
       })
   };
-  let leaving = state.roster.all().filter(|(_, target)| together(target));
-  let queues = leaving.map(|(_, target)| {
+  let mut leaving: Vec<Target> = state
+    .roster
+    .all()
+    .map(|(_, target)| target)
+    .filter(|target| together(target))
+    .cloned()
+    .collect();
+  drop(state);
+  leaving.sort_by_key(|target| target.fingerprint);
+  let ledger = call.gateway.places.lock();
+  let sources = leaving.iter().map(|target| {
     let load = ledger.load(target.fingerprint);
-    Queue::default().with(load.runs, load.held)
+    Source {
+      data_centre: &target.listing.data_centre,
+      held: load.held,
+      process: target.fingerprint,
+      runs: load.runs,
+      tokens: load.tokens,
+    }
   });
-  let longest = queues.max_by_key(|queue| queue.tokens).unwrap_or_default();
-  Plan {
-    before,
-    longest,
-    tokens: held,
+  let sources: Vec<Source<'_>> = sources.collect();
+  drop(ledger);
+  call.plan_move(&sources, position, run)
+}
+
+/// Plans the copy of a run whose plan failed, when the other hosts' copies are known.
+fn plan_alone(call: &Call, source: &Spot, run: Run) -> Option<Plan> {
+  let process = source.target.fingerprint;
+  let own = Source {
+    data_centre: &source.target.listing.data_centre,
+    held: run.held,
+    process,
+    runs: 1,
+    tokens: run.tokens,
+  };
+  call.plan_move(&[own], Position { index: 0, process }, run)
+}
+
+/// Returns the place of a run in the order that all hosts share: by host, then by when
+/// the host's runs are planned.
+fn position(call: &Call, source: &Spot) -> Position {
+  let gateway = &call.gateway;
+  let process = source.target.fingerprint;
+  let mut state = gateway.lock();
+  let this = state.settings.peers;
+  let hosts: Vec<_> = state.members.live(gateway.clock.boot()).map(|(host, _)| host).collect();
+  let ledger = gateway.places.lock();
+  let before = hosts.into_iter().filter(|host| *host < this);
+  let mut index = before.map(|host| ledger.peer(host, process).runs).sum();
+  if let Some(own) = state.copies.entry(source.key).map(|own| own.or_default()) {
+    index += *own;
+    *own += 1;
   }
+  Position { index, process }
 }
 
 /// Returns when the leave was noticed, and the time from then until the target is gone.
-fn notice(call: &Call, source: &Spot) -> (Instant, Option<Duration>) {
+fn window(call: &Call, source: &Spot) -> (Instant, Window) {
   let state = call.gateway.lock();
   let target = state.roster.get(source.key);
   let since = target.and_then(|target| target.leaving_since);
   let since = since.unwrap_or_else(|| call.gateway.clock.now());
   let until = target.and_then(|target| target.leaves_at);
-  (
-    since,
-    until.map(|until| until.saturating_duration_since(since)),
-  )
+  let notice = until.map(|until| until.saturating_duration_since(since));
+  (since, Window { notice })
 }
--- a/yuccarudder/src/gateway/placed.rs
+++ b/yuccarudder/src/gateway/placed.rs
@@ -1,9 +1,9 @@
 use {
   super::{call::Call, lengths},
   crate::{
-    placement::{self, Candidate, Choice, Load, Need, Place, Run},
+    placement::{self, Candidate, Choice, Load, Need, Place},
     refusal::{Reason, Refusal},
-    relocation,
+    relocation::{self, Plan, Position, Run, Source},
     roster::{Key, Target},
     routing::{Engine, Kind},
   },
@@ -68,34 +68,37 @@
     }
   }
 
-  /// Takes a place where a run goes on that holds `held` tokens and will need `tokens`.
-  pub fn destination(&self, source: &Target, held: u64, tokens: u64) -> Option<Spot> {
+  /// Plans where and when a run goes on that has to leave its engine.
+  pub fn plan_move(&self, sources: &[Source<'_>], position: Position, run: Run) -> Option<Plan> {
     let engine = self.service()?.engine.as_ref()?;
     let now = self.gateway.clock.now();
     let state = self.gateway.lock();
     let ledger = self.gateway.places.lock();
     let open = state.roster.open(&self.service);
-    let candidates =
-      open.filter(|(_, target)| target.fingerprint != source.fingerprint).map(|(key, target)| {
-        relocation::Candidate {
-          ejected: state.health.is_ejected(key, now),
-          key,
-          load: ledger.load(target.fingerprint),
-          near: target.listing.data_centre == source.listing.data_centre,
-        }
-      });
-    let random = || rand::random_range(0.0..1.0);
-    let key = relocation::destination(candidates, engine, held, tokens, random)?;
-    drop((ledger, state));
+    let mut open: Vec<_> = open.filter(|(key, _)| !state.health.is_ejected(*key, now)).collect();
+    // All hosts go through them in the same order, so that they plan alike.
+    open.sort_by_key(|(_, target)| target.fingerprint);
+    let candidates = open.into_iter().map(|(key, target)| relocation::Candidate {
+      data_centre: &target.listing.data_centre,
+      key,
+      load: ledger.load(target.fingerprint),
+    });
+    relocation::plan(engine, sources, candidates, position, run)
+  }
+
+  /// Takes a place where a run goes on, if the target still takes work.
+  pub fn take_planned(&self, destination: Key, run: Run) -> Option<Spot> {
+    if !self.gateway.lock().roster.is_open(destination) {
+      return None;
+    }
     let load = Load {
-      copying: held,
-      held,
+      copying: run.held,
+      held: run.held,
       runs: 1,
-      tokens,
+      tokens: run.tokens,
       ..Load::default()
     };
-    let spot = self.take(key, load);
-    Some(spot)
+    Some(self.take(destination, load))
   }
 
   fn choose(&self, tried: &[Key], need: &Need, near: &str, now: Instant) -> Choice {
@@ -156,7 +159,7 @@
       waited_ms = self.elapsed().as_millis() as u64;
       "Chose a target."
     );
-    let place = self.gateway.places.take(Run {
+    let place = self.gateway.places.take(placement::Run {
       load,
       target: target.fingerprint,
     });
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -13,7 +13,7 @@
     placement::Load,
     refusal::{Reason, Refusal},
     relay::Cursor,
-    relocation::{Copied, Failure},
+    relocation::{Copied, Failure, Run},
     roster::Standing,
     routing::Engine,
   },
@@ -246,6 +246,13 @@
     self.call.ask.prompt_tokens + self.generated()
   }
 
+  fn to_move(&self) -> Run {
+    Run {
+      held: self.held(),
+      tokens: self.memory(),
+    }
+  }
+
   /// Begins to move the run if its target leaves.
   fn consider_move(&mut self) {
     let Some(engine) = self.engine().filter(|engine| engine.relocatable) else {
@@ -264,17 +271,16 @@
       target.is_none_or(|target| matches!(target.standing, Standing::Gone(_) | Standing::Leaving))
     };
     if leaves {
-      let engine = engine.clone();
-      let held = self.held();
-      self.movement.begin(&self.call, &self.spot, &engine, held);
+      let run = self.to_move();
+      self.movement.begin(&self.call, &self.spot, run);
     }
   }
 
   async fn step(&mut self, step: Step) -> Option<End> {
     match step {
       Step::CopyDue => {
-        let (held, tokens) = (self.held(), self.memory());
-        self.movement.copy(&self.call, &self.spot, held, tokens);
+        let run = self.to_move();
+        self.movement.copy(&self.call, &self.spot, run);
         None
       }
       Step::StopDue(destination) => {
--- a/yuccarudder/src/relocation/plan.rs
+++ b/yuccarudder/src/relocation/plan.rs
@@ -1,86 +1,104 @@
-use {crate::routing::Engine, std::time::Duration};
+use {
+  super::links::{Candidate, Links},
+  crate::{roster::Key, routing::Engine},
+  std::time::Duration,
+};
 
-/// Time from the notice that an engine leaves until it is gone, where it is not known.
-const NOTICE: Duration = Duration::from_millis(1400);
-/// Age of an engine's report when it arrives; engines report with a lag of half a second.
-pub const REPORT_AGE: Duration = Duration::from_millis(600);
-/// Time from the notice until an engine's report tells of it.
-pub const REPORT_LAG: Duration = Duration::from_millis(560);
-/// Time for the report to arrive.
-const REPORT_MARGIN: Duration = Duration::from_millis(40);
-/// Time at the end of the notice for the runs to stop, one shortly after another, and
-/// for the last part of their memory to be copied.
-const STOPPING: Duration = Duration::from_millis(200);
-/// Time that one copy takes besides its transfer: the call and the set-up of the link.
-const COPY_OVERHEAD: Duration = Duration::from_millis(8);
-/// Time for copies to other data centres, which take longer, as a factor of all copies.
-const DISTANCE: f64 = 1.15;
+/// What a run takes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Run {
+  /// Tokens that it holds.
+  pub held: u64,
+  /// Tokens that it will need in the end.
+  pub tokens: u64,
+}
 
-/// The copies that the link of an engine that leaves has to carry.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Queue {
-  /// Runs.
+/// An engine that leaves, with its runs from all hosts.
+#[derive(Clone, Copy, Debug)]
+pub struct Source<'a> {
+  /// Its data centre.
+  pub data_centre: &'a str,
+  /// Tokens that its runs hold.
+  pub held: u64,
+  /// Its process.
+  pub process: u64,
+  /// Its runs.
   pub runs: u32,
-  /// Tokens of memory that they hold.
+  /// Tokens that its runs will need in the end.
   pub tokens: u64,
 }
 
-impl Queue {
-  /// Returns the time that the copies take one after another.
-  fn time(&self, engine: &Engine) -> Duration {
-    engine.copy_time(self.tokens).mul_f64(DISTANCE) + COPY_OVERHEAD * self.runs
-  }
-
-  /// Adds copies.
-  #[must_use]
-  pub fn with(self, runs: u32, tokens: u64) -> Self {
-    Self {
-      runs: self.runs + runs,
-      tokens: self.tokens + tokens,
+impl Source<'_> {
+  /// Returns a run of the usual size there.
+  fn usual(&self) -> Run {
+    let runs = u64::from(self.runs.max(1));
+    Run {
+      held: self.held / runs,
+      tokens: self.tokens / runs,
     }
   }
 }
 
-/// The copy of one run from an engine that leaves, among those of all hosts.
-///
-/// The link of an engine carries one copy after another, and a run stands still from its
-/// stop until the rest of its memory has arrived. If it stopped while other runs were
-/// being copied, that rest would wait behind them and the caller would notice. So all
-/// hosts copy first what fits into the notice, and stop their runs when the links are
-/// idle again. Runs that do not fit are copied after that, in case there is time left.
+/// Which run at which engine is meant, in the order that all hosts share.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Position {
+  /// The runs at the engine that come before it.
+  pub index: u32,
+  /// The process of the engine that leaves.
+  pub process: u64,
+}
+
+/// Where and when one run is copied, counted from the notice.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Plan {
-  /// The runs at the engine that come before this one in the order that all hosts share.
-  pub before: Queue,
-  /// The longest queue among the engines that leave together.
-  pub longest: Queue,
-  /// Tokens that this run holds.
-  pub tokens: u64,
+  /// The engine where it goes on.
+  pub destination: Key,
+  /// When its copy is complete.
+  pub end: Duration,
+  /// When all copies of all runs are complete.
+  pub idle: Duration,
+  /// When its copy starts.
+  pub start: Duration,
 }
 
-impl Plan {
-  /// Returns when the run is copied while it goes on, counted from the notice.
-  ///
-  /// `notice` is the time from the notice until the engine is gone, if it is known.
-  pub fn copy_at(&self, engine: &Engine, notice: Option<Duration>) -> Duration {
-    let window = window(notice);
-    let end = self.before.with(1, self.tokens).time(engine);
-    if end <= window {
-      return Duration::ZERO;
-    }
-    if notice.is_none() {
-      return REPORT_LAG + REPORT_MARGIN;
+/// Plans where and when a run is copied, among the runs of all hosts.
+///
+/// Hosts that learn of a leave at the same moment do not know each other's choices, but
+/// see the same loads. Each plans the copies of all runs in the same order, and does its
+/// own part: so the copies spread over the links of the destinations with no word between
+/// the hosts. The engines that leave take turns. Returns `None` when there is no room.
+pub fn plan<'a>(
+  engine: &'a Engine,
+  sources: &[Source<'_>],
+  candidates: impl IntoIterator<Item = Candidate<'a>>,
+  position: Position,
+  run: Run,
+) -> Option<Plan> {
+  let mut links = Links::new(engine, candidates);
+  let mut own = None;
+  let mut idle = Duration::ZERO;
+  let longest = sources.iter().map(|source| source.runs).max().unwrap_or_default();
+  for round in 0..longest.max(position.index + 1) {
+    for source in sources {
+      let is_own = source.process == position.process && round == position.index;
+      if !is_own && round >= source.runs {
+        continue;
+      }
+      let copied = if is_own { run } else { source.usual() };
+      let Some(copy) = links.copy(source.process, source.data_centre, &copied) else {
+        continue;
+      };
+      idle = idle.max(copy.end);
+      if is_own {
+        own = Some(copy);
+      }
     }
-    window + STOPPING / 2
   }
-
-  /// Returns when the run is stopped and the rest is copied, counted from the notice.
-  pub fn stop_at(&self, engine: &Engine, notice: Option<Duration>) -> Duration {
-    self.longest.time(engine).min(window(notice))
-  }
-}
-
-/// Returns the time from the notice until the runs have to stop.
-fn window(notice: Option<Duration>) -> Duration {
-  notice.unwrap_or(NOTICE).saturating_sub(STOPPING)
+  let own = own?;
+  Some(Plan {
+    destination: own.destination,
+    end: own.end,
+    idle,
+    start: own.start,
+  })
 }
