--- a/yuccarudder/src/limit/tests.rs
+++ b/yuccarudder/src/limit/tests.rs
@@ -2,6 +2,7 @@
   super::*,
   crate::{refusal::Reason, target},
   proptest::prelude::*,
+  std::time::{Duration, Instant},
 };
 
 proptest! {
@@ -76,3 +77,90 @@
   }
   assert!(retries.spend("another", good));
 }
+
+const BOUND: RepeatBound = RepeatBound {
+  allowance: 52.0,
+  share: 0.2,
+  window: Duration::from_secs(10),
+};
+
+fn seconds(seconds: u64) -> Duration {
+  Duration::from_secs(seconds)
+}
+
+#[test]
+fn young_process_has_only_the_share_of_its_requests() {
+  let start = Instant::now();
+  let mut repeats = Repeats::new(start);
+  assert!(!repeats.spend("s", &BOUND, 6, start));
+  for _ in 0..5 {
+    repeats.request("s", &BOUND, start);
+  }
+  assert!(repeats.spend("s", &BOUND, 6, start));
+  assert!(!repeats.spend("s", &BOUND, 6, start));
+}
+
+#[test]
+fn part_of_the_allowance_comes_with_the_first_window() {
+  let start = Instant::now();
+  let mut repeats = Repeats::new(start);
+  let now = start + BOUND.window;
+  let spent = (0..60).filter(|_| repeats.spend("s", &BOUND, 6, now)).count();
+  assert_eq!(spent, 8);
+}
+
+#[test]
+fn repeats_come_back_with_the_window() {
+  let start = Instant::now();
+  let mut repeats = Repeats::new(start);
+  let now = start + BOUND.window;
+  while repeats.spend("s", &BOUND, 6, now) {}
+  assert!(!repeats.spend("s", &BOUND, 6, now + seconds(9)));
+  assert!(repeats.spend("s", &BOUND, 6, now + seconds(10)));
+}
+
+#[test]
+fn services_have_their_own_budgets() {
+  let start = Instant::now();
+  let mut repeats = Repeats::new(start);
+  let now = start + BOUND.window;
+  while repeats.spend("s", &BOUND, 6, now) {}
+  assert!(repeats.spend("t", &BOUND, 6, now));
+}
+
+proptest! {
+  /// Hosts that are killed and start again at any time stay within the whole budget in
+  /// every window.
+  #[test]
+  fn parts_never_exceed_the_whole(events in prop::collection::vec((0_usize..6, 0_u8..8, 0_u64..400), 1..400)) {
+    let start = Instant::now();
+    let mut hosts: Vec<Repeats> = (0..6).map(|_| Repeats::new(start)).collect();
+    let mut now = start + BOUND.window;
+    let mut requests = Vec::new();
+    let mut repeated: Vec<Instant> = Vec::new();
+    for (host, event, pause) in events {
+      now += Duration::from_millis(pause);
+      match event {
+        0 => hosts[host] = Repeats::new(now),
+        1 | 2 => {
+          hosts[host].request("s", &BOUND, now);
+          requests.push(now);
+        }
+        _ => {
+          if hosts[host].spend("s", &BOUND, 6, now) {
+            repeated.push(now);
+          }
+        }
+      }
+      let within = |times: &[Instant], end: Instant| {
+        let inside = |at: &&Instant| **at <= end && end.saturating_duration_since(**at) < BOUND.window;
+        times.iter().filter(inside).count() as f64
+      };
+      // The users set a window's repeats against its requests, or those of a window that
+      // began a half or a whole one earlier.
+      let ends = [now, now - BOUND.window / 2, now - BOUND.window];
+      let most = ends.iter().map(|end| within(&requests, *end)).fold(0.0, f64::max);
+      prop_assert!(within(&repeated, now) <= BOUND.share * most + BOUND.allowance);
+    }
+  }
+}
--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -1,1 +1,160 @@
-use super::*;
+use {
+  super::*,
+  bytes::BytesMut,
+  prost::Message,
+  std::{net::SocketAddr, time::Duration},
+  tokio_util::codec::Decoder,
+};
+
+fn address(host: u8) -> SocketAddr {
+  ([10, 0, 0, host], 7200).into()
+}
+
+fn ms(ms: u64) -> Duration {
+  Duration::from_millis(ms)
+}
+
+fn pulse(host: u8, sequence: u64) -> Pulse {
+  Pulse {
+    callers: address(host).to_string(),
+    catalog_age_ms: Some(100),
+    catalog_version: 1,
+    echo: None,
+    incarnation: u64::from(host),
+    leaving: Vec::new(),
+    loads: Vec::new(),
+    members: Vec::new(),
+    phase: Phase::Ready.number(),
+    reads: true,
+    sender: address(host).to_string(),
+    sequence,
+    weight: 250,
+  }
+}
+
+fn table() -> Table {
+  Table::new(address(1), 1, vec![address(1), address(2)])
+}
+
+fn addresses(table: &mut Table, now: Duration) -> Vec<SocketAddr> {
+  table.outgoing(now).0.into_iter().map(|known| known.address).collect()
+}
+
+#[test]
+fn seeds_but_not_this_host_are_sent_pulses() {
+  assert_eq!(addresses(&mut table(), ms(0)), [address(2)]);
+}
+
+#[test]
+fn hosts_that_others_know_are_sent_pulses() {
+  let mut table = table();
+  let mut heard = pulse(2, 1);
+  heard.members = vec![address(1).to_string(), address(3).to_string(), "?".into()];
+  table.receive(&heard, ms(0)).unwrap();
+  assert_eq!(addresses(&mut table, ms(0)), [address(2), address(3)]);
+}
+
+#[test]
+fn silent_host_is_not_live_and_forgotten_later() {
+  let mut table = table();
+  table.receive(&pulse(3, 1), ms(0)).unwrap();
+  assert_eq!(table.live(ms(1299)).count(), 1);
+  assert_eq!(table.live(ms(1300)).count(), 0);
+  assert_eq!(table.count(), 2);
+  let (known, forgotten) = table.outgoing(ms(60_000));
+  assert_eq!((known.len(), forgotten), (1, vec![address(3)]));
+}
+
+#[test]
+fn pulses_that_overtake_each_other_change_nothing() {
+  let mut table = table();
+  table.receive(&pulse(2, 5), ms(0)).unwrap();
+  assert!(table.receive(&pulse(2, 4), ms(10)).is_none());
+  let mut another_process = pulse(2, 1);
+  another_process.incarnation = 99;
+  assert!(table.receive(&another_process, ms(20)).is_some());
+}
+
+#[test]
+fn own_pulses_and_bad_addresses_are_dropped() {
+  let mut table = table();
+  assert!(table.receive(&pulse(1, 1), ms(0)).is_none());
+  let mut bad = pulse(2, 1);
+  bad.sender = "nowhere".into();
+  assert!(table.receive(&bad, ms(0)).is_none());
+}
+
+/// Names a case: the process and number that a pulse echoes, when it came, and the time
+/// that the sender's confirmation is not older than.
+macro_rules! anchors {
+  ($name:ident, $incarnation:expr, $sequence:expr, $at:expr, $expected:expr) => {
+    #[test]
+    fn $name() {
+      let mut table = table();
+      for (sequence, at) in [(1, ms(1_000)), (2, ms(1_200))] {
+        table.record_sent(Sent { at, sequence });
+      }
+      let mut heard = pulse(2, 1);
+      heard.echo = Some(Echo {
+        incarnation: $incarnation,
+        sequence: $sequence,
+      });
+      let news = table.receive(&heard, $at).unwrap();
+      assert_eq!(news.confirmed, $expected);
+    }
+  };
+}
+
+anchors!(
+  age_counts_from_the_echoed_pulse,
+  1,
+  2,
+  ms(1_250),
+  Some(ms(1_100))
+);
+anchors!(
+  time_on_the_way_does_not_make_it_younger,
+  1,
+  1,
+  ms(9_000),
+  Some(ms(900))
+);
+anchors!(
+  echo_of_an_earlier_process_proves_nothing,
+  7,
+  2,
+  ms(1_250),
+  None
+);
+anchors!(
+  echo_of_a_pulse_that_is_forgotten_proves_nothing,
+  1,
+  3,
+  ms(1_250),
+  None
+);
+
+#[test]
+fn pulse_without_echo_proves_nothing() {
+  assert_eq!(
+    table().receive(&pulse(2, 1), ms(0)).unwrap().confirmed,
+    None
+  );
+}
+
+#[test]
+fn datagrams_that_cannot_be_read_are_dropped() {
+  let mut buffer = BytesMut::from(&b"\xff\xff"[..]);
+  assert_eq!(Codec.decode(&mut buffer).unwrap(), Some(None));
+  assert!(buffer.is_empty());
+  let mut buffer = BytesMut::from(&pulse(2, 1).encode_to_vec()[..]);
+  assert_eq!(Codec.decode(&mut buffer).unwrap(), Some(Some(pulse(2, 1))));
+}
+
+#[test]
+fn phases_keep_their_numbers() {
+  for phase in [Phase::Leaving, Phase::Ready, Phase::Starting] {
+    assert_eq!(Phase::from_number(phase.number()), phase);
+  }
+  assert_eq!(Phase::from_number(77), Phase::Starting);
+}
--- a/yuccarudder/src/relocation/links.rs
+++ b/yuccarudder/src/relocation/links.rs
@@ -32,16 +32,16 @@
 }
 
 /// The links of the engines, each of which carries one copy after another.
-pub struct Links<'a> {
-  candidates: Vec<(Candidate<'a>, Duration)>,
-  engine: &'a Engine,
+pub struct Links<'c, 'e> {
+  candidates: Vec<(Candidate<'c>, Duration)>,
+  engine: &'e Engine,
   sources: HashMap<u64, Duration>,
 }
 
-impl<'a> Links<'a> {
+impl<'c, 'e> Links<'c, 'e> {
   /// Takes the links with the copies that are on their way.
-  pub fn new(engine: &'a Engine, candidates: impl IntoIterator<Item = Candidate<'a>>) -> Self {
-    let free = |candidate: Candidate<'a>| {
+  pub fn new(engine: &'e Engine, candidates: impl IntoIterator<Item = Candidate<'c>>) -> Self {
+    let free = |candidate: Candidate<'c>| {
       let free = engine.copy_time(candidate.load.copying);
       (candidate, free)
     };
--- a/yuccarudder/src/relocation/plan.rs
+++ b/yuccarudder/src/relocation/plan.rs
@@ -67,10 +67,10 @@
 /// see the same loads. Each plans the copies of all runs in the same order, and does its
 /// own part: so the copies spread over the links of the destinations with no word between
 /// the hosts. The engines that leave take turns. Returns `None` when there is no room.
-pub fn plan<'a>(
-  engine: &'a Engine,
+pub fn plan<'c>(
+  engine: &Engine,
   sources: &[Source<'_>],
-  candidates: impl IntoIterator<Item = Candidate<'a>>,
+  candidates: impl IntoIterator<Item = Candidate<'c>>,
   position: Position,
   run: Run,
 ) -> Option<Plan> {
