--- a/yuccarudder/src/gateway/directory.rs
+++ b/yuccarudder/src/gateway/directory.rs
@@ -5,6 +5,8 @@
 
 /// How long callers may keep an answer; a host that leaves is called for that long.
 const KEEP: Duration = Duration::from_secs(2);
+/// Part of unequal hosts that one answer names: one in this many.
+const NAMED_PART: usize = 3;
 /// Most addresses in one answer.
 const MAX_ADDRESSES: usize = 64;
 
@@ -22,19 +24,72 @@
   pub fn directory(&self) -> Option<Directory> {
     let ready = self.is_ready();
     let state = self.lock();
-    let mut addresses = state.ready_hosts(self.clock.boot());
+    let mut hosts = state.ready_hosts(self.clock.boot());
     if ready {
-      addresses.push(state.settings.callers);
-    }
-    addresses.sort_unstable();
-    addresses.dedup();
-    let count = addresses.len();
-    if count > MAX_ADDRESSES {
-      // Answers start at different hosts, so that no host is left out by all of them.
-      addresses.rotate_left(rand::random_range(0..count));
-      addresses.truncate(MAX_ADDRESSES);
+      hosts.push((state.settings.callers, state.settings.weight));
     }
     let keep = KEEP.min(state.settings.promises.directory_keep);
+    let addresses = spread(hosts, || rand::random_range(0.0..1.0));
     (!addresses.is_empty()).then_some(Directory { addresses, keep })
   }
 }
+
+/// Chooses the hosts to name, so that each gets callers by its weight.
+///
+/// Callers pick one of the addresses at random. Where all hosts are alike, all are named;
+/// else each answer names a random part of them, in which heavier ones are more often.
+fn spread(mut hosts: Vec<(SocketAddr, u32)>, mut random: impl FnMut() -> f64) -> Vec<SocketAddr> {
+  hosts.sort_unstable();
+  hosts.dedup_by_key(|(address, _)| *address);
+  let alike = hosts.windows(2).all(|pair| pair[0].1 == pair[1].1);
+  let count = if alike {
+    hosts.len()
+  } else {
+    hosts.len().div_ceil(NAMED_PART)
+  };
+  // The largest of u^(1/w) are a sample without replacement, by the weights w.
+  let key = |weight: u32, random: f64| random.powf(1.0 / f64::from(weight.max(1)));
+  let mut ranked: Vec<(f64, SocketAddr)> =
+    hosts.into_iter().map(|(address, weight)| (key(weight, random()), address)).collect();
+  ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
+  ranked.truncate(count.min(MAX_ADDRESSES));
+  let mut addresses: Vec<SocketAddr> = ranked.into_iter().map(|(_, address)| address).collect();
+  addresses.sort_unstable();
+  addresses
+}
+
+#[cfg(test)]
+mod tests {
+  use super::*;
+
+  fn host(host: u8) -> SocketAddr {
+    ([10, 0, 0, host], 80).into()
+  }
+
+  #[test]
+  fn all_of_equal_hosts_are_named() {
+    let hosts = (1..7).map(|index| (host(index), 250)).collect();
+    assert_eq!(spread(hosts, || 0.5).len(), 6);
+  }
+
+  #[test]
+  fn heavier_hosts_are_named_more_often() {
+    let mut seed = 0_u32;
+    let mut random = || {
+      seed = seed.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+      f64::from(seed >> 8) / f64::from(1 << 24)
+    };
+    let mut named = [0; 10];
+    for _ in 0..1000 {
+      let hosts = (0..10).map(|index| (host(index), if index < 5 { 500 } else { 125 })).collect();
+      for address in spread(hosts, &mut random) {
+        named[usize::from(
+          address.ip().to_string().rsplit('.').next().unwrap().parse::<u8>().unwrap(),
+        )] += 1;
+      }
+    }
+    let heavy: i32 = named[..5].iter().sum();
+    let light: i32 = named[5..].iter().sum();
+    assert!(heavy > 2 * light, "{named:?}");
+  }
+}
--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -6,7 +6,7 @@
     member::{self, Phase},
     metrics::Metrics,
     placement::{Health, Outcome, Places},
-    reader::{Area, Change, Error, Snapshot, Subject},
+    reader::{Area, Change, Changes, Error, Mode, Snapshot, Subject},
     relocation,
     roster::{Key, Roster},
     routing::{Bounds, Catalog, Freshness},
@@ -36,13 +36,21 @@
 const MISSED_HEARTBEATS: u32 = 2;
 /// Taken off a bound on the age of the catalog for the time that a decision takes.
 const AGE_MARGIN: Duration = Duration::from_millis(250);
-/// Pause between questions of the host that reads the targets for the others.
-const FIRST_READER_PAUSE: Duration = Duration::from_millis(120);
-/// Pause between questions of the host that stands in for it.
-const SECOND_READER_PAUSE: Duration = Duration::from_millis(500);
-/// Pause between questions of all others, who hear of news from the first two.
-const READER_PAUSE: Duration = Duration::from_millis(1500);
+/// Hosts that follow the operator's documents: each of them proves that the catalog is
+/// current, so that the age of the proof stays short when some are cut off.
+const OPERATOR_READERS: usize = 8;
+/// Age of the proof at which any host reads for itself.
+const OLD_PROOF: Duration = Duration::from_millis(2500);
+/// How often a host that does not read looks whether it has to.
+const REST: Duration = Duration::from_millis(250);
+/// Pauses between two questions of the hosts that follow the targets closely; they tell
+/// the others of those that leave.
+const TARGET_READERS: [Duration; 2] = [Duration::from_millis(120), Duration::from_millis(500)];
+/// Pause between two looks of all others at the targets.
+const GLANCE: Duration = Duration::from_millis(1200);
 const PREFIX: &str = "gateway";
+/// The source of news that another host told.
+pub(super) const HOST: &str = "host";
 
 /// What a host knows and has in hand.
 pub(super) struct State {
@@ -51,6 +59,8 @@
   pub(super) health: Health,
   pub(super) leaving: bool,
   pub(super) members: member::Table,
+  /// The revision up to which the operator's documents are known.
+  pub(super) operator_revision: u64,
   pub(super) published: Bytes,
   pub(super) repeats: Repeats,
   pub(super) roster: Roster,
@@ -82,13 +92,15 @@
 
 impl Gateway {
   /// Takes in changes that the platform told of.
-  pub fn apply(&self, area: Area, changes: Vec<Change>, asked: Duration) {
+  pub fn apply(&self, area: Area, changes: Changes, asked: Duration) {
     let mut leaving = Vec::new();
-    for change in changes {
+    for change in changes.changes {
       leaving.extend(self.apply_one(change, asked));
     }
     if area == Area::Operator {
-      self.lock().freshness.confirm(asked);
+      let mut state = self.lock();
+      state.freshness.confirm(asked);
+      state.operator_revision = state.operator_revision.max(changes.revision);
     }
     self.tell_leaving(&leaving, "platform");
   }
@@ -171,6 +183,7 @@
       leaving: false,
       listed_targets: false,
       members: member::Table::new(settings.peers, incarnation, settings.seeds.clone()),
+      operator_revision: 0,
       published: Bytes::new(),
       recovered: None,
       repeats: Repeats::new(clock.now()),
@@ -250,21 +263,20 @@
     }
   }
 
-  /// Returns how long to wait between two questions to the platform.
-  ///
-  /// Two hosts follow the targets closely and tell the others of those that leave.
-  pub fn read_pause(&self, area: Area) -> Duration {
-    if area == Area::Operator {
-      return Duration::ZERO;
-    }
+  /// Returns how this host follows an area.
+  pub fn read_mode(&self, area: Area) -> Mode {
+    let now = self.clock.boot();
     let state = self.lock();
-    let this = state.settings.peers;
-    let members = state.members.live(self.clock.boot());
-    let before = members.filter(|(address, member)| member.reads && *address < this).count();
-    match before {
-      0 => FIRST_READER_PAUSE,
-      1 => SECOND_READER_PAUSE,
-      _ => READER_PAUSE,
+    let rank = state.members.rank(state.settings.weight, now);
+    match area {
+      Area::Operator if rank < OPERATOR_READERS => Mode::Follow(Duration::ZERO),
+      Area::Operator if state.freshness.is_within(OLD_PROOF, now) => Mode::Rest(REST),
+      Area::Operator => Mode::Follow(Duration::ZERO),
+      Area::Targets => match TARGET_READERS.get(rank) {
+        Some(pause) => Mode::Follow(*pause),
+        None if state.listed_targets => Mode::Glance(GLANCE),
+        None => Mode::Follow(GLANCE),
+      },
     }
   }
 
@@ -310,7 +322,9 @@
         _ => {}
       }
     }
-    self.lock().roster.set_evacuated(evacuated);
+    let mut state = self.lock();
+    state.roster.set_evacuated(evacuated);
+    state.operator_revision = state.operator_revision.max(snapshot.revision);
   }
 
   fn replace_targets(&self, snapshot: Snapshot) {
@@ -322,7 +336,9 @@
     let entries: Vec<_> = entries.collect();
     let mut state = self.lock();
     let recovering = state.recovering(now);
-    log::info!(target: PREFIX, targets = entries.len(), revision = snapshot.revision, recovering; "Listed the targets.");
+    if !state.listed_targets {
+      log::info!(target: PREFIX, targets = entries.len(), revision = snapshot.revision, recovering; "Listed the targets.");
+    }
     let leaving = state.roster.replace(entries, snapshot.revision, recovering, now);
     state.listed_targets = true;
     drop(state);
@@ -342,6 +358,13 @@
     state.repeats.spend(service, &bound, hosts, now)
   }
 
+  /// Tells the other hosts of a request that was placed, where they can afford to hear it.
+  pub(super) fn tell_placement(&self) {
+    if member::is_small(self.lock().members.count()) {
+      self.news.notify_one();
+    }
+  }
+
   /// Tells the tasks and the other hosts that targets leave.
   pub(super) fn tell_leaving(&self, keys: &[Key], source: &str) {
     // New targets, too, are a reason to look again.
@@ -359,7 +382,9 @@
       self.learn_departure(*key);
     }
     self.roster_changes.send_modify(|count| *count += 1);
-    self.news.notify_one();
+    if source != HOST {
+      self.news.notify_one();
+    }
   }
 
   /// Asks a target that leaves, where this host has runs, when it is gone.
@@ -408,10 +433,10 @@
     self.recovered.is_some_and(recently)
   }
 
-  /// Returns where callers reach the hosts that take them.
-  pub(super) fn ready_hosts(&self, now: Duration) -> Vec<SocketAddr> {
+  /// Returns where callers reach the hosts that take them, with the hosts' weights.
+  pub(super) fn ready_hosts(&self, now: Duration) -> Vec<(SocketAddr, u32)> {
     let ready = |(_, member): (SocketAddr, &member::Member)| {
-      (member.phase == Phase::Ready).then_some(member.callers)
+      (member.phase == Phase::Ready).then_some((member.callers, member.weight))
     };
     self.members.live(now).filter_map(ready).collect()
   }
--- a/yuccarudder/src/gateway/placed.rs
+++ b/yuccarudder/src/gateway/placed.rs
@@ -112,7 +112,8 @@
       slots: target.listing.slots,
       tried: tried.contains(&key),
     });
-    placement::choose(candidates, need, || rand::random_range(0.0..1.0))
+    let sample = placement::sample(state.members.count());
+    placement::choose(candidates, need, sample, || rand::random_range(0.0..1.0))
   }
 
   fn need(&self, engine: Option<&Engine>) -> Need {
@@ -165,7 +166,7 @@
     });
     if load.tokens > 0 {
       // The other hosts are to choose by this load, too.
-      self.gateway.news.notify_one();
+      self.gateway.tell_placement();
     }
     Spot { key, place, target }
   }
--- a/yuccarudder/src/gateway/pulses.rs
+++ b/yuccarudder/src/gateway/pulses.rs
@@ -1,5 +1,5 @@
 use {
-  super::Gateway,
+  super::{Gateway, gateway::HOST},
   crate::member::{self, Codec, Known, Phase, Pulse, Sent},
   bytes::Bytes,
   futures::{SinkExt, StreamExt, stream::SplitSink},
@@ -9,10 +9,8 @@
   tokio_util::udp::UdpFramed,
 };
 
-/// Time between two pulses of a host.
-const PERIOD: Duration = Duration::from_millis(200);
-/// Shortest time between two pulses when there is news, for each host that they go to.
-const NEWS_PERIOD: Duration = Duration::from_millis(2);
+/// Hosts that one pulse names.
+const MEMBERS_TOLD: usize = 8;
 const PREFIX: &str = "member";
 const RECEIVE_DELAY: Duration = Duration::from_millis(10);
 
@@ -39,19 +37,20 @@
       gateway.tick();
       sequence += 1;
       let hosts = send(&gateway, &mut sender, sequence).await;
-      let pause = (NEWS_PERIOD * hosts).min(PERIOD);
+      let pause = member::news_period(hosts);
       time::sleep(pause).await;
+      let rest = member::period(hosts).saturating_sub(pause);
       // Both news and the end of the period are a reason to send.
-      let _ = time::timeout(PERIOD - pause, gateway.news.notified()).await;
+      let _ = time::timeout(rest, gateway.news.notified()).await;
     }
   };
   tokio::join!(receiving, sending);
 }
 
 /// Sends a pulse to every host; returns their number.
-async fn send(gateway: &Gateway, sender: &mut Sender, sequence: u64) -> u32 {
+async fn send(gateway: &Gateway, sender: &mut Sender, sequence: u64) -> usize {
   let (pulse, known) = compose(gateway, sequence);
-  let hosts = u32::try_from(known.len()).unwrap_or(u32::MAX);
+  let hosts = known.len();
   for Known { address, echo } in known {
     let pulse = Pulse {
       echo,
@@ -78,6 +77,8 @@
     catalog_age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX) + 1),
     catalog_version: state.version(),
     echo: None,
+    evacuated: state.roster.evacuated().map(str::to_owned).collect(),
+    operator_revision: state.operator_revision,
     incarnation: state.members.incarnation(),
     leaving: state
       .roster
@@ -85,7 +86,7 @@
       .map(|(target, revision)| member::Leaving { revision, target })
       .collect(),
     loads: loads.into_iter().map(|(target, load)| member::Load::new(target, load)).collect(),
-    members: state.members.live(now).map(|(address, _)| address.to_string()).collect(),
+    members: some(state.members.live(now).map(|(address, _)| address)),
     phase: phase.number(),
     reads: state.reads(),
     sender: state.settings.peers.to_string(),
@@ -100,6 +101,15 @@
   (pulse, known)
 }
 
+/// Returns a few of the hosts, others each time.
+fn some(hosts: impl Iterator<Item = SocketAddr>) -> Vec<String> {
+  let mut hosts: Vec<SocketAddr> = hosts.collect();
+  while hosts.len() > MEMBERS_TOLD {
+    hosts.swap_remove(rand::random_range(0..hosts.len()));
+  }
+  hosts.into_iter().map(|host| host.to_string()).collect()
+}
+
 fn receive(gateway: &Gateway, pulse: &Pulse) {
   let heard = gateway.clock.now();
   let now = gateway.clock.boot();
@@ -113,13 +123,17 @@
       state.freshness.confirm(confirmed);
     }
   }
+  if pulse.operator_revision > state.operator_revision {
+    state.operator_revision = pulse.operator_revision;
+    state.roster.set_evacuated(pulse.evacuated.iter().cloned());
+  }
   let told = pulse.leaving.iter();
   let leaving: Vec<_> = told
     .filter_map(|leaving| state.roster.learn_leaving(leaving.target, leaving.revision, heard))
     .collect();
   drop(state);
   if !leaving.is_empty() {
-    gateway.tell_leaving(&leaving, "host");
+    gateway.tell_leaving(&leaving, HOST);
   }
   learn_loads(gateway, pulse, news.sender);
   if pulse.catalog_version > version {
@@ -141,7 +155,7 @@
 async fn take_catalog(gateway: Gateway, host: SocketAddr, above: u64) {
   match member::fetch(host, above).await {
     Ok(bytes) if bytes.is_empty() => {}
-    Ok(bytes) => gateway.offer_catalog(bytes, None, "host"),
+    Ok(bytes) => gateway.offer_catalog(bytes, None, HOST),
     Err(error) => {
       log::warn!(target: PREFIX, host:% = host, error:% = error; "Another host's catalog was not taken.");
     }
--- a/yuccarudder/src/member/mod.rs
+++ b/yuccarudder/src/member/mod.rs
@@ -4,12 +4,14 @@
 //! tells its phase, the version and age of its catalog, the load it has at targets, the
 //! targets that it knows to leave and the hosts that it knows.
 
+mod cadence;
 mod codec;
 mod phase;
 mod pulse;
 mod table;
 mod transfer;
 
+pub use cadence::{is_small, news_period, period, silence};
 pub use codec::Codec;
 pub use phase::Phase;
 pub use pulse::{Echo, Leaving, Load, Pulse};
--- a/yuccarudder/src/member/pulse.rs
+++ b/yuccarudder/src/member/pulse.rs
@@ -76,6 +76,12 @@
   /// Where callers reach the sender.
   #[prost(string, tag = "1")]
   pub callers: String,
+  /// Data centres that are out of service, as of the operator's revision.
+  #[prost(string, repeated, tag = "14")]
+  pub evacuated: Vec<String>,
+  /// The platform's revision up to which the sender knows the operator's documents.
+  #[prost(uint64, tag = "15")]
+  pub operator_revision: u64,
   /// Age of the sender's last confirmation of its catalog, in milliseconds.
   #[prost(uint64, optional, tag = "2")]
   pub catalog_age_ms: Option<u64>,
--- a/yuccarudder/src/member/table.rs
+++ b/yuccarudder/src/member/table.rs
@@ -1,14 +1,13 @@
 use {
-  super::{Echo, Phase, Pulse},
+  super::{Echo, Phase, Pulse, cadence},
   std::{
+    cmp::Reverse,
     collections::{HashMap, VecDeque},
     net::SocketAddr,
     time::Duration,
   },
 };
 
-/// Silence after which a host is no longer named to callers.
-const SILENCE: Duration = Duration::from_millis(1300);
 /// Silence after which a host is no longer sent pulses, unless it is a seed.
 const FORGET: Duration = Duration::from_secs(60);
 /// Own pulses whose sending times are kept.
@@ -76,7 +75,8 @@
 impl Table {
   /// Returns the hosts that were heard lately.
   pub fn live(&self, now: Duration) -> impl Iterator<Item = (SocketAddr, &Member)> {
-    let live = move |member: &&Member| now.saturating_sub(member.heard) < SILENCE;
+    let silence = cadence::silence(self.count());
+    let live = move |member: &&Member| now.saturating_sub(member.heard) < silence;
     self
       .members
       .iter()
@@ -183,6 +183,16 @@
     sent.at.checked_sub(age)
   }
 
+  /// Returns how many live hosts go before this one, which can carry `weight`, when a
+  /// duty of few hosts is dealt: those that read the platform and can carry more.
+  pub fn rank(&self, weight: u32, now: Duration) -> usize {
+    let this = (Reverse(weight), self.this);
+    let before = |(address, member): &(SocketAddr, &Member)| {
+      member.reads && (Reverse(member.weight), *address) < this
+    };
+    self.live(now).filter(before).count()
+  }
+
   /// Records that pulses were sent.
   pub fn record_sent(&mut self, sent: Sent) {
     self.sent.push_back(sent);
--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -20,6 +20,8 @@
     catalog_age_ms: Some(100),
     catalog_version: 1,
     echo: None,
+    evacuated: Vec::new(),
+    operator_revision: 0,
     incarnation: u64::from(host),
     leaving: Vec::new(),
     loads: Vec::new(),
--- a/yuccarudder/src/placement/choose.rs
+++ b/yuccarudder/src/placement/choose.rs
@@ -1,4 +1,7 @@
-use {super::Load, crate::roster::Key};
+use {
+  super::Load,
+  crate::{member, roster::Key},
+};
 
 /// Weight of a token that is still to be read in against one that is held: reading one
 /// prompt in delays its neighbours about as much as a third of the memory being full.
@@ -43,13 +46,32 @@
   None,
 }
 
-/// Chooses the least loaded target with room.
+/// Hosts that may choose by the same old loads without meeting at one target too often.
+const TOGETHER: f64 = 2.5;
+/// Fewest targets that a choice is made among.
+const MIN_SAMPLE: f64 = 2.0;
+
+/// Returns the share of the targets that a host chooses among in a fleet of hosts.
+///
+/// In a large fleet hosts hear of each other's choices with the next pulse only. The more
+/// of them choose until then, the more would meet at the target that all see as the least
+/// loaded one, so each chooses among a few at random.
+pub fn sample(hosts: usize) -> f64 {
+  if member::is_small(hosts) {
+    1.0
+  } else {
+    TOGETHER / hosts as f64
+  }
+}
+
+/// Chooses the least loaded target with room, among a random `sample` of those.
 ///
 /// Targets that lately failed are used only when all did; `random` returns numbers
 /// from 0 to 1.
 pub fn choose(
   candidates: impl IntoIterator<Item = Candidate>,
   need: &Need,
+  sample: f64,
   mut random: impl FnMut() -> f64,
 ) -> Choice {
   let mut candidates: Vec<Candidate> =
@@ -60,8 +82,15 @@
   if candidates.is_empty() {
     return Choice::None;
   }
-  let rooms = candidates.iter().filter(|candidate| has_room(candidate, need));
-  let ranked = rooms.map(|candidate| (cost(candidate, need) + JITTER * random(), candidate.key));
+  candidates.retain(|candidate| has_room(candidate, need));
+  let count = (candidates.len() as f64 * sample).ceil().max(MIN_SAMPLE) as usize;
+  while candidates.len() > count {
+    let index = (random() * candidates.len() as f64) as usize;
+    candidates.swap_remove(index.min(candidates.len() - 1));
+  }
+  let ranked = candidates
+    .iter()
+    .map(|candidate| (cost(candidate, need) + JITTER * random(), candidate.key));
   match ranked.min_by(|a, b| a.0.total_cmp(&b.0)) {
     Some((_, key)) => Choice::Chosen(key),
     None => Choice::Full,
--- a/yuccarudder/src/placement/ledger.rs
+++ b/yuccarudder/src/placement/ledger.rs
@@ -22,6 +22,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
   peers: HashMap<SocketAddr, HashMap<u64, Load>>,
+  /// The sums over the other hosts, by target.
+  peers_total: HashMap<u64, Load>,
   runs: SlotMap<RunKey, Run>,
 }
 
@@ -33,15 +35,19 @@
 
   /// Forgets the loads of a host that is gone.
   pub fn forget(&mut self, host: SocketAddr) {
-    self.peers.remove(&host);
+    for (target, load) in self.peers.remove(&host).unwrap_or_default() {
+      let total = self.peers_total.entry(target).or_default();
+      *total -= load;
+      if total.runs == 0 {
+        self.peers_total.remove(&target);
+      }
+    }
   }
 
   /// Returns the load of a target from all hosts.
   pub fn load(&self, target: u64) -> Load {
     let mut load = self.own(target);
-    for peer in self.peers.values() {
-      load += peer.get(&target).copied().unwrap_or_default();
-    }
+    load += self.peers_total.get(&target).copied().unwrap_or_default();
     load
   }
 
@@ -71,6 +77,10 @@
 
   /// Takes in the loads that another host tells of.
   pub fn learn(&mut self, host: SocketAddr, loads: HashMap<u64, Load>) {
+    self.forget(host);
+    for (target, load) in &loads {
+      *self.peers_total.entry(*target).or_default() += *load;
+    }
     self.peers.insert(host, loads);
   }
 
--- a/yuccarudder/src/placement/load.rs
+++ b/yuccarudder/src/placement/load.rs
@@ -1,4 +1,4 @@
-use std::ops::AddAssign;
+use std::ops::{AddAssign, SubAssign};
 
 /// What requests take at one target.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -24,3 +24,13 @@
     self.tokens += other.tokens;
   }
 }
+
+impl SubAssign for Load {
+  fn sub_assign(&mut self, other: Self) {
+    self.arriving -= other.arriving;
+    self.copying -= other.copying;
+    self.held -= other.held;
+    self.runs -= other.runs;
+    self.tokens -= other.tokens;
+  }
+}
--- a/yuccarudder/src/placement/mod.rs
+++ b/yuccarudder/src/placement/mod.rs
@@ -6,7 +6,7 @@
 mod load;
 mod place;
 
-pub use choose::{Candidate, Choice, Need, choose};
+pub use choose::{Candidate, Choice, Need, choose, sample};
 pub use health::{Health, Outcome};
 pub use ledger::{Ledger, Run, RunKey};
 pub use load::Load;
--- a/yuccarudder/src/placement/tests.rs
+++ b/yuccarudder/src/placement/tests.rs
@@ -50,7 +50,7 @@
       let change: fn(&mut Vec<Candidate>) = $change;
       change(&mut candidates);
       let expected: fn(&[Key]) -> Choice = $expected;
-      assert_eq!(choose(candidates, &NEED, || 0.5), expected(&keys));
+      assert_eq!(choose(candidates, &NEED, 1.0, || 0.5), expected(&keys));
     }
   };
 }
--- a/yuccarudder/src/reader/document.rs
+++ b/yuccarudder/src/reader/document.rs
@@ -73,6 +73,26 @@
 /// All documents of an area; none is older than the revision.
 pub type Snapshot = Changes;
 
+/// How current a list has to be.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Currency {
+  /// As of the question or later.
+  Current,
+  /// It may be seconds old, but is not older than its revision.
+  Outdated,
+}
+
+/// How a host follows an area.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Mode {
+  /// It waits for changes, with a pause between two questions.
+  Follow(Duration),
+  /// It looks at outdated lists, with a pause between two.
+  Glance(Duration),
+  /// It leaves the area to other hosts, and thinks again after a pause.
+  Rest(Duration),
+}
+
 /// Why the platform gave no answer.
 #[derive(Debug)]
 pub enum Error {
@@ -82,8 +102,9 @@
   Unavailable(anyhow::Error),
 }
 
-/// Lists an area.
-pub type List = Arc<dyn Fn(Area) -> BoxFuture<'static, Result<Snapshot, Error>> + Send + Sync>;
+/// Lists an area; a list that may be outdated costs the platform less.
+pub type List =
+  Arc<dyn Fn(Area, Currency) -> BoxFuture<'static, Result<Snapshot, Error>> + Send + Sync>;
 /// Waits up to a time for changes of an area after a revision.
 pub type Watch =
   Arc<dyn Fn(Area, u64, Duration) -> BoxFuture<'static, Result<Changes, Error>> + Send + Sync>;
--- a/yuccarudder/src/reader/mod.rs
+++ b/yuccarudder/src/reader/mod.rs
@@ -3,5 +3,5 @@
 mod document;
 mod run;
 
-pub use document::{Area, Change, Changes, Error, Snapshot, Store, Subject};
+pub use document::{Area, Change, Changes, Currency, Error, Mode, Snapshot, Store, Subject};
 pub use run::run;
--- a/yuccarudder/src/reader/run.rs
+++ b/yuccarudder/src/reader/run.rs
@@ -1,5 +1,5 @@
 use {
-  super::{Area, Changes, Error, Store},
+  super::{Area, Currency, Error, Mode, Store},
   crate::gateway::Gateway,
   anyhow::anyhow,
   std::time::Duration,
@@ -21,15 +21,29 @@
 pub async fn run(gateway: Gateway, store: Store, area: Area) {
   let mut backoff = MIN_BACKOFF;
   loop {
+    let currency = match gateway.read_mode(area) {
+      Mode::Follow(_) => Currency::Current,
+      Mode::Glance(_) => Currency::Outdated,
+      Mode::Rest(rest) => {
+        time::sleep(rest).await;
+        continue;
+      }
+    };
     let asked = gateway.clock.boot();
-    let listed = time::timeout(LIST_TIMEOUT, (store.list)(area)).await;
+    let listed = time::timeout(LIST_TIMEOUT, (store.list)(area, currency)).await;
     match listed.unwrap_or_else(|_| Err(timed_out())) {
       Ok(snapshot) => {
         backoff = MIN_BACKOFF;
         let revision = snapshot.revision;
         gateway.reached_platform(area);
         gateway.replace(area, snapshot, asked);
-        follow(&gateway, &store, area, revision).await;
+        match gateway.read_mode(area) {
+          Mode::Follow(_) if currency == Currency::Current => {
+            follow(&gateway, &store, area, revision).await;
+          }
+          Mode::Follow(_) => {}
+          Mode::Glance(rest) | Mode::Rest(rest) => time::sleep(rest).await,
+        }
       }
       Err(error) => {
         gateway.missed_platform(area, &error);
@@ -39,22 +53,20 @@
   }
 }
 
-/// Takes in changes until the platform no longer keeps those that are next.
+/// Takes in changes while this host is to follow the area, or until the platform no
+/// longer keeps those that are next.
 async fn follow(gateway: &Gateway, store: &Store, area: Area, mut revision: u64) {
   let mut backoff = MIN_BACKOFF;
-  loop {
+  while let Mode::Follow(rest) = gateway.read_mode(area) {
     let asked = gateway.clock.boot();
     let watched = time::timeout(WAIT + WAIT_MARGIN, (store.watch)(area, revision, WAIT)).await;
     match watched.unwrap_or_else(|_| Err(timed_out())) {
-      Ok(Changes {
-        changes,
-        revision: reached,
-      }) => {
+      Ok(changes) => {
         backoff = MIN_BACKOFF;
-        revision = reached.max(revision);
+        revision = changes.revision.max(revision);
         gateway.reached_platform(area);
         gateway.apply(area, changes, asked);
-        time::sleep(gateway.read_pause(area)).await;
+        time::sleep(rest).await;
       }
       Err(Error::Compacted) => {
         log::info!(target: PREFIX, area = area.name(), revision; "The history after the revision is gone; listing again.");
--- a/yuccarudder/src/settings/gateway.rs
+++ b/yuccarudder/src/settings/gateway.rs
@@ -10,6 +10,9 @@
 const ADDRESS: &str = "an IP address and port, such as 10.0.0.1:8080";
 const MILLISECONDS: &str = "a number of milliseconds";
 const SECONDS: &str = "a number of seconds";
+const MILLICORES: f64 = 1000.0;
+/// Thousandths of a core that relaying a megabit a second takes, at most.
+const MILLICORES_PER_MBPS: f64 = 20.0;
 /// Longest time that a setting may give.
 const MAX_SECONDS: f64 = 3600.0;
 
@@ -90,6 +93,8 @@
       });
       let cores = map.require("cores", "a number of processor cores");
       let cores = cores.and_then(|node| node.fraction(&(0.001..=1024.0)));
+      let link = map.require("link_mbps", "the bandwidth of the host's link");
+      let link = link.and_then(|node| node.fraction(&(0.1..=1e6)));
       let promises =
         map.require("promises", "the promises of the platform").and_then(|node| promises(&node));
       map.finish();
@@ -106,12 +111,18 @@
         readiness: readiness?,
         seeds: seeds?,
         store: store?,
-        weight: (cores? * 1000.0).ceil() as u32,
+        weight: weight(cores?, link?),
       })
     })
   }
 }
 
+/// Returns how much a host can carry: the processor binds, or on a narrow link the link.
+fn weight(cores: f64, link_mbps: f64) -> u32 {
+  let cores = cores * MILLICORES;
+  cores.min(link_mbps * MILLICORES_PER_MBPS).ceil() as u32
+}
+
 fn promises(node: &Node<'_, '_>) -> Option<Promises> {
   let mut map = node.map()?;
   let mut seconds = |key| {
