--- a/yuccarudder/src/placement/choose.rs
+++ b/yuccarudder/src/placement/choose.rs
@@ -5,7 +5,7 @@
 
 /// Weight of a token that is still to be read in against one that is held: reading one
 /// prompt in delays its neighbours about as much as a third of the memory being full.
-const ARRIVING_WEIGHT: f64 = 4.0;
+const ARRIVING_WEIGHT: f64 = 8.0;
 /// Share of the memory by which choices of hosts that see the same loads differ.
 const JITTER: f64 = 0.04;
 
