Serve first who can still be on time

Pattern: a data centre is out and a sixth of the other engines leaves every few seconds; four to six engines have 11 requests a second. All waited alike, so most first events came 3 s late; requests that came back took the room of fresh ones.

--- a/yuccarudder/src/gateway/call.rs
+++ b/yuccarudder/src/gateway/call.rs
@@ -18,6 +18,8 @@
 /// One request that was let in, with the catalog that let it in.
 pub struct Call {
   pub account: Option<AccountKey>,
+  /// Time since the caller's first attempt, as far as its deadline tells.
+  pub age: Duration,
   pub arrived: Instant,
   pub ask: Ask,
   pub body: Held,
--- a/yuccarudder/src/gateway/front.rs
+++ b/yuccarudder/src/gateway/front.rs
@@ -74,8 +74,10 @@
   let bound = gateway.settings().promises.repeats;
   gateway.lock().repeats.request(&service, &bound, arrived);
   let body = gateway.memory.hold(&parts.headers, body, catalog.limits.body_bytes).await?;
+  let age = gateway.caller_age(&route.name, ask.deadline);
   Ok(Call {
     account: admitted.account,
+    age,
     arrived,
     ask,
     body,
--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -48,6 +48,8 @@
 const TARGET_READERS: [Duration; 2] = [Duration::from_millis(120), Duration::from_millis(500)];
 /// Pause between two looks of all others at the targets.
 const GLANCE: Duration = Duration::from_millis(1200);
+/// Routes beyond which the deadlines of callers are not remembered.
+const MAX_ROUTES: usize = 4096;
 const PREFIX: &str = "gateway";
 /// The source of news that another host told.
 pub(super) const HOST: &str = "host";
@@ -55,6 +57,8 @@
 /// What a host knows and has in hand.
 pub(super) struct State {
   pub(super) catalog: Option<Arc<Catalog>>,
+  /// The longest deadline of a caller, by route.
+  deadlines: HashMap<String, Duration>,
   pub(super) freshness: Freshness,
   pub(super) health: Health,
   pub(super) leaving: bool,
@@ -143,6 +147,21 @@
     }
   }
 
+  /// Returns how long ago a caller made its first attempt: callers give all attempts
+  /// one deadline, so a later one has less left than the longest that is seen.
+  pub(super) fn caller_age(&self, route: &str, deadline: Option<Duration>) -> Duration {
+    let Some(deadline) = deadline else {
+      return Duration::ZERO;
+    };
+    let mut state = self.lock();
+    if !state.deadlines.contains_key(route) && state.deadlines.len() >= MAX_ROUTES {
+      return Duration::ZERO;
+    }
+    let longest = state.deadlines.entry(route.to_owned()).or_default();
+    *longest = deadline.max(*longest);
+    longest.saturating_sub(deadline)
+  }
+
   /// Returns whether callers are to be sent to this host.
   pub fn is_ready(&self) -> bool {
     self.phase() == Phase::Ready
@@ -178,6 +197,7 @@
     let state = State {
       catalog: None,
       copies: SecondaryMap::new(),
+      deadlines: HashMap::new(),
       freshness: Freshness::default(),
       health: Health::default(),
       leaving: false,
--- a/yuccarudder/src/gateway/placed.rs
+++ b/yuccarudder/src/gateway/placed.rs
@@ -1,7 +1,7 @@
 use {
   super::{call::Call, lengths},
   crate::{
-    placement::{self, Candidate, Choice, Load, Need, Place},
+    placement::{self, Candidate, Choice, Load, Need, Place, Rank},
     refusal::{Reason, Refusal},
     relocation::{self, Plan, Position, Run, Source},
     roster::{Key, Target},
@@ -19,8 +19,15 @@
 const PATIENCE: f64 = 0.6;
 /// How often a waiting request looks for room that no news told of.
 const RECHECK: Duration = Duration::from_millis(25);
-/// When room at full targets may be expected.
-const FULL_RETRY: Duration = Duration::from_millis(1500);
+/// Share of the time left that a request waits for room which can no longer be on time.
+const LATE_PATIENCE: f64 = 0.25;
+/// Share of the objective beyond which a request that is not placed will be late.
+const ON_TIME: f64 = 0.8;
+/// When room at full targets may be expected, in objectives of the route: a request that
+/// waited that long is late, and comes back when those that are not have been served.
+const FULL_RETRY: f64 = 2.0;
+/// Shortest time in which room may be expected.
+const MIN_FULL_RETRY: Duration = Duration::from_millis(300);
 /// When a target may be expected where there is none.
 const NONE_RETRY: Duration = Duration::from_millis(1000);
 
@@ -38,24 +45,50 @@
   ///
   /// Refuses when there is no room or no target in time.
   pub async fn place(&self, tried: &[Key]) -> Result<Spot, Refusal> {
-    let patience = self.route().latency_objective.mul_f64(PATIENCE);
-    let give_up = (self.arrived + patience).min(self.deadline);
+    let rank = self.rank();
+    let waiting = self.gateway.places.enter(&self.service, rank);
     loop {
       let freed = self.gateway.places.freed();
-      let refusal = match self.try_place(tried) {
+      let placed = if waiting.is_first() {
+        self.try_place(tried)
+      } else {
+        Err(self.full())
+      };
+      let refusal = match placed {
         Ok(spot) => return Ok(spot),
         Err(refusal) => refusal,
       };
       let now = self.gateway.clock.now();
-      if now >= give_up {
+      if now >= rank.gives_up {
         return Err(refusal);
       }
-      let recheck = (now + RECHECK).min(give_up);
+      let recheck = (now + RECHECK).min(rank.gives_up);
       // Both a place that was freed and the time to look again lead to another look.
       let _ = time::timeout_at(recheck.into(), freed).await;
     }
   }
 
+  fn rank(&self) -> Rank {
+    let objective = self.route().latency_objective;
+    let late = self.age + self.elapsed() > objective.mul_f64(ON_TIME);
+    let patience = if late {
+      self.left().mul_f64(LATE_PATIENCE)
+    } else {
+      objective.mul_f64(PATIENCE).saturating_sub(self.elapsed())
+    };
+    let gives_up = (self.gateway.clock.now() + patience).min(self.deadline);
+    Rank {
+      gives_up,
+      late,
+      urgency: self.urgency().into(),
+    }
+  }
+
+  fn full(&self) -> Refusal {
+    let after = self.route().latency_objective.mul_f64(FULL_RETRY).max(MIN_FULL_RETRY);
+    Refusal::not_run(Reason::TargetsBusy).with_retry_after(after)
+  }
+
   fn try_place(&self, tried: &[Key]) -> Result<Spot, Refusal> {
     let now = self.gateway.clock.now();
     let engine = self.service().and_then(|service| service.engine.as_ref());
@@ -63,7 +96,7 @@
     let near = self.gateway.settings().data_centre.clone();
     match self.choose(tried, &need, &near, now) {
       Choice::Chosen(key) => Ok(self.take(key, self.first_load(&need))),
-      Choice::Full => Err(Refusal::not_run(Reason::TargetsBusy).with_retry_after(FULL_RETRY)),
+      Choice::Full => Err(self.full()),
       Choice::None => Err(Refusal::not_run(Reason::NoTarget).with_retry_after(NONE_RETRY)),
     }
   }
--- a/yuccarudder/src/placement/mod.rs
+++ b/yuccarudder/src/placement/mod.rs
@@ -5,12 +5,14 @@
 mod ledger;
 mod load;
 mod place;
+mod queue;
 
 pub use choose::{Candidate, Choice, Need, choose, sample};
 pub use health::{Health, Outcome};
 pub use ledger::{Ledger, Run, RunKey};
 pub use load::Load;
-pub use place::{Place, Places};
+pub use place::{Place, Places, Waiting};
+pub use queue::{Queue, Rank, Ticket};
 
 #[cfg(test)]
 mod tests;
--- a/yuccarudder/src/placement/place.rs
+++ b/yuccarudder/src/placement/place.rs
@@ -1,5 +1,5 @@
 use {
-  super::{Ledger, Load, Run, RunKey},
+  super::{Ledger, Load, Queue, Rank, Run, RunKey, Ticket},
   std::sync::{Arc, Mutex, MutexGuard, PoisonError},
   tokio::sync::Notify,
 };
@@ -9,6 +9,7 @@
 pub struct Places {
   freed: Arc<Notify>,
   ledger: Arc<Mutex<Ledger>>,
+  queue: Arc<Mutex<Queue>>,
 }
 
 impl Places {
@@ -17,6 +18,20 @@
     self.freed.notified().await;
   }
 
+  /// Enters a request into the queue of its service until the entry is dropped.
+  pub fn enter(&self, service: &str, rank: Rank) -> Waiting {
+    let ticket = self.queue().enter(service, rank);
+    Waiting {
+      places: self.clone(),
+      service: service.to_owned(),
+      ticket,
+    }
+  }
+
+  fn queue(&self) -> MutexGuard<'_, Queue> {
+    self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+  }
+
   /// Locks the ledger.
   pub fn lock(&self) -> MutexGuard<'_, Ledger> {
     self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
@@ -59,3 +74,25 @@
     self.places.wake();
   }
 }
+
+/// One request's entry in the queue of its service.
+#[derive(Debug)]
+pub struct Waiting {
+  places: Places,
+  service: String,
+  ticket: Ticket,
+}
+
+impl Waiting {
+  /// Returns whether it is this request's turn.
+  pub fn is_first(&self) -> bool {
+    self.places.queue().is_first(&self.service, self.ticket)
+  }
+}
+
+impl Drop for Waiting {
+  fn drop(&mut self) {
+    self.places.queue().leave(&self.service, self.ticket);
+    self.places.wake();
+  }
+}
