Learn lengths by route, bound the logs, measure the way of a request, trace one, and test the path against a stand-in

- Only copies that fit into the notice are ordered; runs stop when those are done.
- Log lines go through a bounded backlog to a thread; each part has a budget.
- Histograms and counters of queue, first event, pause, moves, ejections; `yuccarudder trace`.

--- a/yuccarudder/src/command/command.rs
+++ b/yuccarudder/src/command/command.rs
@@ -1,5 +1,5 @@
 use {
-  super::{ask::Ask, check::Check, explain::Explain, serve::Serve, status::Status},
+  super::{ask::Ask, check::Check, explain::Explain, serve::Serve, status::Status, trace::Trace},
   argh::FromArgs,
 };
 
@@ -18,6 +18,7 @@
   Explain(Explain),
   Serve(Serve),
   Status(Status),
+  Trace(Trace),
 }
 
 impl Command {
@@ -33,6 +34,7 @@
       Subcommand::Explain(explain) => explain.run(),
       Subcommand::Serve(serve) => serve.run(),
       Subcommand::Status(status) => status.run(),
+      Subcommand::Trace(trace) => trace.run(),
     }
   }
 }
--- a/yuccarudder/src/command/mod.rs
+++ b/yuccarudder/src/command/mod.rs
@@ -6,5 +6,6 @@
 mod explain;
 mod serve;
 mod status;
+mod trace;
 
 pub use command::Command;
--- a/yuccarudder/src/gateway/call.rs
+++ b/yuccarudder/src/gateway/call.rs
@@ -39,6 +39,14 @@
     self.account.map(|key| self.catalog.accounts[key].name.as_str())
   }
 
+  /// Returns the tokens of memory that the run is expected to need in the end, after it
+  /// has generated some.
+  pub fn expected_memory(&self, generated: u64) -> u64 {
+    let ask = &self.ask;
+    let lengths = self.gateway.lengths(&self.route().name, ask.max_tokens);
+    ask.prompt_tokens + lengths.expected(ask.length_hint, ask.max_tokens, generated)
+  }
+
   /// Returns the request's name in logs.
   pub fn id(&self) -> &str {
     self.ask.request_id.as_deref().unwrap_or("-")
--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -1,11 +1,12 @@
 use {
+  super::meters::Meters,
   crate::{
     clock::Clock,
-    dialect::Dialect,
+    dialect::{Ask, Dialect},
     limit::{Memory, Repeats},
     member::{self, Phase},
     metrics::Metrics,
-    placement::{Health, Outcome, Places},
+    placement::{Health, Lengths, Outcome, Places},
     reader::{Area, Change, Changes, Error, Mode, Snapshot, Subject},
     relocation,
     roster::{Key, Roster},
@@ -48,7 +49,7 @@
 const TARGET_READERS: [Duration; 2] = [Duration::from_millis(120), Duration::from_millis(500)];
 /// Pause between two looks of all others at the targets.
 const GLANCE: Duration = Duration::from_millis(1200);
-/// Routes beyond which the deadlines of callers are not remembered.
+/// Routes beyond which nothing is remembered of their requests.
 const MAX_ROUTES: usize = 4096;
 const PREFIX: &str = "gateway";
 /// The source of news that another host told.
@@ -62,6 +63,8 @@
   pub(super) freshness: Freshness,
   pub(super) health: Health,
   pub(super) leaving: bool,
+  /// How long answers are, by route.
+  lengths: HashMap<String, Lengths>,
   pub(super) members: member::Table,
   /// The revision up to which the operator's documents are known.
   pub(super) operator_revision: u64,
@@ -85,7 +88,9 @@
   pub clock: Clock,
   pub(super) dialect: Dialect,
   pub(super) memory: Memory,
-  /// Metrics.
+  /// Metrics of the way of a request.
+  pub(super) meters: Arc<Meters>,
+  /// Metrics that all surfaces share.
   pub metrics: Arc<Metrics>,
   pub(super) news: Arc<Notify>,
   pub(super) places: Places,
@@ -167,6 +172,22 @@
     self.phase() == Phase::Ready
   }
 
+  /// Learns from a whole answer of a route.
+  pub(super) fn learn_length(&self, route: &str, ask: &Ask, generated: u64) {
+    let mut lengths = self.lengths(route, ask.max_tokens);
+    lengths.learn(ask.length_hint, generated);
+    let mut state = self.lock();
+    if state.lengths.contains_key(route) || state.lengths.len() < MAX_ROUTES {
+      state.lengths.insert(route.to_owned(), lengths);
+    }
+  }
+
+  /// Returns how long the answers of a route are.
+  pub(super) fn lengths(&self, route: &str, most: u64) -> Lengths {
+    let lengths = self.lock().lengths.get(route).copied();
+    lengths.unwrap_or_else(|| Lengths::new(most))
+  }
+
   /// Announces that this host leaves.
   pub fn leave(&self) {
     self.lock().leaving = true;
@@ -201,6 +222,7 @@
       freshness: Freshness::default(),
       health: Health::default(),
       leaving: false,
+      lengths: HashMap::new(),
       listed_targets: false,
       members: member::Table::new(settings.peers, incarnation, settings.seeds.clone()),
       operator_revision: 0,
@@ -217,6 +239,7 @@
       clock,
       dialect,
       memory: Memory::new(held as u64),
+      meters: Arc::default(),
       metrics: Arc::default(),
       news: Arc::default(),
       places: Places::default(),
@@ -253,6 +276,12 @@
     }
   }
 
+  /// Returns the number of targets that take work.
+  pub fn open_targets(&self) -> usize {
+    let state = self.lock();
+    state.roster.all().filter(|(key, _)| state.roster.is_open(*key)).count()
+  }
+
   /// Returns the phase that the other hosts are told.
   pub fn phase(&self) -> Phase {
     let state = self.lock();
@@ -307,6 +336,7 @@
     if let Some(ejection) = ejection
       && let Some(target) = state.roster.get(key)
     {
+      self.meters.ejections.with_label_values(&[outcome.name()]).inc();
       log::warn!(
         target: PREFIX, target:% = target.id, outcome:? = outcome, ejection_ms = ejection.as_millis() as u64;
         "A target failed too often and is passed over."
@@ -396,6 +426,7 @@
       let state = self.lock();
       if let Some(target) = state.roster.get(*key) {
         log::info!(target: PREFIX, target:% = target.id, source; "A target leaves.");
+        self.meters.leaves.with_label_values(&[source]).inc();
       }
     }
     for key in keys {
--- a/yuccarudder/src/gateway/mod.rs
+++ b/yuccarudder/src/gateway/mod.rs
@@ -9,7 +9,7 @@
 mod directory;
 mod front;
 mod gateway;
-mod lengths;
+mod meters;
 mod movement;
 mod pauses;
 mod placed;
@@ -25,3 +25,6 @@
 pub use directory::Directory;
 pub use gateway::Gateway;
 pub use serve::{Server, run};
+
+#[cfg(test)]
+mod tests;
--- a/yuccarudder/src/gateway/movement.rs
+++ b/yuccarudder/src/gateway/movement.rs
@@ -103,8 +103,8 @@
       self.retry(call);
       return;
     };
-    self.plan = Some(plan);
-    match window.copy_at(&plan).map(|at| since + at) {
+    let plan = self.plan.insert(plan);
+    match window.copy_at(plan).map(|at| since + at) {
       None => {
         log::info!(
           target: PREFIX, id = call.id(), source:% = source.target.id, end_ms = plan.end.as_millis() as u64,
@@ -196,7 +196,7 @@
   pub fn stop(&mut self, call: &Call, source: &Spot, destination: Spot) {
     let now = call.gateway.clock.now();
     let (since, window) = window(call, source);
-    let due = self.plan.map_or(now, |plan| since + window.stop_at(&plan));
+    let due = self.plan.as_ref().map_or(now, |plan| since + window.stop_at(plan));
     if due <= now {
       self.order(call, source, destination, true);
     } else {
--- a/yuccarudder/src/gateway/placed.rs
+++ b/yuccarudder/src/gateway/placed.rs
@@ -1,5 +1,5 @@
 use {
-  super::{call::Call, lengths},
+  super::call::Call,
   crate::{
     placement::{self, Candidate, Choice, Load, Need, Place, Rank},
     refusal::{Reason, Refusal},
@@ -55,7 +55,12 @@
         Err(self.full())
       };
       let refusal = match placed {
-        Ok(spot) => return Ok(spot),
+        Ok(spot) => {
+          let waited = self.elapsed().as_secs_f64();
+          let kind = self.route().kind.name();
+          self.gateway.meters.queue.with_label_values(&[kind]).observe(waited);
+          return Ok(spot);
+        }
         Err(refusal) => refusal,
       };
       let now = self.gateway.clock.now();
@@ -153,11 +158,7 @@
     let stream = matches!(self.route().kind, Kind::Stream { .. });
     Need {
       memory: engine.map(|engine| (engine.memory_tokens as f64 * FILL) as u64),
-      tokens: if stream {
-        lengths::expected_memory(&self.ask, 0)
-      } else {
-        0
-      },
+      tokens: if stream { self.expected_memory(0) } else { 0 },
     }
   }
 
--- a/yuccarudder/src/gateway/plain.rs
+++ b/yuccarudder/src/gateway/plain.rs
@@ -13,6 +13,7 @@
 
 /// Largest answer; it is held whole before its caller gets it.
 const MAX_ANSWER_BYTES: u64 = 1 << 20;
+const PREFIX: &str = "plain";
 /// Share of the time left that one try of a repeatable request may take, so that there
 /// is time for another one.
 const TRY_SHARE: f64 = 0.4;
@@ -54,7 +55,7 @@
     state.tries += 1;
     tried.push(spot.key);
     let failed = match exchange(&call, &spot, patience(&call, &state)).await {
-      Ok(answer) => return Ok(answer),
+      Ok(answer) => return Ok(done(&call, answer)),
       Err(failed) => failed,
     };
     state.runs += u32::from(!failed.outcome.is_not_run());
@@ -64,9 +65,22 @@
   }
 }
 
+fn done(call: &Call, answer: Response<Body>) -> Response<Body> {
+  let elapsed = call.elapsed();
+  let kind = call.route().kind.name();
+  call.gateway.meters.answer.with_label_values(&[kind]).observe(elapsed.as_secs_f64());
+  call.gateway.metrics.answered.inc();
+  log::info!(
+    target: PREFIX, id = call.id(), route = call.route().name.as_str(), version = call.catalog.version,
+    status = answer.status().as_u16(), elapsed_ms = elapsed.as_millis() as u64;
+    "Answered a request."
+  );
+  answer
+}
+
 fn end(call: &Call, state: &State, failed: Failed) -> Result<Response<Body>, Refusal> {
   if let Some(answer) = failed.answer.filter(|answer| !is_promise(answer.status())) {
-    return Ok(answer);
+    return Ok(done(call, answer));
   }
   Err(call.given_up(state, failed.outcome))
 }
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -1,7 +1,6 @@
 use {
   super::{
     call::Call,
-    lengths,
     movement::{Movement, Step},
     pauses::Pauses,
     placed::Spot,
@@ -27,6 +26,8 @@
 
 /// Pieces that may wait for a caller that reads slowly.
 const PIECES_IN_HAND: usize = 64;
+/// Events that a run makes before an engine that leaves is gone: it needs no move.
+const EVENTS_IN_NOTICE: u64 = 10;
 const PREFIX: &str = "session";
 /// Longest wait for the last events of a run that stopped to be copied.
 const LAST_EVENTS: Duration = Duration::from_millis(300);
@@ -118,13 +119,16 @@
       elapsed_ms = self.call.elapsed().as_millis() as u64;
       "A stream ended."
     );
+    self.measure(end);
     self.movement.abandon(&self.call, &self.spot);
     if let Some((copied, _)) = self.stopped.take() {
       self.release(copied);
     }
     let reason = match end {
       End::Complete => {
-        self.call.gateway.metrics.answered.inc();
+        let call = &self.call;
+        call.gateway.metrics.answered.inc();
+        call.gateway.learn_length(&call.route().name, &call.ask, self.generated());
         return;
       }
       End::CallerGone => return,
@@ -137,6 +141,22 @@
     let _ = self.caller.send(Err(refusal.into())).await;
   }
 
+  fn measure(&self, end: End) {
+    let meters = &self.call.gateway.meters;
+    let kind = [self.call.route().kind.name()];
+    meters.streams.with_label_values(&[end.name()]).inc();
+    meters.pause.with_label_values(&kind).observe(self.pauses.longest.as_secs_f64());
+    meters.answer.with_label_values(&kind).observe(self.call.elapsed().as_secs_f64());
+    if let Some(first) = self.pauses.first {
+      let first = first.saturating_duration_since(self.call.arrived);
+      meters.first_event.with_label_values(&kind).observe(first.as_secs_f64());
+    }
+  }
+
+  fn count_move(&self, step: &str) {
+    self.call.gateway.meters.moves.with_label_values(&[step]).inc();
+  }
+
   async fn relay(&mut self) -> End {
     let mut changes = self.call.gateway.roster_changes.subscribe();
     let mut deadline = Box::pin(time::sleep_until(self.call.deadline.into()));
@@ -228,7 +248,7 @@
 
   /// Returns the tokens of memory that the run is expected to need in the end.
   fn memory(&self) -> u64 {
-    lengths::expected_memory(&self.call.ask, self.generated())
+    self.call.expected_memory(self.generated())
   }
 
   /// Returns what the run takes once it has been read in.
@@ -262,7 +282,7 @@
       return;
     }
     let left = self.call.ask.max_tokens.saturating_sub(self.generated());
-    if left <= engine.event_tokens {
+    if left <= engine.event_tokens * EVENTS_IN_NOTICE {
       return;
     }
     let leaves = {
@@ -310,6 +330,12 @@
       stop, result:? = result, ended:? = self.ended, events = self.cursor.events();
       "A copy of a run was answered."
     );
+    self.count_move(match (&result, stop) {
+      (Ok(_), false) => "copied",
+      (Ok(_), true) => "stopped",
+      (Err(Failure::NoRoom(_)), _) => "no_room",
+      (Err(_), _) => "failed",
+    });
     match (result, stop, self.ended) {
       (Ok(copied), true, None) => {
         self.stopped = Some((copied, destination));
@@ -357,6 +383,7 @@
     match self.call.send(&destination, Some(&resume), patience).await {
       Ok(response) if response.status().is_success() => {
         self.moves += 1;
+        self.count_move("continued");
         self.continue_with(destination, response.into_body());
         None
       }
--- a/yuccarudder/src/logs.rs
+++ b/yuccarudder/src/logs/mod.rs
@@ -1,9 +1,19 @@
 //! Structured log lines on standard output that never hold up service.
 
+mod append;
+mod backlog;
+mod budget;
+
+pub use backlog::Backlog;
+pub use budget::Budget;
+
+#[cfg(test)]
+mod tests;
+
 use {
   crate::settings::LogFormat,
+  append::Append,
   logforth::{
-    append::Stdout,
     filter::rustlog::RustLogFilterBuilder,
     layout::{JsonLayout, TextLayout},
   },
@@ -14,8 +24,8 @@
 /// Starts the logs; `RUST_LOG` sets the levels of the parts.
 pub fn start(format: LogFormat) {
   let append = match format {
-    LogFormat::Json => Stdout::default().with_layout(JsonLayout::default()),
-    LogFormat::Text => Stdout::default().with_layout(TextLayout::default().no_color()),
+    LogFormat::Json => Append::new(JsonLayout::default()),
+    LogFormat::Text => Append::new(TextLayout::default().no_color()),
   };
   let filter = RustLogFilterBuilder::from_default_env_or(DEFAULT_LEVELS).build();
   logforth::starter_log::builder()
--- a/yuccarudder/src/metrics.rs
+++ b/yuccarudder/src/metrics.rs
@@ -170,4 +170,4 @@
   }
 }
 
-const NAMES: &str = "metric names are valid and distinct";
+pub(crate) const NAMES: &str = "metric names are valid and distinct";
--- a/yuccarudder/src/placement/health.rs
+++ b/yuccarudder/src/placement/health.rs
@@ -23,6 +23,17 @@
   Unreachable,
 }
 
+impl Outcome {
+  /// Returns the name used in metrics.
+  pub fn name(self) -> &'static str {
+    match self {
+      Self::Answered => "answered",
+      Self::Failed => "failed",
+      Self::Unreachable => "unreachable",
+    }
+  }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Record {
   ejected_until: Option<Instant>,
--- a/yuccarudder/src/placement/mod.rs
+++ b/yuccarudder/src/placement/mod.rs
@@ -3,6 +3,7 @@
 mod choose;
 mod health;
 mod ledger;
+mod lengths;
 mod load;
 mod place;
 mod queue;
@@ -10,6 +11,7 @@
 pub use choose::{Candidate, Choice, Need, choose, sample};
 pub use health::{Health, Outcome};
 pub use ledger::{Ledger, Run, RunKey};
+pub use lengths::Lengths;
 pub use load::Load;
 pub use place::{Place, Places, Waiting};
 pub use queue::{Queue, Rank, Ticket};
--- a/yuccarudder/src/placement/tests.rs
+++ b/yuccarudder/src/placement/tests.rs
@@ -151,3 +151,53 @@
     assert_eq!(health.record(key, outcome, now), None);
   }
 }
+
+#[test]
+fn queue_puts_who_can_be_on_time_first() {
+  let now = Instant::now();
+  let rank = |late, urgency, gives_up| Rank {
+    late,
+    urgency,
+    gives_up: now + Duration::from_secs(gives_up),
+  };
+  let mut queue = Queue::default();
+  let late = queue.enter("s", rank(true, 0, 1));
+  let less_urgent = queue.enter("s", rank(false, 2, 1));
+  let patient = queue.enter("s", rank(false, 1, 3));
+  let first = queue.enter("s", rank(false, 1, 2));
+  let other = queue.enter("t", rank(true, 9, 9));
+  assert!(queue.is_first("t", other));
+  for ticket in [first, patient, less_urgent, late] {
+    assert!(queue.is_first("s", ticket));
+    queue.leave("s", ticket);
+  }
+}
+
+#[test]
+fn lengths_are_learned_with_and_without_estimates() {
+  let mut lengths = Lengths::new(2_000);
+  for index in 0..400_u64 {
+    let actual = 300 + 2 * (index % 200);
+    lengths.learn(Some(actual), actual);
+  }
+  assert!(
+    lengths.expected(None, 2_000, 0).abs_diff(500) < 50,
+    "{lengths:?}"
+  );
+  // Estimates that were always right move the expectation by more than half of the way.
+  assert!(
+    lengths.expected(Some(350), 2_000, 0).abs_diff(350) < 75,
+    "{lengths:?}"
+  );
+}
+
+#[test]
+fn answer_that_goes_on_is_expected_to_be_longer() {
+  let lengths = Lengths::new(2_000);
+  let mut last = 0;
+  for generated in [0, 500, 1_000, 1_900, 2_000] {
+    let expected = lengths.expected(None, 2_000, generated);
+    assert!(expected >= generated && expected >= last && expected <= 2_000);
+    last = expected;
+  }
+}
--- a/yuccarudder/src/relocation/links.rs
+++ b/yuccarudder/src/relocation/links.rs
@@ -8,7 +8,7 @@
 const FAR: f64 = 2.0;
 /// What a full memory at the destination counts for against time: prompts wait there,
 /// and the run may lose its memory again.
-const FULL_MEMORY: Duration = Duration::from_millis(400);
+const FULL_MEMORY: Duration = Duration::from_millis(150);
 /// Time that one copy takes besides its transfer: the call and the set-up of the link.
 const OVERHEAD: Duration = Duration::from_millis(8);
 
@@ -66,9 +66,12 @@
       } else {
         FAR
       };
-      let end = start + self.engine.copy_time(run.held).mul_f64(distance) + OVERHEAD;
+      let near = self.engine.copy_time(run.held);
+      let end = start + near.mul_f64(distance) + OVERHEAD;
+      // A longer copy also holds up those behind it on the link of the source.
+      let delay = near.mul_f64(distance - 1.0);
       let full = candidate.load.tokens as f64 / self.engine.memory_tokens.max(1) as f64;
-      (end + FULL_MEMORY.mul_f64(full), index, start, end)
+      (end + delay + FULL_MEMORY.mul_f64(full), index, start, end)
     });
     let (_, index, start, end) = copies.min_by_key(|copy| copy.0)?;
     self.sources.insert(source, end);
--- a/yuccarudder/src/relocation/plan.rs
+++ b/yuccarudder/src/relocation/plan.rs
@@ -49,14 +49,14 @@
 }
 
 /// Where and when one run is copied, counted from the notice.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Plan {
   /// The engine where it goes on.
   pub destination: Key,
   /// When its copy is complete.
   pub end: Duration,
-  /// When all copies of all runs are complete.
-  pub idle: Duration,
+  /// When the copies of all runs are complete.
+  pub ends: Vec<Duration>,
   /// When its copy starts.
   pub start: Duration,
 }
@@ -76,7 +76,7 @@
 ) -> Option<Plan> {
   let mut links = Links::new(engine, candidates);
   let mut own = None;
-  let mut idle = Duration::ZERO;
+  let mut ends = Vec::new();
   let longest = sources.iter().map(|source| source.runs).max().unwrap_or_default();
   for round in 0..longest.max(position.index + 1) {
     for source in sources {
@@ -88,7 +88,7 @@
       let Some(copy) = links.copy(source.process, source.data_centre, &copied) else {
         continue;
       };
-      idle = idle.max(copy.end);
+      ends.push(copy.end);
       if is_own {
         own = Some(copy);
       }
@@ -98,7 +98,7 @@
   Some(Plan {
     destination: own.destination,
     end: own.end,
-    idle,
+    ends,
     start: own.start,
   })
 }
--- a/yuccarudder/src/relocation/window.rs
+++ b/yuccarudder/src/relocation/window.rs
@@ -3,17 +3,19 @@
 /// Shortest time from the notice that an engine leaves until it is gone.
 const SHORTEST: Duration = Duration::from_millis(1400);
 /// Time from the notice that is hoped for until the engine's report tells more.
-const HOPED_FOR: Duration = Duration::from_millis(2200);
+const HOPED_FOR: Duration = Duration::from_millis(1800);
+/// Times longer that copies take than planned.
+const SLIP: f64 = 1.12;
 /// Age of an engine's report when it arrives; engines report with a lag of half a second.
 pub const REPORT_AGE: Duration = Duration::from_millis(600);
 /// Time from the notice until an engine's report tells of it.
 pub const REPORT_LAG: Duration = Duration::from_millis(560);
 /// Time at the end of the notice for the runs to stop, one shortly after another, and
 /// for the last part of their memory to be copied.
-const STOPPING: Duration = Duration::from_millis(200);
+const STOPPING: Duration = Duration::from_millis(130);
 /// Share of the time until a copy's planned start after which it is ordered: engines
 /// keep the order, and the link has no gap if earlier copies take less than planned.
-const LEAD: f64 = 0.8;
+const LEAD: f64 = 0.4;
 
 /// The time in which the runs of an engine that leaves are copied.
 ///
@@ -31,17 +33,18 @@
   /// Returns when a copy is ordered, counted from the notice; `None` when it would come
   /// too late and hold up others.
   pub fn copy_at(&self, plan: &Plan) -> Option<Duration> {
-    let latest = self.notice.unwrap_or(HOPED_FOR).saturating_sub(STOPPING);
-    (plan.end <= latest).then(|| plan.start.mul_f64(LEAD))
+    self.fits(plan.end).then(|| plan.start.mul_f64(LEAD))
   }
 
-  /// Returns when the runs have to stop at the latest, counted from the notice.
-  fn end(&self) -> Duration {
-    self.notice.unwrap_or(SHORTEST).saturating_sub(STOPPING)
+  fn fits(&self, end: Duration) -> bool {
+    let latest = self.notice.unwrap_or(HOPED_FOR).saturating_sub(STOPPING);
+    end.mul_f64(SLIP) <= latest
   }
 
   /// Returns when a run stops, counted from the notice.
   pub fn stop_at(&self, plan: &Plan) -> Duration {
-    plan.idle.min(self.end())
+    let copied = plan.ends.iter().copied().filter(|end| self.fits(*end));
+    let idle = copied.max().unwrap_or_default().mul_f64(SLIP);
+    idle.min(self.notice.unwrap_or(SHORTEST).saturating_sub(STOPPING))
   }
 }
--- a/yuccarudder/src/routing/route.rs
+++ b/yuccarudder/src/routing/route.rs
@@ -14,6 +14,17 @@
   },
 }
 
+impl Kind {
+  /// Returns the name used in metrics.
+  pub fn name(self) -> &'static str {
+    match self {
+      Self::Once => "once",
+      Self::Repeatable => "repeatable",
+      Self::Stream { .. } => "stream",
+    }
+  }
+}
+
 /// A part of a route's requests that goes to one service.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Share {
