--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -42,6 +42,8 @@
 const OPERATOR_READERS: usize = 8;
 /// Age of the proof at which any host reads for itself.
 const OLD_PROOF: Duration = Duration::from_millis(2500);
+/// Longest pause between two tries of a reader to reach the platform.
+const MAX_BACKOFF: Duration = Duration::from_millis(500);
 /// How often a host that does not read looks whether it has to.
 const REST: Duration = Duration::from_millis(250);
 /// Pauses between two questions of the hosts that follow the targets closely; they tell
@@ -312,6 +314,20 @@
     }
   }
 
+  /// Returns the longest pause between two tries to reach the platform. All hosts try
+  /// while it is away, so the more they are, the less often each does; those that read
+  /// for the others go on as in a small fleet.
+  pub fn longest_backoff(&self) -> Duration {
+    let state = self.lock();
+    let rank = state.members.rank(state.settings.weight, self.clock.boot());
+    let hosts = state.members.count();
+    if rank < OPERATOR_READERS {
+      MAX_BACKOFF
+    } else {
+      MAX_BACKOFF.mul_f64((hosts as f64 / OPERATOR_READERS as f64).max(1.0))
+    }
+  }
+
   /// Returns how this host follows an area.
   pub fn read_mode(&self, area: Area) -> Mode {
     let now = self.clock.boot();
--- a/yuccarudder/src/member/table.rs
+++ b/yuccarudder/src/member/table.rs
@@ -185,12 +185,15 @@
 
   /// Returns how many live hosts go before this one, which can carry `weight`, when a
   /// duty of few hosts is dealt: those that read the platform and can carry more.
+  ///
+  /// While nobody can read the platform, all live hosts count.
   pub fn rank(&self, weight: u32, now: Duration) -> usize {
     let this = (Reverse(weight), self.this);
-    let before = |(address, member): &(SocketAddr, &Member)| {
-      member.reads && (Reverse(member.weight), *address) < this
-    };
-    self.live(now).filter(before).count()
+    let away = !self.live(now).any(|(_, member)| member.reads);
+    let before = self.live(now).filter(|(address, member)| {
+      (member.reads || away) && (Reverse(member.weight), *address) < this
+    });
+    before.count()
   }
 
   /// Records that pulses were sent.
--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -160,3 +160,44 @@
   }
   assert_eq!(Phase::from_number(77), Phase::Starting);
 }
+
+#[test]
+fn hosts_that_read_and_carry_more_go_first() {
+  let mut table = Table::new(address(3), 3, Vec::new());
+  let mut heavy = pulse(9, 1);
+  heavy.weight = 500;
+  let mut deaf = pulse(1, 1);
+  deaf.reads = false;
+  for pulse in [heavy, deaf, pulse(2, 1), pulse(4, 1)] {
+    table.receive(&pulse, ms(0)).unwrap();
+  }
+  assert_eq!(table.rank(250, ms(0)), 2);
+  assert_eq!(table.rank(1_000, ms(0)), 0);
+}
+
+#[test]
+fn all_hosts_are_ranked_while_nobody_reads() {
+  let mut table = Table::new(address(3), 3, Vec::new());
+  for host in [1, 2, 4] {
+    let mut deaf = pulse(host, 1);
+    deaf.reads = false;
+    table.receive(&deaf, ms(0)).unwrap();
+  }
+  assert_eq!(table.rank(250, ms(0)), 2);
+}
+
+/// Names a case: hosts of a fleet, the period of pulses and the silence after which a
+/// host counts as gone, in milliseconds.
+macro_rules! cadences {
+  ($name:ident, $hosts:expr, $period:expr, $silence:expr) => {
+    #[test]
+    fn $name() {
+      assert_eq!(period($hosts), ms($period));
+      assert_eq!(silence($hosts), ms($silence));
+    }
+  };
+}
+
+cadences!(few_hosts, 6, 200, 1_300);
+cadences!(twice_the_hosts_of_the_shortest_period, 74, 400, 1_400);
+cadences!(target_size, 350, 1_000, 3_500);
--- a/yuccarudder/src/reader/run.rs
+++ b/yuccarudder/src/reader/run.rs
@@ -14,7 +14,6 @@
 const WAIT_MARGIN: Duration = Duration::from_millis(500);
 const LIST_TIMEOUT: Duration = Duration::from_millis(1500);
 const MIN_BACKOFF: Duration = Duration::from_millis(80);
-const MAX_BACKOFF: Duration = Duration::from_millis(500);
 const PREFIX: &str = "reader";
 
 /// Follows an area until the task is dropped.
@@ -47,7 +46,7 @@
       }
       Err(error) => {
         gateway.missed_platform(area, &error);
-        backoff = pause(backoff).await;
+        backoff = pause(backoff, gateway.longest_backoff()).await;
       }
     }
   }
@@ -74,17 +73,17 @@
       }
       Err(error) => {
         gateway.missed_platform(area, &error);
-        backoff = pause(backoff).await;
+        backoff = pause(backoff, gateway.longest_backoff()).await;
       }
     }
   }
 }
 
 /// Waits with jitter and returns the next wait.
-async fn pause(backoff: Duration) -> Duration {
+async fn pause(backoff: Duration, longest: Duration) -> Duration {
   let jitter = rand::random_range(0.5..1.0);
   time::sleep(backoff.mul_f64(jitter)).await;
-  (backoff * 2).min(MAX_BACKOFF)
+  (backoff * 2).min(longest)
 }
 
 fn timed_out() -> Error {
