--- a/yuccarudder/src/gateway/placed.rs
+++ b/yuccarudder/src/gateway/placed.rs
@@ -1,11 +1,12 @@
 use {
   super::call::Call,
   crate::{
-    placement::{self, Candidate, Choice, Load, Need, Place, Rank},
+    placement::{self, Candidate, Choice, ColdBound, Load, Need, Place, Rank},
     refusal::{Reason, Refusal},
     relocation::{self, Plan, Position, Run, Source},
     roster::{Key, Target},
     routing::{Engine, Kind},
+    settings::Promises,
   },
   std::time::{Duration, Instant},
   tokio::time,
@@ -142,18 +143,36 @@
   fn choose(&self, tried: &[Key], need: &Need, near: &str, now: Instant) -> Choice {
     let state = self.gateway.lock();
     let ledger = self.gateway.places.lock();
-    let candidates = state.roster.open(&self.service).map(|(key, target)| Candidate {
-      ejected: state.health.is_ejected(key, now),
-      key,
-      load: ledger.load(target.fingerprint),
-      near: target.listing.data_centre == near,
-      slots: target.listing.slots,
-      tried: tried.contains(&key),
+    let hosts = state.members.count();
+    let bound = self.cold_bound(&state.settings.promises);
+    let candidates = state.roster.open(&self.service).map(|(key, target)| {
+      let is_cold = target.cold_until.is_some_and(|until| now < until);
+      let allows = |bound: ColdBound| {
+        let chance = rand::random_range(0.0..1.0);
+        state.pace.allows(key, &bound, hosts, chance, now)
+      };
+      Candidate {
+        cold: is_cold && !bound.is_none_or(allows),
+        ejected: state.health.is_ejected(key, now),
+        key,
+        load: ledger.load(target.fingerprint),
+        near: target.listing.data_centre == near,
+        slots: target.listing.slots,
+        tried: tried.contains(&key),
+      }
     });
-    let sample = placement::sample(state.members.count());
+    let sample = placement::sample(hosts);
     placement::choose(candidates, need, sample, || rand::random_range(0.0..1.0))
   }
 
+  fn cold_bound(&self, promises: &Promises) -> Option<ColdBound> {
+    Some(ColdBound {
+      allowance: promises.cold_allowance,
+      overage: promises.cold_overage,
+      rate: self.service()?.cold_rate?,
+    })
+  }
+
   fn need(&self, engine: Option<&Engine>) -> Need {
     let stream = matches!(self.route().kind, Kind::Stream { .. });
     Need {
@@ -184,7 +203,8 @@
   }
 
   fn take(&self, key: Key, load: Load) -> Spot {
-    let state = self.gateway.lock();
+    let mut state = self.gateway.lock();
+    state.pace.record(key, self.gateway.clock.now());
     let target = state.roster.get(key).expect("a chosen target is listed").clone();
     drop(state);
     let found = self.gateway.places.lock().load(target.fingerprint);
--- a/yuccarudder/src/placement/choose.rs
+++ b/yuccarudder/src/placement/choose.rs
@@ -12,6 +12,8 @@
 /// A target that takes new work.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
+  /// Whether it is in its cold start and has got all that it may get now.
+  pub cold: bool,
   /// Whether it lately failed so often that others are to be preferred.
   pub ejected: bool,
   /// The target.
@@ -98,6 +100,9 @@
 }
 
 fn has_room(candidate: &Candidate, need: &Need) -> bool {
+  if candidate.cold {
+    return false;
+  }
   let memory = need.memory.is_none_or(|memory| candidate.load.tokens + need.tokens <= memory);
   memory && candidate.load.runs < candidate.slots
 }
--- a/yuccarudder/src/placement/mod.rs
+++ b/yuccarudder/src/placement/mod.rs
@@ -5,6 +5,7 @@
 mod ledger;
 mod lengths;
 mod load;
+mod pace;
 mod place;
 mod queue;
 
@@ -13,6 +14,7 @@
 pub use ledger::{Ledger, Run, RunKey};
 pub use lengths::Lengths;
 pub use load::Load;
+pub use pace::{ColdBound, Pace};
 pub use place::{Place, Places, Waiting};
 pub use queue::{Queue, Rank, Ticket};
 
--- a/yuccarudder/src/placement/tests.rs
+++ b/yuccarudder/src/placement/tests.rs
@@ -29,6 +29,7 @@
 
 fn candidate(key: Key, load: Load) -> Candidate {
   Candidate {
+    cold: false,
     ejected: false,
     key,
     load,
@@ -70,6 +71,12 @@
 );
 chooses!(full_memory, [load(0, 5, 26_001)], |_| {}, |_| Choice::Full);
 chooses!(full_slots, [load(0, 24, 0)], |_| {}, |_| Choice::Full);
+chooses!(
+  cold_target_that_has_its_part,
+  [load(0, 0, 0), load(0, 5, 20_000)],
+  |candidates| candidates[0].cold = true,
+  |keys| Choice::Chosen(keys[1])
+);
 chooses!(
   ejected_target_is_passed_over,
   [load(0, 0, 0), load(0, 5, 20_000)],
@@ -201,3 +208,50 @@
     last = expected;
   }
 }
+
+const COLD: ColdBound = ColdBound {
+  rate: 5.0,
+  overage: 1.5,
+  allowance: 5.0,
+};
+
+/// The pattern: a target comes back cold and is the least loaded one for every host.
+#[test]
+fn hosts_together_stay_within_the_bound_of_a_cold_target() {
+  let now = Instant::now();
+  let key = keys(1)[0];
+  let sent: usize = (0..6)
+    .map(|_| {
+      let mut pace = Pace::default();
+      let allowed = (0..100).filter(|_| {
+        let allows = pace.allows(key, &COLD, 6, 0.5, now);
+        if allows {
+          pace.record(key, now);
+        }
+        allows
+      });
+      allowed.count()
+    })
+    .sum();
+  assert_eq!(sent, 12);
+}
+
+#[test]
+fn part_of_a_cold_target_comes_back_after_a_second() {
+  let now = Instant::now();
+  let key = keys(1)[0];
+  let mut pace = Pace::default();
+  pace.record(key, now);
+  pace.record(key, now);
+  assert!(!pace.allows(key, &COLD, 6, 0.0, now));
+  assert!(pace.allows(key, &COLD, 6, 0.0, now + Duration::from_secs(1)));
+}
+
+#[test]
+fn part_below_one_is_left_to_chance() {
+  let now = Instant::now();
+  let key = keys(1)[0];
+  let pace = Pace::default();
+  assert!(pace.allows(key, &COLD, 75, 0.16, now));
+  assert!(!pace.allows(key, &COLD, 75, 0.17, now));
+}
--- a/yuccarudder/src/roster/roster.rs
+++ b/yuccarudder/src/roster/roster.rs
@@ -39,6 +39,8 @@
 /// One process of a target.
 #[derive(Clone, Debug)]
 pub struct Target {
+  /// When its cold start ends, as it last said.
+  pub cold_until: Option<Instant>,
   /// Names the process among all hosts.
   pub fingerprint: u64,
   /// The name under which it is listed.
@@ -54,6 +56,10 @@
   pub standing: Standing,
 }
 
+fn cold_until(listing: &Listing, now: Instant) -> Option<Instant> {
+  (!listing.warm_in.is_zero()).then(|| now + listing.warm_in)
+}
+
 /// Names a process of a target among all hosts.
 pub fn fingerprint(id: &str, born: Option<u64>) -> u64 {
   let mut hasher = SipHasher13::new();
@@ -178,6 +184,7 @@
       if target.fingerprint == print && target.listing.address == listing.address {
         let leaves = standing == Standing::Leaving && target.standing != Standing::Leaving;
         target.standing = standing;
+        target.cold_until = cold_until(&listing, now);
         target.leaving_since = match standing {
           Standing::Leaving => target.leaving_since.or(Some(now)),
           _ => None,
@@ -190,6 +197,7 @@
     }
     let id: Arc<str> = id.into();
     let key = self.targets.insert(Target {
+      cold_until: cold_until(&listing, now),
       fingerprint: print,
       id: Arc::clone(&id),
       leaves_at: None,
--- a/yuccarudder/src/settings/gateway.rs
+++ b/yuccarudder/src/settings/gateway.rs
@@ -21,6 +21,10 @@
 pub struct Promises {
   /// Time from the acceptance of a catalog until it is in force.
   pub catalog_applied: Duration,
+  /// Requests a second beyond the bearable ones that a cold target may get.
+  pub cold_allowance: f64,
+  /// Times the bearable requests that a cold target may get.
+  pub cold_overage: f64,
   /// Time from the signal to stop until the process is killed.
   pub grace: Duration,
   /// How often targets renew their entries.
@@ -142,10 +146,14 @@
   let revocation = milliseconds("revocation_ms");
   let mut number = |key| map.require(key, "a number").and_then(|node| node.fraction(&(0.0..=1e6)));
   let allowance = number("retry_allowance");
+  let cold_allowance = number("cold_allowance");
+  let cold_overage = number("cold_overage");
   let share = number("retry_share");
   map.finish();
   Some(Promises {
     catalog_applied: catalog_applied?,
+    cold_allowance: cold_allowance?,
+    cold_overage: cold_overage?,
     directory_keep: directory_keep?,
     grace: grace?,
     heartbeat: heartbeat?,
