--- a/yuccarudder/src/gateway/mod.rs
+++ b/yuccarudder/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod placed;
 mod plain;
 mod probes;
+mod published;
 mod pulses;
 mod retrying;
 mod sending;
--- a/yuccarudder/src/gateway/movement.rs
+++ b/yuccarudder/src/gateway/movement.rs
@@ -20,14 +20,14 @@
 /// What is done at the end of a pause.
 enum Due {
   Copy,
-  Stop(Spot),
+  Stop(Box<Spot>),
 }
 
 /// What a move waits for.
 enum Wait {
   Copy {
     answer: BoxFuture<'static, Result<Copied, Failure>>,
-    destination: Spot,
+    destination: Box<Spot>,
     stop: bool,
   },
   LastEvents(BoxFuture<'static, ()>),
@@ -151,7 +151,7 @@
           unreachable!("the wait was for a copy");
         };
         return Step::Copied {
-          destination,
+          destination: *destination,
           result,
           stop,
         };
@@ -161,7 +161,7 @@
       Some(Wait::Pause {
         due: Due::Stop(destination),
         ..
-      }) => Step::StopDue(destination),
+      }) => Step::StopDue(*destination),
       Some(Wait::Pause { due: Due::Copy, .. }) => Step::CopyDue,
       _ => Step::LastEvents,
     }
@@ -176,7 +176,7 @@
     });
     self.wait = Some(Wait::Copy {
       answer,
-      destination,
+      destination: Box::new(destination),
       stop,
     });
   }
@@ -200,7 +200,7 @@
     if due <= now {
       self.order(call, source, destination, true);
     } else {
-      self.pause(due, Due::Stop(destination));
+      self.pause(due, Due::Stop(Box::new(destination)));
     }
   }
 
@@ -210,7 +210,7 @@
       Some(Wait::Pause {
         due: Due::Stop(destination),
         ..
-      }) => Some(destination),
+      }) => Some(*destination),
       wait => {
         self.wait = wait;
         None
--- a/yuccarudder/src/gateway/placed.rs
+++ b/yuccarudder/src/gateway/placed.rs
@@ -14,7 +14,7 @@
 
 /// Share of an engine's memory that the expected needs of its runs may fill; the rest is
 /// for estimates that fall short.
-const FILL: f64 = 0.9;
+const FILL: f64 = 1.0;
 const PREFIX: &str = "placed";
 /// Share of the objective that a request may wait for room; the rest is for reading it in.
 const PATIENCE: f64 = 0.6;
--- a/yuccarudder/src/gateway/plain.rs
+++ b/yuccarudder/src/gateway/plain.rs
@@ -1,5 +1,5 @@
 use {
-  super::{call::Call, placed::Spot, sending},
+  super::{call::Call, placed::Spot, retrying::Tries, sending},
   crate::{
     attempt::{Outcome, State},
     http::{self, Body},
@@ -39,28 +39,15 @@
 ///
 /// Refuses with what is known about whether the request ran.
 pub async fn serve(call: Call) -> Result<Response<Body>, Refusal> {
-  let mut state = State {
-    repeatable: call.route().kind == Kind::Repeatable,
-    runs: 0,
-    runs_allowed: call.route().attempts,
-    tries: 0,
-  };
-  let mut tried = Vec::new();
+  let mut tries = Tries::new(call.route().kind == Kind::Repeatable, call.route().attempts);
   loop {
-    let spot = match call.place(&tried).await {
-      Ok(spot) => spot,
-      Err(refusal) if state.runs > 0 => return Err(refusal.weakened()),
-      Err(refusal) => return Err(refusal),
-    };
-    state.tries += 1;
-    tried.push(spot.key);
-    let failed = match exchange(&call, &spot, patience(&call, &state)).await {
+    let spot = tries.next(&call).await?;
+    let failed = match exchange(&call, &spot, patience(&call, &tries.state)).await {
       Ok(answer) => return Ok(done(&call, answer)),
       Err(failed) => failed,
     };
-    state.runs += u32::from(!failed.outcome.is_not_run());
-    if !call.retries(&state, failed.outcome) {
-      return end(&call, &state, failed);
+    if !tries.go_on(&call, failed.outcome) {
+      return end(&call, &tries.state, failed);
     }
   }
 }
@@ -114,7 +101,7 @@
     Ok(response) => whole(response, left).await.ok_or_else(|| Outcome::Lost.into()),
     Err(sending::Failed { outcome, response }) => {
       let answer = match response {
-        Some(response) => whole(response, left).await,
+        Some(response) => whole(*response, left).await,
         None => None,
       };
       Err(Failed { answer, outcome })
--- a/yuccarudder/src/gateway/pulses.rs
+++ b/yuccarudder/src/gateway/pulses.rs
@@ -118,10 +118,11 @@
     return;
   };
   let version = state.version();
-  if pulse.catalog_version == version && version > 0 {
-    if let Some(confirmed) = news.confirmed {
-      state.freshness.confirm(confirmed);
-    }
+  if pulse.catalog_version == version
+    && version > 0
+    && let Some(confirmed) = news.confirmed
+  {
+    state.freshness.confirm(confirmed);
   }
   if pulse.operator_revision > state.operator_revision {
     state.operator_revision = pulse.operator_revision;
--- a/yuccarudder/src/gateway/retrying.rs
+++ b/yuccarudder/src/gateway/retrying.rs
@@ -1,9 +1,10 @@
 use {
-  super::call::Call,
+  super::{call::Call, placed::Spot},
   crate::{
     attempt::{self, Outcome, State, Verdict},
     metrics::Retry,
     refusal::{Reason, Refusal},
+    roster::Key,
   },
   std::time::Duration,
 };
@@ -53,3 +54,49 @@
     granted
   }
 }
+
+/// The tries of one request.
+pub struct Tries {
+  /// What the request has behind it.
+  pub state: State,
+  tried: Vec<Key>,
+}
+
+impl Tries {
+  /// Takes in how a try failed; returns whether another one follows.
+  pub fn go_on(&mut self, call: &Call, outcome: Outcome) -> bool {
+    self.state.runs += u32::from(!outcome.is_not_run());
+    call.retries(&self.state, outcome)
+  }
+
+  /// Starts without any try.
+  pub fn new(repeatable: bool, runs_allowed: u32) -> Self {
+    Self {
+      state: State {
+        repeatable,
+        runs: 0,
+        runs_allowed,
+        tries: 0,
+      },
+      tried: Vec::new(),
+    }
+  }
+
+  /// Takes a place at a target that was not tried.
+  ///
+  /// # Errors
+  ///
+  /// Refuses when there is none, with what is known of the tries before.
+  pub async fn next(&mut self, call: &Call) -> Result<Spot, Refusal> {
+    let spot = call.place(&self.tried).await.map_err(|refusal| {
+      if self.state.runs > 0 {
+        refusal.weakened()
+      } else {
+        refusal
+      }
+    })?;
+    self.state.tries += 1;
+    self.tried.push(spot.key);
+    Ok(spot)
+  }
+}
--- a/yuccarudder/src/gateway/sending.rs
+++ b/yuccarudder/src/gateway/sending.rs
@@ -25,7 +25,7 @@
   /// What became of the request.
   pub outcome: Outcome,
   /// The target's own answer, if it failed the request.
-  pub response: Option<Response<Incoming>>,
+  pub response: Option<Box<Response<Incoming>>>,
 }
 
 impl From<Outcome> for Failed {
@@ -84,7 +84,7 @@
     if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
       return Err(Failed {
         outcome: Outcome::Failed,
-        response: Some(response),
+        response: Some(Box::new(response)),
       });
     }
     Ok(response)
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -121,7 +121,8 @@
     );
     self.measure(end);
     self.movement.abandon(&self.call, &self.spot);
-    if let Some((copied, _)) = self.stopped.take() {
+    let stopped = self.stopped.take().map(|(copied, _)| copied);
+    if let Some(copied) = stopped.or(self.spare.take()) {
       self.release(copied);
     }
     let reason = match end {
--- a/yuccarudder/src/gateway/stream.rs
+++ b/yuccarudder/src/gateway/stream.rs
@@ -1,13 +1,12 @@
 use {
-  super::{call::Call, session::Session},
+  super::{call::Call, placed::Spot, retrying::Tries, session::Session},
   crate::{
-    attempt::State,
     http::{self, Body},
     plain,
     refusal::Refusal,
     routing::Kind,
   },
-  hyper::{Response, StatusCode},
+  hyper::{Response, StatusCode, body::Incoming},
 };
 
 /// Serves a request whose answer is a series of events.
@@ -16,37 +15,27 @@
 ///
 /// Refuses with what is known about whether the request ran.
 pub async fn serve(call: Call) -> Result<Response<Body>, Refusal> {
-  let mut state = State {
-    repeatable: matches!(call.route().kind, Kind::Stream { resumable: true }),
-    runs: 0,
-    runs_allowed: call.route().attempts,
-    tries: 0,
-  };
-  let mut tried = Vec::new();
+  let resumable = matches!(call.route().kind, Kind::Stream { resumable: true });
+  let mut tries = Tries::new(resumable, call.route().attempts);
   loop {
-    let spot = match call.place(&tried).await {
-      Ok(spot) => spot,
-      Err(refusal) if state.runs > 0 => return Err(refusal.weakened()),
-      Err(refusal) => return Err(refusal),
-    };
-    state.tries += 1;
-    tried.push(spot.key);
+    let spot = tries.next(&call).await?;
     let failed = match call.send(&spot, None, call.left()).await {
-      Ok(response) => {
-        let (mut head, events) = response.into_parts();
-        plain::strip_response(&mut head.headers);
-        let body = if head.status == StatusCode::OK {
-          Session::start(call, state, spot, events)
-        } else {
-          http::incoming(events)
-        };
-        return Ok(Response::from_parts(head, body));
-      }
+      Ok(response) => return Ok(answer(call, tries, spot, response)),
       Err(failed) => failed,
     };
-    state.runs += u32::from(!failed.outcome.is_not_run());
-    if !call.retries(&state, failed.outcome) {
-      return Err(call.given_up(&state, failed.outcome));
+    if !tries.go_on(&call, failed.outcome) {
+      return Err(call.given_up(&tries.state, failed.outcome));
     }
   }
 }
+
+fn answer(call: Call, tries: Tries, spot: Spot, response: Response<Incoming>) -> Response<Body> {
+  let (mut head, events) = response.into_parts();
+  plain::strip_response(&mut head.headers);
+  let body = if head.status == StatusCode::OK {
+    Session::start(call, tries.state, spot, events)
+  } else {
+    http::incoming(events)
+  };
+  Response::from_parts(head, body)
+}
--- /dev/null
+++ b/yuccarudder/src/reader/duty.rs
@@ -0,0 +1,58 @@
+use {
+  super::{Area, Mode},
+  std::time::Duration,
+};
+
+/// Hosts that follow the operator's documents: each of them proves that the catalog is
+/// current, so that the age of the proof stays short when some are cut off.
+const OPERATOR_READERS: usize = 8;
+/// Age of the proof at which any host reads for itself.
+const OLD_PROOF: Duration = Duration::from_millis(2500);
+/// Longest pause between two tries of a reader to reach the platform.
+const MAX_BACKOFF: Duration = Duration::from_millis(500);
+/// How often a host that does not read looks whether it has to.
+const REST: Duration = Duration::from_millis(250);
+/// Pauses between two questions of the hosts that follow the targets closely; they tell
+/// the others of those that leave.
+const TARGET_READERS: [Duration; 2] = [Duration::from_millis(120), Duration::from_millis(500)];
+/// Pause between two looks of all others at the targets.
+const GLANCE: Duration = Duration::from_millis(1200);
+
+/// How a host is placed among those that may read for the others.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Duty {
+  /// Hosts, with this one.
+  pub hosts: usize,
+  /// Live hosts that go before this one.
+  pub rank: usize,
+}
+
+impl Duty {
+  /// Returns the longest pause between two tries to reach the platform.
+  ///
+  /// All hosts try while it is away, so the more they are, the less often each does; those
+  /// that read for the others go on as in a small fleet.
+  pub fn longest_backoff(&self) -> Duration {
+    if self.rank < OPERATOR_READERS {
+      return MAX_BACKOFF;
+    }
+    MAX_BACKOFF.mul_f64((self.hosts as f64 / OPERATOR_READERS as f64).max(1.0))
+  }
+
+  /// Returns how a host follows an area.
+  ///
+  /// `proof` is the age of its proof that the catalog is current, and `listed` tells
+  /// whether it has listed the targets.
+  pub fn mode(&self, area: Area, proof: Option<Duration>, listed: bool) -> Mode {
+    match area {
+      Area::Operator if self.rank < OPERATOR_READERS => Mode::Follow(Duration::ZERO),
+      Area::Operator if proof.is_some_and(|age| age < OLD_PROOF) => Mode::Rest(REST),
+      Area::Operator => Mode::Follow(Duration::ZERO),
+      Area::Targets => match TARGET_READERS.get(self.rank) {
+        Some(pause) => Mode::Follow(*pause),
+        None if listed => Mode::Glance(GLANCE),
+        None => Mode::Follow(GLANCE),
+      },
+    }
+  }
+}
