--- a/yuccarudder/src/gateway/call.rs
+++ b/yuccarudder/src/gateway/call.rs
@@ -15,8 +15,10 @@
 /// Share of its further growth that a run has behind it when the runs of an engine
 /// together need most: some have ended when others are at their longest.
 const GROWTH: f64 = 0.6;
-/// Lowest and default ranks that engines know.
-const LAST_URGENCY: u32 = 9;
+/// Lowest rank that engines know.
+const LAST_URGENCY: u8 = 9;
+/// Ranks of routes within one rank of accounts.
+const ROUTE_RANKS: u32 = 3;
 
 /// One request that was let in, with the catalog that let it in.
 pub struct Call {
@@ -80,7 +82,8 @@
   /// Returns the rank at an engine: the account's goes before the route's.
   pub fn urgency(&self) -> u8 {
     let account = self.account.and_then(|key| self.catalog.accounts[key].priority);
-    let rank = account.unwrap_or(0).saturating_mul(3).saturating_add(self.route().priority);
-    u8::try_from(rank.min(LAST_URGENCY)).unwrap_or(9)
+    let rank = account.unwrap_or(0).saturating_mul(ROUTE_RANKS);
+    let rank = rank.saturating_add(self.route().priority);
+    u8::try_from(rank).unwrap_or(LAST_URGENCY).min(LAST_URGENCY)
   }
 }
--- a/yuccarudder/src/gateway/front.rs
+++ b/yuccarudder/src/gateway/front.rs
@@ -8,6 +8,7 @@
   hyper::{Request, Response, body::Incoming, header::HOST, http::request::Parts},
   siphasher::sip::SipHasher13,
   std::{hash::Hasher, time::Duration},
+  tokio::time,
 };
 
 const CONNECT_RETRY: Duration = Duration::from_millis(300);
@@ -73,7 +74,9 @@
   let wait = ask.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
   let bound = gateway.settings().promises.repeats;
   gateway.lock().repeats.request(&service, &bound, arrived);
-  let body = gateway.memory.hold(&parts.headers, body, catalog.limits.body_bytes).await?;
+  let held = gateway.memory.hold(&parts.headers, body, catalog.limits.body_bytes);
+  let body = time::timeout(wait, held).await;
+  let body = body.map_err(|_| Refusal::not_run(Reason::DeadlinePassed))??;
   let age = gateway.caller_age(&route.name, ask.deadline);
   Ok(Call {
     account: admitted.account,
--- a/yuccarudder/src/gateway/published.rs
+++ b/yuccarudder/src/gateway/published.rs
@@ -72,13 +72,14 @@
     if !relocatable || self.places.lock().own(target.fingerprint).runs == 0 {
       return;
     }
-    let asked = (self.dialect.inspect)(target.listing.address);
+    let report = (self.dialect.inspect)(target.listing.address);
     drop(state);
     let gateway = self.clone();
     tokio::spawn(async move {
       time::sleep(relocation::REPORT_LAG).await;
-      let made = gateway.clock.now() - relocation::REPORT_AGE;
-      let leaves_in = asked.await.and_then(|report| report.leaves_in);
+      let now = gateway.clock.now();
+      let made = now.checked_sub(relocation::REPORT_AGE).unwrap_or(now);
+      let leaves_in = report.await.and_then(|report| report.leaves_in);
       log::info!(target: PREFIX, leaves_in_ms = leaves_in.map(|time| time.as_millis() as u64); "An engine that leaves was asked when.");
       if let Some(leaves_in) = leaves_in {
         gateway.lock().roster.set_leaves_at(key, made + leaves_in);
--- a/yuccarudder/src/member/table.rs
+++ b/yuccarudder/src/member/table.rs
@@ -136,7 +136,8 @@
   pub fn receive(&mut self, pulse: &Pulse, now: Duration) -> Option<News> {
     let sender: SocketAddr = pulse.sender.parse().ok()?;
     let callers: SocketAddr = pulse.callers.parse().ok()?;
-    if sender == self.this || self.members.len() >= MAX_MEMBERS {
+    let known = self.members.contains_key(&sender);
+    if sender == self.this || (!known && self.members.len() >= MAX_MEMBERS) {
       return None;
     }
     if let Some(member) = self.members.get(&sender)
