--- a/yuccarudder/src/gateway/front.rs
+++ b/yuccarudder/src/gateway/front.rs
@@ -1,5 +1,5 @@
 use {
-  super::{Gateway, answer, call::Call, plain, stream},
+  super::{Gateway, answer, call::Call, finish, plain, stream},
   crate::{
     http::{Body, Lingering},
     refusal::{Reason, Refusal},
@@ -12,6 +12,8 @@
 };
 
 const CONNECT_RETRY: Duration = Duration::from_millis(300);
+/// Wait of a caller that another host can serve at once.
+const LEAVING_RETRY: Duration = Duration::from_millis(50);
 const PREFIX: &str = "front";
 
 /// Answers one request of a caller.
@@ -72,6 +74,10 @@
   let pick = hash(ask.request_id.as_deref().unwrap_or_default());
   let service = route.service(pick).ok_or_else(|| Refusal::not_run(Reason::NoTarget))?.to_owned();
   let wait = ask.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
+  let longest = finish::longest(&ask, route, wait);
+  if gateway.stop().is_some_and(|stop| !finish::takes(&stop, longest)) {
+    return Err(Refusal::not_run(Reason::HostLeaving).with_retry_after(LEAVING_RETRY));
+  }
   let bound = gateway.settings().promises.repeats;
   gateway.lock().repeats.request(&service, &bound, arrived);
   let held = gateway.memory.hold(&parts.headers, body, catalog.limits.body_bytes);
--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -1,5 +1,5 @@
 use {
-  super::meters::Meters,
+  super::{finish::Stop, meters::Meters},
   crate::{
     clock::Clock,
     dialect::{Ask, Dialect},
@@ -43,7 +43,8 @@
   deadlines: HashMap<String, Duration>,
   pub(super) freshness: Freshness,
   pub(super) health: Health,
-  pub(super) leaving: bool,
+  /// When the host began to leave, and when its process ends.
+  pub(super) leaves: Option<(Instant, Instant)>,
   /// How long answers are, by route.
   lengths: HashMap<String, Lengths>,
   pub(super) members: member::Table,
@@ -127,15 +128,28 @@
     lengths.unwrap_or_else(|| Lengths::new(most))
   }
 
-  /// Announces that this host leaves.
-  pub fn leave(&self) {
-    self.lock().leaving = true;
+  /// Announces that this host leaves and that its process ends at a time.
+  pub fn leave(&self, end: Instant) {
+    self.lock().leaves = Some((self.clock.now(), end));
     self.news.notify_one();
   }
 
+  /// Returns the stop of this host, if it has begun.
+  pub(super) fn stop(&self) -> Option<Stop> {
+    let now = self.clock.now();
+    let state = self.lock();
+    let (begun, end) = state.leaves?;
+    Some(Stop {
+      elapsed: now.saturating_duration_since(begun),
+      others: state.ready_hosts(self.clock.boot()).len(),
+      hosts: state.members.count(),
+      left: end.saturating_duration_since(now),
+    })
+  }
+
   /// Returns whether this host leaves.
   pub fn is_leaving(&self) -> bool {
-    self.lock().leaving
+    self.lock().leaves.is_some()
   }
 
   pub(super) fn lock(&self) -> MutexGuard<'_, State> {
@@ -152,7 +166,7 @@
       deadlines: HashMap::new(),
       freshness: Freshness::default(),
       health: Health::default(),
-      leaving: false,
+      leaves: None,
       lengths: HashMap::new(),
       listed_targets: false,
       members: member::Table::new(settings.peers, incarnation, settings.seeds.clone()),
@@ -189,7 +203,7 @@
   /// Returns the phase that the other hosts are told.
   pub fn phase(&self) -> Phase {
     let state = self.lock();
-    if state.leaving {
+    if state.leaves.is_some() {
       return Phase::Leaving;
     }
     let revocation = state.settings.promises.revocation.saturating_sub(AGE_MARGIN);
--- a/yuccarudder/src/gateway/mod.rs
+++ b/yuccarudder/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod call;
 mod directory;
+mod finish;
 mod front;
 mod gateway;
 mod meters;
--- a/yuccarudder/src/gateway/serve.rs
+++ b/yuccarudder/src/gateway/serve.rs
@@ -127,7 +127,7 @@
   let begun = Instant::now();
   let end = begun + gateway.settings().promises.grace.saturating_sub(GRACE_MARGIN);
   log::info!(target: PREFIX, in_hand = gateway.places.lock().len(); "Leaving; callers are sent elsewhere.");
-  gateway.leave();
+  gateway.leave(end.into_std());
   time::sleep_until(end.min(begun + LATE_CALLERS)).await;
   while !gateway.places.lock().is_empty() && Instant::now() < end {
     time::sleep(IDLE_POLL).await;
