Make the client library tests independent of the drawn length

The engine model draws a generation's length from a log-normal distribution seeded by its random id; with a small chance it is shorter than the limit that the tests expect to be reached. Now these tests run engines whose shortest answer is above their limits; the assertions are unchanged.

--- a/rig/src/engine/batch.rs
+++ b/rig/src/engine/batch.rs
@@ -19,6 +19,8 @@
   pub memory: u64,
   /// Steps that a prompt of any length takes.
   pub prefill_steps: u64,
+  /// Fewest tokens of a generation that is not cut by its own limit.
+  pub shortest: u64,
   /// Whether the text of a token is the time at which it was sent.
   pub stamped: bool,
   /// Time that one step takes.
@@ -32,6 +34,7 @@
       batch: 64,
       memory: 64_000,
       prefill_steps: 2,
+      shortest: 1,
       stamped: false,
       step: Duration::from_millis(5),
     }
--- a/rig/src/engine/engine.rs
+++ b/rig/src/engine/engine.rs
@@ -46,7 +46,7 @@
 
 impl Order {
   /// Draws a long-tailed length that no one knows ahead.
-  fn length(&self) -> u64 {
+  fn length(&self, shortest: u64) -> u64 {
     let drawn = self.rig_tokens.unwrap_or_else(|| {
       let mut seed = [0; 32];
       seed[..16].copy_from_slice(&self.generation.0);
@@ -55,7 +55,7 @@
       // A float converts to the nearest whole number in range.
       lengths.sample(&mut random) as u64
     });
-    drawn.clamp(1, self.max_tokens)
+    drawn.max(shortest).clamp(1, self.max_tokens)
   }
 
   /// Estimates the prompt's tokens as one per four bytes.
@@ -192,7 +192,7 @@
     let started = lock(&self.batch).start(Start {
       id: order.generation,
       keep: Duration::from_millis(order.keep_ms),
-      length: order.length(),
+      length: order.length(self.traits.shortest),
       priority: order.priority,
       prompt_tokens: order.prompt_tokens(),
     });
--- a/yuccarudder/tests/clients.rs
+++ b/yuccarudder/tests/clients.rs
@@ -14,7 +14,10 @@
     },
   },
   futures::StreamExt,
-  rig::fleet::{CREDENTIAL, Fleet, MODEL, Options},
+  rig::{
+    engine::Traits,
+    fleet::{CREDENTIAL, Fleet, MODEL, Options},
+  },
 };
 
 async fn fleet() -> Fleet {
@@ -22,6 +25,11 @@
     engines: 1,
     hosts: 1,
     plains: 0,
+    // Answers reach the limits that the requests set.
+    traits: Traits {
+      shortest: 8,
+      ..Traits::default()
+    },
     ..Options::default()
   };
   Fleet::start(options).await.unwrap()
