--- a/rig/src/overhead.rs
+++ b/rig/src/overhead.rs
@@ -241,15 +241,7 @@
   address: SocketAddr,
   request: Request<Body>,
 ) -> anyhow::Result<Response<Incoming>> {
-  let call = Call {
-    address,
-    admission: None,
-    connect_timeout: CONNECT_TIMEOUT,
-    fresh: false,
-    keep: true,
-    permit: Box::new(|| Ok(())),
-    request,
-  };
+  let call = Call::new(address, CONNECT_TIMEOUT, request);
   let response = pool.send(call).await.map_err(|error| anyhow::anyhow!("{error:?}"))?;
   ensure!(
     response.status() == StatusCode::OK,
--- a/yuccarudder/src/caller/client.rs
+++ b/yuccarudder/src/caller/client.rs
@@ -272,15 +272,7 @@
       .parse()
       .map_err(|_| Failure::local(Ran::NotRun, "bad_credential", "not a header value"))?;
     request.headers_mut().insert(AUTHORIZATION, bearer);
-    let call = upstream::Call {
-      address: entry,
-      admission: None,
-      connect_timeout: CONNECT_TIMEOUT,
-      fresh: false,
-      keep: true,
-      permit: Box::new(|| Ok(())),
-      request,
-    };
+    let call = upstream::Call::new(entry, CONNECT_TIMEOUT, request);
     self.pool.send(call).await.map_err(|error| match error {
       Error::Denied(refusal) => Failure::local(refusal.ran, refusal.reason.name(), ""),
       Error::NotSent { cause, .. } => Failure::local(Ran::NotRun, UNREACHABLE, cause),
--- a/yuccarudder/src/command/status.rs
+++ b/yuccarudder/src/command/status.rs
@@ -26,15 +26,11 @@
 impl Status {
   pub(super) fn run(self) -> anyhow::Result<()> {
     let text = block_on(async {
-      let call = Call {
-        address: self.operators,
-        admission: None,
-        connect_timeout: CONNECT_TIMEOUT,
-        fresh: true,
-        keep: true,
-        permit: Box::new(|| Ok(())),
-        request: Request::get("/status").body(http::empty())?,
-      };
+      let call = Call::new(
+        self.operators,
+        CONNECT_TIMEOUT,
+        Request::get("/status").body(http::empty())?,
+      );
       let response = match Pool::new(Clock::system()).send(call).await {
         Ok(response) => response,
         Err(_) => bail!(
--- a/yuccarudder/src/gateway/front.rs
+++ b/yuccarudder/src/gateway/front.rs
@@ -1,6 +1,7 @@
 use {
   super::{Gateway, answer, call::Call, finish, plain, stream},
   crate::{
+    dialect::Ask,
     http::{Body, Lingering},
     refusal::{Reason, Refusal},
     routing::{self, Arrival, Kind},
@@ -19,8 +20,9 @@
 /// Answers one request of a caller.
 pub async fn handle(gateway: Gateway, request: Request<Incoming>) -> Response<Body> {
   let (parts, body) = request.into_parts();
-  let id = (gateway.dialect.read_request)(&parts.headers).request_id;
-  let mut response = match serve(&gateway, parts, Lingering::new(body)).await {
+  let ask = (gateway.dialect.read_request)(&parts.headers);
+  let id = ask.request_id.clone();
+  let mut response = match serve(&gateway, ask, parts, Lingering::new(body)).await {
     Ok(response) => response,
     Err(refusal) => {
       gateway.metrics.refuse(&refusal);
@@ -41,19 +43,24 @@
 
 async fn serve(
   gateway: &Gateway,
+  ask: Ask,
   parts: Parts,
   body: Lingering,
 ) -> Result<Response<Body>, Refusal> {
-  let call = admit(gateway, parts, body).await?;
+  let call = admit(gateway, ask, parts, body).await?;
   match call.route().kind {
     Kind::Stream { .. } => stream::serve(call).await,
     Kind::Once | Kind::Repeatable => plain::serve(call).await,
   }
 }
 
-async fn admit(gateway: &Gateway, parts: Parts, body: Lingering) -> Result<Call, Refusal> {
+async fn admit(
+  gateway: &Gateway,
+  ask: Ask,
+  parts: Parts,
+  body: Lingering,
+) -> Result<Call, Refusal> {
   let arrived = gateway.clock.now();
-  let ask = (gateway.dialect.read_request)(&parts.headers);
   let (catalog, age) = {
     let state = gateway.lock();
     let age = state.freshness.age(gateway.clock.boot());
--- a/yuccarudder/src/gateway/sending.rs
+++ b/yuccarudder/src/gateway/sending.rs
@@ -52,15 +52,14 @@
     resume: Option<&Resume>,
     patience: Duration,
   ) -> Result<Response<Incoming>, Failed> {
-    let sent = self.gateway.pool.send(upstream::Call {
-      address: spot.target.listing.address,
-      admission: None,
-      connect_timeout: CONNECT_TIMEOUT,
-      fresh: true,
-      keep: false,
-      permit: Box::new(|| Ok(())),
-      request: self.request(spot, resume),
-    });
+    let sent = self.gateway.pool.send(
+      upstream::Call::new(
+        spot.target.listing.address,
+        CONNECT_TIMEOUT,
+        self.request(spot, resume),
+      )
+      .alone(),
+    );
     let result = match time::timeout(patience, sent).await {
       Ok(Ok(response)) => self.examine(response),
       Ok(Err(Error::Denied(_) | Error::NotSent { .. })) => Err(Outcome::NotSent.into()),
--- a/yuccarudder/src/platform/client.rs
+++ b/yuccarudder/src/platform/client.rs
@@ -66,15 +66,11 @@
   /// Fails when the platform cannot be reached or answers out of protocol.
   pub async fn read(&self, key: Key, seen: u64, wait: Duration) -> anyhow::Result<Document> {
     let uri = format!("{}?after={seen}&wait_ms={}", key.path(), wait.as_millis());
-    let call = Call {
-      address: self.address,
-      admission: None,
-      connect_timeout: CONNECT_TIMEOUT,
-      fresh: false,
-      keep: true,
-      permit: Box::new(|| Ok(())),
-      request: Request::get(uri).body(http::empty())?,
-    };
+    let call = Call::new(
+      self.address,
+      CONNECT_TIMEOUT,
+      Request::get(uri).body(http::empty())?,
+    );
     time::timeout(wait + REPLY_MARGIN, self.fetch(call))
       .await
       .context("the platform did not answer in time")?
--- a/yuccarudder/src/relocation/tests.rs
+++ b/yuccarudder/src/relocation/tests.rs
@@ -8,9 +8,7 @@
 
 fn engine() -> Engine {
   Engine {
-    backups: true,
     event_tokens: 4,
-    handle_life: Duration::from_secs(5),
     link_bytes: 3e9,
     memory_tokens: 34_000,
     relocatable: true,
--- a/yuccarudder/src/routing/catalog.rs
+++ b/yuccarudder/src/routing/catalog.rs
@@ -1,7 +1,7 @@
 use {
   super::{Account, Route, Service},
   slotmap::{SlotMap, new_key_type},
-  std::{collections::HashMap, time::Duration},
+  std::collections::HashMap,
 };
 
 new_key_type! {
@@ -57,11 +57,6 @@
     self.credentials.get(credential).copied()
   }
 
-  /// Returns the longest timeout of all routes.
-  pub fn longest_timeout(&self) -> Duration {
-    self.routes.values().map(|route| route.timeout).max().unwrap_or_default()
-  }
-
   /// Builds a catalog.
   pub fn new(parts: Parts) -> Self {
     let mut catalog = Self {
@@ -103,11 +98,6 @@
   pub fn service(&self, name: &str) -> Option<&Service> {
     self.services.get(name)
   }
-
-  /// Returns every service.
-  pub fn services(&self) -> impl Iterator<Item = &Service> {
-    self.services.values()
-  }
 }
 
 fn host_name(authority: &str) -> &str {
--- a/yuccarudder/src/routing/service.rs
+++ b/yuccarudder/src/routing/service.rs
@@ -3,12 +3,8 @@
 /// What the model engines of a service have in common.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Engine {
-  /// Whether an engine keeps a copy of a run at another one while it grows.
-  pub backups: bool,
   /// Tokens in one event of a stream.
   pub event_tokens: u64,
-  /// How long a copied run is kept for whoever goes on with it.
-  pub handle_life: Duration,
   /// Bytes a second of the link between engines.
   pub link_bytes: f64,
   /// Tokens that one engine holds.
@@ -38,8 +34,6 @@
   pub cold_rate: Option<f64>,
   /// What its engines have in common, if it is served by model engines.
   pub engine: Option<Engine>,
-  /// Most connections that one target takes.
-  pub max_connections: u32,
   /// The name of the service.
   pub name: String,
 }
--- a/yuccarudder/src/upstream/call.rs
+++ b/yuccarudder/src/upstream/call.rs
@@ -29,6 +29,29 @@
   pub request: Request<Body>,
 }
 
+impl Call {
+  /// Builds a call that nothing holds back, on any connection.
+  pub fn new(address: SocketAddr, connect_timeout: Duration, request: Request<Body>) -> Self {
+    Self {
+      address,
+      admission: None,
+      connect_timeout,
+      fresh: false,
+      keep: true,
+      permit: Box::new(|| Ok(())),
+      request,
+    }
+  }
+
+  /// Gives the call a connection of its own.
+  #[must_use]
+  pub fn alone(mut self) -> Self {
+    self.fresh = true;
+    self.keep = false;
+    self
+  }
+}
+
 impl fmt::Debug for Call {
   fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
     write!(f, "Call({}, {})", self.address, self.request.uri())
