Take the catalog of other hosts one transfer at a time, and compressed

Cause: every pulse of a host with a newer catalog started a transfer of its own. Ruled out: the engines (failures were 'no connection' and deadlines of all kinds of request from that second on).

--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -51,7 +51,12 @@
   /// The revision up to which the operator's documents are known.
   pub(super) operator_revision: u64,
   pub(super) pace: Pace,
+  /// Where the next catalog comes from.
+  pub(super) intake: member::Intake,
+  /// The catalog in force as it was published.
   pub(super) published: Bytes,
+  /// The same, compressed, once another host has asked for it.
+  pub(super) packed: Option<Bytes>,
   pub(super) repeats: Repeats,
   pub(super) roster: Roster,
   pub(super) settings: Arc<settings::Gateway>,
@@ -172,7 +177,9 @@
       members: member::Table::new(settings.peers, incarnation, settings.seeds.clone()),
       operator_revision: 0,
       pace: Pace::default(),
+      intake: member::Intake::default(),
       published: Bytes::new(),
+      packed: None,
       recovered: None,
       repeats: Repeats::new(clock.now()),
       roster: Roster::default(),
--- a/yuccarudder/src/gateway/published.rs
+++ b/yuccarudder/src/gateway/published.rs
@@ -1,6 +1,7 @@
 use {
   super::{Gateway, gateway::HOST},
   crate::{
+    member,
     reader::{Area, Change, Changes, Duty, Error, Mode, Snapshot, Subject},
     relocation,
     roster::Key,
@@ -120,6 +121,7 @@
       log::info!(target: PREFIX, version = catalog.version, in_force, source; "A catalog is in force.");
       state.catalog = Some(Arc::new(catalog));
       state.published = bytes;
+      state.packed = None;
       state.freshness.restart(asked);
       drop(state);
       self.news.notify_one();
@@ -128,6 +130,26 @@
     }
   }
 
+  /// Returns the catalog in force, compressed, if it is above a version.
+  pub(super) fn packed_catalog(&self, above: u64) -> Bytes {
+    let state = self.lock();
+    let version = state.version();
+    if version <= above {
+      return Bytes::new();
+    }
+    if let Some(packed) = &state.packed {
+      return packed.clone();
+    }
+    let published = state.published.clone();
+    drop(state);
+    let packed = member::pack(&published);
+    let mut state = self.lock();
+    if state.version() == version {
+      state.packed = Some(packed.clone());
+    }
+    packed
+  }
+
   /// Records that the platform answered.
   pub fn reached_platform(&self, area: Area) {
     let now = self.clock.now();
--- a/yuccarudder/src/gateway/pulses.rs
+++ b/yuccarudder/src/gateway/pulses.rs
@@ -12,6 +12,8 @@
 /// Hosts that one pulse names.
 const MEMBERS_TOLD: usize = 8;
 const PREFIX: &str = "member";
+/// Pause before another host is asked for its catalog after one gave none.
+const TAKE_DELAY: Duration = Duration::from_millis(100);
 const RECEIVE_DELAY: Duration = Duration::from_millis(10);
 
 type Sender = SplitSink<UdpFramed<Codec>, (Bytes, SocketAddr)>;
@@ -137,8 +139,8 @@
     gateway.tell_leaving(&leaving, HOST);
   }
   learn_loads(gateway, pulse, news.sender);
-  if pulse.catalog_version > version {
-    tokio::spawn(take_catalog(gateway.clone(), news.sender, version));
+  if pulse.catalog_version > version && gateway.lock().intake.begin(news.sender) {
+    tokio::spawn(take_catalog(gateway.clone(), news.sender));
   }
 }
 
@@ -153,12 +155,22 @@
   }
 }
 
-async fn take_catalog(gateway: Gateway, host: SocketAddr, above: u64) {
-  match member::fetch(host, above).await {
-    Ok(bytes) if bytes.is_empty() => {}
-    Ok(bytes) => gateway.offer_catalog(bytes, None, HOST),
-    Err(error) => {
-      log::warn!(target: PREFIX, host:% = host, error:% = error; "Another host's catalog was not taken.");
+/// Takes the catalog of other hosts until none has a newer one.
+async fn take_catalog(gateway: Gateway, first: SocketAddr) {
+  let mut next = Some(first);
+  while let Some(host) = next {
+    let above = gateway.lock().version();
+    match member::fetch(host, above).await {
+      Ok(bytes) if bytes.is_empty() => {}
+      Ok(bytes) => gateway.offer_catalog(bytes, None, HOST),
+      Err(error) => {
+        log::warn!(target: PREFIX, host:% = host, above, error:% = error; "Another host's catalog was not taken.");
+        time::sleep(TAKE_DELAY).await;
+      }
     }
+    let now = gateway.clock.boot();
+    let mut state = gateway.lock();
+    let newer = state.members.with_catalog_above(state.version(), now);
+    next = state.intake.next(&newer, rand::random_range(0.0..1.0));
   }
 }
--- a/yuccarudder/src/gateway/serve.rs
+++ b/yuccarudder/src/gateway/serve.rs
@@ -140,12 +140,5 @@
 
 fn catalogs(gateway: &Gateway) -> Arc<dyn Fn(u64) -> Bytes + Send + Sync> {
   let gateway = gateway.clone();
-  Arc::new(move |above| {
-    let state = gateway.lock();
-    if state.version() > above {
-      state.published.clone()
-    } else {
-      Bytes::new()
-    }
-  })
+  Arc::new(move |above| gateway.packed_catalog(above))
 }
--- a/yuccarudder/src/member/mod.rs
+++ b/yuccarudder/src/member/mod.rs
@@ -6,6 +6,7 @@
 
 mod cadence;
 mod codec;
+mod intake;
 mod phase;
 mod pulse;
 mod table;
@@ -13,10 +14,11 @@
 
 pub use cadence::{news_period, period, silence};
 pub use codec::Codec;
+pub use intake::Intake;
 pub use phase::Phase;
 pub use pulse::{Echo, Leaving, Load, Pulse};
 pub use table::{Known, Member, News, Sent, Table};
-pub use transfer::{fetch, serve};
+pub use transfer::{fetch, pack, serve};
 
 #[cfg(test)]
 mod tests;
--- a/yuccarudder/src/member/table.rs
+++ b/yuccarudder/src/member/table.rs
@@ -20,6 +20,7 @@
 pub struct Member {
   /// Where callers reach it.
   pub callers: SocketAddr,
+  catalog_version: u64,
   heard: Duration,
   incarnation: u64,
   /// Its phase.
@@ -84,6 +85,12 @@
       .filter(move |(_, m)| live(m))
   }
 
+  /// Returns the live hosts that have a catalog above a version.
+  pub fn with_catalog_above(&self, version: u64, now: Duration) -> Vec<SocketAddr> {
+    let newer = self.live(now).filter(|(_, member)| member.catalog_version > version);
+    newer.map(|(address, _)| address).collect()
+  }
+
   /// Returns the number of hosts, with this one, that may hold a part of a bound.
   pub fn count(&self) -> usize {
     self.members.len() + 1
@@ -151,6 +158,7 @@
       sender,
       Member {
         callers,
+        catalog_version: pulse.catalog_version,
         heard: now,
         incarnation: pulse.incarnation,
         phase: Phase::from_number(pulse.phase),
--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -1,6 +1,6 @@
 use {
   super::*,
-  bytes::BytesMut,
+  bytes::{Bytes, BytesMut},
   prost::Message,
   std::{net::SocketAddr, time::Duration},
   tokio_util::codec::Decoder,
@@ -201,3 +201,63 @@
 cadences!(few_hosts, 6, 200, 1_300);
 cadences!(twice_the_hosts_of_the_shortest_period, 30, 400, 1_400);
 cadences!(target_size, 350, 1_000, 3_500);
+
+#[test]
+fn many_hosts_with_a_newer_catalog_are_asked_one_at_a_time() {
+  let mut intake = Intake::default();
+  let begun = (1..=70).filter(|host| intake.begin(address(*host))).count();
+  assert_eq!(begun, 1);
+}
+
+/// Names a case: the hosts with a newer catalog after host 1 was asked, and who is next.
+macro_rules! asks_next {
+  ($name:ident, $newer:expr, $random:expr, $expected:expr) => {
+    #[test]
+    fn $name() {
+      let mut intake = Intake::default();
+      assert!(intake.begin(address(1)));
+      let newer: Vec<SocketAddr> = $newer.into_iter().map(address).collect();
+      let expected: Option<u8> = $expected;
+      assert_eq!(intake.next(&newer, $random), expected.map(address));
+      assert_eq!(intake.begin(address(9)), expected.is_none());
+    }
+  };
+}
+
+asks_next!(nobody_has_a_newer_one, [], 0.0, None);
+asks_next!(another_host_goes_before_the_same, [1, 2], 0.0, Some(2));
+asks_next!(the_same_host_where_it_is_the_only_one, [1], 0.9, Some(1));
+asks_next!(others_are_taken_at_random, [1, 2, 3, 4], 0.99, Some(4));
+
+#[test]
+fn hosts_with_a_newer_catalog_are_known_while_they_live() {
+  let mut table = table();
+  let mut newer = pulse(3, 1);
+  newer.catalog_version = 5;
+  table.receive(&newer, ms(0)).unwrap();
+  table.receive(&pulse(2, 1), ms(0)).unwrap();
+  assert_eq!(table.with_catalog_above(4, ms(10)), [address(3)]);
+  assert!(table.with_catalog_above(5, ms(10)).is_empty());
+  assert!(table.with_catalog_above(4, ms(5_000)).is_empty());
+}
+
+#[tokio::test]
+async fn catalog_with_many_routes_is_small_on_the_way_and_whole_at_its_end() {
+  let route =
+    r#"{"name":"r","hostname":"a.example","path_prefix":"/a/","route_type":"idempotent"}"#;
+  let catalog = Bytes::from([route; 4_000].join(","));
+  let packed = pack(&catalog);
+  assert!(packed.len() * 10 < catalog.len());
+  let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+  let address = listener.local_addr().unwrap();
+  let catalogs = move |above| {
+    if above < 3 {
+      packed.clone()
+    } else {
+      Bytes::new()
+    }
+  };
+  tokio::spawn(serve(listener, std::sync::Arc::new(catalogs)));
+  assert_eq!(fetch(address, 2).await.unwrap(), catalog);
+  assert!(fetch(address, 3).await.unwrap().is_empty());
+}
--- a/yuccarudder/src/member/transfer.rs
+++ b/yuccarudder/src/member/transfer.rs
@@ -3,9 +3,15 @@
 use {
   anyhow::Context,
   bytes::Bytes,
+  flate2::{Compression, read::ZlibDecoder, write::ZlibEncoder},
   futures::{SinkExt, StreamExt},
   prost::Message,
-  std::{net::SocketAddr, sync::Arc, time::Duration},
+  std::{
+    io::{Read, Write},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+  },
   tokio::{
     net::{TcpListener, TcpStream},
     time,
@@ -14,6 +20,8 @@
 };
 
 const ACCEPT_DELAY: Duration = Duration::from_millis(50);
+/// Largest catalog: as the largest frame, so that a broken one cannot take all memory.
+const MAX_CATALOG_BYTES: u64 = 4 << 20;
 const MAX_FRAME_BYTES: usize = 4 << 20;
 const PREFIX: &str = "member";
 const TIMEOUT: Duration = Duration::from_secs(2);
@@ -26,7 +34,7 @@
   above: u64,
 }
 
-/// The catalog as it was published.
+/// The catalog as it was published, compressed; empty when there is no newer one.
 #[derive(Clone, PartialEq, prost::Message)]
 struct Document {
   #[prost(bytes = "bytes", tag = "1")]
@@ -49,12 +57,28 @@
     let request = Bytes::from(Request { above }.encode_to_vec());
     frames.send(request).await?;
     let frame = frames.next().await.context("the connection ended")??;
-    Ok(Document::decode(frame)?.bytes)
+    unpack(&Document::decode(frame)?.bytes)
   };
   time::timeout(TIMEOUT, exchange).await.context("no answer in time")?
 }
 
-/// Answers the other hosts; `catalog` returns the published bytes above a version.
+/// Compresses a published catalog: its many routes are alike, and links may be slow.
+pub fn pack(catalog: &[u8]) -> Bytes {
+  let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
+  encoder.write_all(catalog).expect("memory takes all bytes");
+  encoder.finish().expect("memory takes all bytes").into()
+}
+
+fn unpack(packed: &[u8]) -> anyhow::Result<Bytes> {
+  if packed.is_empty() {
+    return Ok(Bytes::new());
+  }
+  let mut catalog = Vec::new();
+  ZlibDecoder::new(packed).take(MAX_CATALOG_BYTES).read_to_end(&mut catalog)?;
+  Ok(catalog.into())
+}
+
+/// Answers the other hosts; `catalog` returns the compressed catalog above a version.
 pub async fn serve(listener: TcpListener, catalog: Arc<dyn Fn(u64) -> Bytes + Send + Sync>) {
   loop {
     let stream = match listener.accept().await {
