Ask the engines themselves whether they leave while the platform is silent

Now the two hosts that read the targets ask the engines while no host reads the platform, and tell the others, with the time that is left.

--- a/yuccarudder/src/dialect.rs
+++ b/yuccarudder/src/dialect.rs
@@ -66,8 +66,10 @@
 /// What an engine reports of itself.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Report {
-  /// When it leaves, if it knows.
+  /// When it is gone, if it knows.
   pub leaves_in: Option<Duration>,
+  /// Whether it takes no more work.
+  pub leaving: bool,
 }
 
 /// A call to an engine.
--- /dev/null
+++ b/yuccarudder/src/gateway/inspection.rs
@@ -0,0 +1,43 @@
+//! Asks the engines themselves whether they leave, while the platform is silent.
+
+use {
+  super::Gateway,
+  crate::{relocation, roster::Key},
+  futures::future,
+  std::{net::SocketAddr, time::Duration},
+  tokio::time,
+};
+
+/// Pause between two rounds of questions: a fraction of the notice that engines give.
+const PERIOD: Duration = Duration::from_millis(250);
+const PREFIX: &str = "inspection";
+
+/// Asks while it is needed, until the task is dropped.
+pub async fn run(gateway: Gateway) {
+  let mut asking = false;
+  loop {
+    time::sleep(PERIOD).await;
+    let engines = gateway.engines_to_ask();
+    if asking == engines.is_empty() {
+      asking = !asking;
+      log::info!(target: PREFIX, asking, engines = engines.len(); "The platform fell silent or speaks again; engines are asked while it is silent.");
+    }
+    let answers = engines.into_iter().map(|(key, address)| ask(&gateway, key, address));
+    let leaving: Vec<Key> = future::join_all(answers).await.into_iter().flatten().collect();
+    if !leaving.is_empty() {
+      gateway.tell_leaving(&leaving, "report");
+    }
+  }
+}
+
+/// Asks one engine; returns it if it is news that it leaves.
+async fn ask(gateway: &Gateway, key: Key, address: SocketAddr) -> Option<Key> {
+  let report = (gateway.dialect.inspect)(address).await?;
+  if !report.leaving {
+    return None;
+  }
+  let now = gateway.clock.now();
+  let made = now.checked_sub(relocation::REPORT_AGE).unwrap_or(now);
+  let leaves_at = report.leaves_in.map(|time| made + time);
+  gateway.lock().roster.announce(key, leaves_at, now).then_some(key)
+}
--- a/yuccarudder/src/gateway/mod.rs
+++ b/yuccarudder/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod finish;
 mod front;
 mod gateway;
+mod inspection;
 mod meters;
 mod movement;
 mod pauses;
--- a/yuccarudder/src/gateway/published.rs
+++ b/yuccarudder/src/gateway/published.rs
@@ -7,7 +7,7 @@
     roster::Key,
   },
   bytes::Bytes,
-  std::{sync::Arc, time::Duration},
+  std::{net::SocketAddr, sync::Arc, time::Duration},
   tokio::time,
 };
 
@@ -70,7 +70,10 @@
     let relocatable = service
       .and_then(|service| service.engine.as_ref())
       .is_some_and(|engine| engine.relocatable);
-    if !relocatable || self.places.lock().own(target.fingerprint).runs == 0 {
+    if !relocatable
+      || target.leaves_at.is_some()
+      || self.places.lock().own(target.fingerprint).runs == 0
+    {
       return;
     }
     let report = (self.dialect.inspect)(target.listing.address);
@@ -173,6 +176,33 @@
     duty.mode(area, fresh, state.listed_targets)
   }
 
+  /// Returns the engines that are to be asked whether they leave.
+  pub(super) fn engines_to_ask(&self) -> Vec<(Key, SocketAddr)> {
+    let duty = self.duty();
+    let now = self.clock.now();
+    let state = self.lock();
+    let Some((catalog, answered)) =
+      state.catalog.as_ref().zip(state.answered.get(Area::Targets.name()))
+    else {
+      return Vec::new();
+    };
+    let silence = now.saturating_duration_since(*answered);
+    let failed = state.troubled.contains(Area::Targets.name());
+    let others_read = state.members.anyone_reads(self.clock.boot());
+    if !duty.asks_engines(failed, silence, others_read) {
+      return Vec::new();
+    }
+    let is_engine = |service: &str| {
+      let engine = catalog.service(service).and_then(|service| service.engine.as_ref());
+      engine.is_some_and(|engine| engine.relocatable)
+    };
+    let engines = state
+      .roster
+      .all()
+      .filter(|(key, target)| state.roster.is_open(*key) && is_engine(&target.listing.service));
+    engines.map(|(key, target)| (key, target.listing.address)).collect()
+  }
+
   fn duty(&self) -> Duty {
     let state = self.lock();
     Duty {
--- a/yuccarudder/src/member/pulse.rs
+++ b/yuccarudder/src/member/pulse.rs
@@ -1,4 +1,7 @@
-use crate::placement;
+use {
+  crate::{placement, roster},
+  std::time::Duration,
+};
 
 /// The newest pulse of the recipient that the sender had seen.
 #[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
@@ -14,6 +17,9 @@
 /// A target that takes no more work.
 #[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
 pub struct Leaving {
+  /// Time until it is gone, in milliseconds, if the sender knows it.
+  #[prost(uint64, optional, tag = "3")]
+  pub leaves_in_ms: Option<u64>,
   /// The platform's revision that told of it.
   #[prost(uint64, tag = "1")]
   pub revision: u64,
@@ -22,6 +28,27 @@
   pub target: u64,
 }
 
+impl From<roster::Departure> for Leaving {
+  fn from(departure: roster::Departure) -> Self {
+    let milliseconds = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+    Self {
+      leaves_in_ms: departure.leaves_in.map(milliseconds),
+      revision: departure.revision,
+      target: departure.fingerprint,
+    }
+  }
+}
+
+impl From<Leaving> for roster::Departure {
+  fn from(leaving: Leaving) -> Self {
+    Self {
+      fingerprint: leaving.target,
+      leaves_in: leaving.leaves_in_ms.map(Duration::from_millis),
+      revision: leaving.revision,
+    }
+  }
+}
+
 /// What the sender has at one target.
 #[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
 pub struct Load {
--- a/yuccarudder/src/reader/duty.rs
+++ b/yuccarudder/src/reader/duty.rs
@@ -1,5 +1,5 @@
 use {
-  super::{Area, Mode},
+  super::{Area, Mode, run::WAIT},
   std::time::Duration,
 };
 
@@ -15,6 +15,9 @@
 /// Pauses between two questions of the hosts that follow the targets closely; they tell
 /// the others of those that leave.
 const TARGET_READERS: [Duration; 2] = [Duration::from_millis(120), Duration::from_millis(500)];
+/// Time beyond the longest pause between two answers after which a reader takes the
+/// platform for silent.
+const SILENCE_MARGIN: Duration = Duration::from_millis(200);
 /// Pause between two looks of all others at the targets.
 const GLANCE: Duration = Duration::from_millis(1200);
 
@@ -39,6 +42,16 @@
     MAX_BACKOFF.mul_f64((self.hosts as f64 / OPERATOR_READERS as f64).max(1.0))
   }
 
+  /// Returns whether a host asks the engines themselves whether they leave: it reads the
+  /// targets for the others, none of which reads them now, and the platform `failed` it or
+  /// has been silent for longer than its answers take.
+  pub fn asks_engines(&self, failed: bool, silence: Duration, others_read: bool) -> bool {
+    let Some(pause) = TARGET_READERS.get(self.rank) else {
+      return false;
+    };
+    !others_read && (failed || silence >= WAIT + *pause + SILENCE_MARGIN)
+  }
+
   /// Returns how a host follows an area.
   ///
   /// `proof` is the age of its proof that the catalog is current, and `listed` tells
--- a/yuccarudder/src/reader/run.rs
+++ b/yuccarudder/src/reader/run.rs
@@ -9,7 +9,7 @@
 /// How long one question waits for a change. It is longer than the time for which a
 /// platform that drops its history keeps watches from hearing of changes, so a question
 /// that ends without a change proves that there was none before it was asked.
-const WAIT: Duration = Duration::from_secs(1);
+pub(super) const WAIT: Duration = Duration::from_secs(1);
 /// Time beyond the wait after which a connection counts as silent.
 const WAIT_MARGIN: Duration = Duration::from_millis(500);
 const LIST_TIMEOUT: Duration = Duration::from_millis(1500);
--- a/yuccarudder/src/roster/roster.rs
+++ b/yuccarudder/src/roster/roster.rs
@@ -56,6 +56,17 @@
   pub standing: Standing,
 }
 
+/// A process that leaves, as hosts tell each other.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Departure {
+  /// The process.
+  pub fingerprint: u64,
+  /// Time until it is gone, if it is known.
+  pub leaves_in: Option<Duration>,
+  /// The platform's revision that told of it.
+  pub revision: u64,
+}
+
 fn cold_until(listing: &Listing, now: Instant) -> Option<Instant> {
   (!listing.warm_in.is_zero()).then(|| now + listing.warm_in)
 }
@@ -111,6 +122,23 @@
     }
   }
 
+  /// Records that a target itself says that it leaves, and when it will be gone; returns
+  /// whether that is news.
+  pub fn announce(&mut self, key: Key, leaves_at: Option<Instant>, now: Instant) -> bool {
+    let Some(target) = self.targets.get_mut(key) else {
+      return false;
+    };
+    target.leaves_at = leaves_at.or(target.leaves_at);
+    if !matches!(target.standing, Standing::Serving | Standing::Lapsed(_)) {
+      return false;
+    }
+    target.standing = Standing::Leaving;
+    target.leaving_since = Some(now);
+    // What the platform knew until now is older.
+    target.revision += 1;
+    true
+  }
+
   /// Returns a target.
   pub fn get(&self, key: Key) -> Option<&Target> {
     self.targets.get(key)
@@ -126,29 +154,37 @@
     self.targets.get(key).is_some_and(|target| self.takes_work(target))
   }
 
-  /// Records that another host knows a revision by which a process leaves; returns the
-  /// process if that is news.
-  pub fn learn_leaving(&mut self, fingerprint: u64, revision: u64, now: Instant) -> Option<Key> {
-    let news = |target: &Target| {
-      let serving = matches!(target.standing, Standing::Serving | Standing::Lapsed(_));
-      target.fingerprint == fingerprint && serving && target.revision < revision
-    };
-    let (key, target) = self.targets.iter_mut().find(|(_, target)| news(target))?;
-    target.standing = Standing::Leaving;
-    target.leaving_since = Some(now);
-    target.revision = revision;
-    Some(key)
+  /// Records that another host knows of a process that leaves; returns the process if that
+  /// is news.
+  pub fn learn_leaving(&mut self, told: &Departure, now: Instant) -> Option<Key> {
+    let known = |target: &Target| target.fingerprint == told.fingerprint;
+    let (key, target) = self.targets.iter_mut().find(|(_, target)| known(target))?;
+    let serving = matches!(target.standing, Standing::Serving | Standing::Lapsed(_));
+    let news = serving && target.revision < told.revision;
+    if news {
+      target.standing = Standing::Leaving;
+      target.leaving_since = Some(now);
+      target.revision = told.revision;
+    }
+    if news || target.standing == Standing::Leaving {
+      target.leaves_at = target.leaves_at.or(told.leaves_in.map(|time| now + time));
+    }
+    news.then_some(key)
   }
 
-  /// Returns the processes that leave or have left lately, with the revisions that told it.
-  pub fn leaving(&self, now: Instant) -> impl Iterator<Item = (u64, u64)> {
+  /// Returns the processes that leave or have left lately.
+  pub fn leaving(&self, now: Instant) -> impl Iterator<Item = Departure> {
     let told = move |target: &&Target| match target.standing {
       Standing::Gone(forgotten) => now + MEMORY < forgotten + TOLD,
       Standing::Leaving => true,
       Standing::Lapsed(_) | Standing::Serving => false,
     };
     let targets = self.targets.values().filter(told);
-    targets.map(|target| (target.fingerprint, target.revision))
+    targets.map(move |target| Departure {
+      fingerprint: target.fingerprint,
+      leaves_in: target.leaves_at.map(|at| at.saturating_duration_since(now)),
+      revision: target.revision,
+    })
   }
 
   /// Returns the targets of a service that may get new requests.
--- a/yuccarudder/src/roster/tests.rs
+++ b/yuccarudder/src/roster/tests.rs
@@ -121,8 +121,8 @@
 fn another_host_tells_of_a_leave() {
   let mut world = World::new();
   let process = world.roster.get(world.key()).unwrap().fingerprint;
-  assert!(world.roster.learn_leaving(process, 5, world.now).is_some());
-  assert!(world.roster.learn_leaving(process, 5, world.now).is_none());
+  assert!(world.roster.learn_leaving(&departure(process, 5), world.now).is_some());
+  assert!(world.roster.learn_leaving(&departure(process, 5), world.now).is_none());
   // Heartbeats from before the leave arrive late.
   world.put(4, available(7));
   assert_eq!(world.open(), 0);
@@ -136,7 +136,7 @@
   let mut world = World::new();
   world.put(9, available(7));
   let process = world.roster.get(world.key()).unwrap().fingerprint;
-  assert!(world.roster.learn_leaving(process, 8, world.now).is_none());
+  assert!(world.roster.learn_leaving(&departure(process, 8), world.now).is_none());
   assert_eq!(world.open(), 1);
 }
 
@@ -166,3 +166,52 @@
   world.roster.set_evacuated(["kochi".to_owned()]);
   assert_eq!(world.open(), 0);
 }
+
+fn departure(fingerprint: u64, revision: u64) -> Departure {
+  Departure {
+    fingerprint,
+    leaves_in: None,
+    revision,
+  }
+}
+
+#[test]
+fn target_that_says_itself_that_it_leaves_takes_no_work_and_is_told() {
+  let mut world = World::new();
+  let key = world.key();
+  let at = world.now + Duration::from_millis(900);
+  assert!(world.roster.announce(key, Some(at), world.now));
+  assert!(!world.roster.announce(key, Some(at), world.now));
+  assert_eq!(world.open(), 0);
+  let told = world.roster.leaving(world.now).next().unwrap();
+  assert_eq!(told.leaves_in, Some(Duration::from_millis(900)));
+  // Another host with the same list learns it, and when the target will be gone.
+  let mut other = World::new();
+  let later = other.now + Duration::from_millis(10);
+  assert!(other.roster.learn_leaving(&told, later).is_some());
+  let target = other.roster.get(other.key()).unwrap();
+  assert_eq!(target.leaves_at, Some(later + Duration::from_millis(900)));
+}
+
+#[test]
+fn target_that_takes_work_again_after_its_own_word_is_open() {
+  let mut world = World::new();
+  world.roster.announce(world.key(), None, world.now);
+  world.put(9, available(7));
+  assert_eq!(world.open(), 1);
+}
+
+#[test]
+fn when_a_target_leaves_is_learnt_after_the_leave_itself() {
+  let mut world = World::new();
+  let key = world.key();
+  let process = world.roster.get(key).unwrap().fingerprint;
+  world.roster.learn_leaving(&departure(process, 5), world.now);
+  let told = Departure {
+    leaves_in: Some(Duration::from_secs(1)),
+    ..departure(process, 5)
+  };
+  assert!(world.roster.learn_leaving(&told, world.now).is_none());
+  let at = world.now + Duration::from_secs(1);
+  assert_eq!(world.roster.get(key).unwrap().leaves_at, Some(at));
+}
