Let runs go on from their copies at once instead of stopping them for the rest

Cause: a run whose copy was complete was stopped later, when all links were thought to be idle, and the rest of its memory was copied then. Now the connection to the old engine is closed when the copy is complete; the other engine reads in the few tokens that the copy lacks.

--- a/yuccarudder/src/gateway/movement.rs
+++ b/yuccarudder/src/gateway/movement.rs
@@ -16,41 +16,28 @@
 /// Pause of a run that cannot be copied in time; it may end by itself before its engine.
 const HOPELESS: Duration = Duration::from_secs(1);
 const PREFIX: &str = "movement";
-
-/// What is done at the end of a pause.
-enum Due {
-  Copy,
-  Stop(Box<Spot>),
-}
+/// Time that an engine is given to notice that a connection was closed; users take a run
+/// that goes on at two engines for 400 ms for a fault.
+const STOP_DELAY: Duration = Duration::from_millis(100);
 
 /// What a move waits for.
 enum Wait {
   Copy {
     answer: BoxFuture<'static, Result<Copied, Failure>>,
     destination: Box<Spot>,
-    stop: bool,
-  },
-  LastEvents(BoxFuture<'static, ()>),
-  Pause {
-    due: Due,
-    end: BoxFuture<'static, ()>,
   },
+  Pause(BoxFuture<'static, ()>),
 }
 
 /// What a move has come to.
 pub enum Step {
   /// An engine answered the order to copy.
   Copied {
-    destination: Spot,
+    destination: Box<Spot>,
     result: Result<Copied, Failure>,
-    stop: bool,
   },
   /// It is time to copy the run.
   CopyDue,
-  /// The last events of a run that stopped are overdue.
-  LastEvents,
-  /// It is time to stop the run, which the engine has a copy of.
-  StopDue(Spot),
 }
 
 /// The move of a run to another engine.
@@ -66,7 +53,6 @@
     if let Some(Wait::Copy {
       answer,
       destination,
-      ..
     }) = self.wait.take()
     {
       let release = call.gateway.dialect.release.clone();
@@ -81,16 +67,11 @@
     }
   }
 
-  /// Waits for the last events of a run that stopped.
-  pub fn await_last_events(&mut self, longest: Duration) {
-    self.wait = Some(Wait::LastEvents(Box::pin(time::sleep(longest))));
-  }
-
   /// Begins to move a run from an engine that leaves.
   pub fn begin(&mut self, call: &Call, source: &Spot, run: Run) {
     self.plan = plan(call, source, run);
     match self.plan {
-      Some(_) => self.pause(call.gateway.clock.now(), Due::Copy),
+      Some(_) => self.pause(call.gateway.clock.now()),
       None => self.retry(call),
     }
   }
@@ -111,11 +92,11 @@
           notice_ms = window.notice.map(|notice| notice.as_millis() as u64);
           "The notice is too short to copy a run."
         );
-        self.pause(now + HOPELESS, Due::Copy);
+        self.pause(now + HOPELESS);
       }
-      Some(due) if due > now => self.pause(due, Due::Copy),
+      Some(due) if due > now => self.pause(due),
       Some(_) => match call.take_planned(plan.destination, run) {
-        Some(destination) => self.order(call, source, destination, false),
+        Some(destination) => self.order(call, source, destination),
         None => self.retry(call),
       },
     }
@@ -131,92 +112,76 @@
     self.wait.is_none()
   }
 
-  /// Returns whether the run stops for the copy that is on its way.
-  pub fn is_stopping(&self) -> bool {
-    matches!(self.wait, Some(Wait::Copy { stop: true, .. }))
-  }
-
   /// Waits for the next step; for ever when nothing is being moved.
   pub async fn next(&mut self) -> Step {
     match &mut self.wait {
       None => future::pending().await,
-      Some(Wait::Pause { end, .. }) => end.await,
-      Some(Wait::LastEvents(overdue)) => overdue.await,
+      Some(Wait::Pause(end)) => end.await,
       Some(Wait::Copy { answer, .. }) => {
         let result = answer.await;
-        let Some(Wait::Copy {
-          destination, stop, ..
-        }) = self.wait.take()
-        else {
+        let Some(Wait::Copy { destination, .. }) = self.wait.take() else {
           unreachable!("the wait was for a copy");
         };
         return Step::Copied {
-          destination: *destination,
+          destination,
           result,
-          stop,
         };
       }
     }
-    match self.wait.take() {
-      Some(Wait::Pause {
-        due: Due::Stop(destination),
-        ..
-      }) => Step::StopDue(*destination),
-      Some(Wait::Pause { due: Due::Copy, .. }) => Step::CopyDue,
-      _ => Step::LastEvents,
-    }
+    self.wait = None;
+    Step::CopyDue
   }
 
-  fn order(&mut self, call: &Call, source: &Spot, destination: Spot, stop: bool) {
+  fn order(&mut self, call: &Call, source: &Spot, destination: Spot) {
     let answer = (call.gateway.dialect.relocate)(Order {
       destination: destination.target.listing.address,
       request_id: call.id().to_owned(),
       source: source.target.listing.address,
-      stop,
+      stop: false,
     });
     self.wait = Some(Wait::Copy {
       answer,
       destination: Box::new(destination),
-      stop,
     });
   }
 
-  fn pause(&mut self, until: Instant, due: Due) {
-    let end = Box::pin(time::sleep_until(until.into()));
-    self.wait = Some(Wait::Pause { due, end });
+  fn pause(&mut self, until: Instant) {
+    self.wait = Some(Wait::Pause(Box::pin(time::sleep_until(until.into()))));
   }
 
   /// Tries again after a short pause.
   pub fn retry(&mut self, call: &Call) {
     self.plan = None;
-    self.pause(call.gateway.clock.now() + RETRY, Due::Copy);
-  }
-
-  /// Stops the run when it is due, and copies what is new since the copy before.
-  pub fn stop(&mut self, call: &Call, source: &Spot, destination: Spot) {
-    let now = call.gateway.clock.now();
-    let (since, window) = window(call, source);
-    let due = self.plan.as_ref().map_or(now, |plan| since + window.stop_at(plan));
-    if due <= now {
-      self.order(call, source, destination, true);
-    } else {
-      self.pause(due, Due::Stop(Box::new(destination)));
-    }
+    self.pause(call.gateway.clock.now() + RETRY);
   }
+}
 
-  /// Takes the destination that has a copy of the run, which still goes on.
-  pub fn take_destination(&mut self) -> Option<Spot> {
-    match self.wait.take() {
-      Some(Wait::Pause {
-        due: Due::Stop(destination),
-        ..
-      }) => Some(*destination),
-      wait => {
-        self.wait = wait;
-        None
-      }
-    }
-  }
+/// Makes sure that an engine has stopped a run whose connection was closed.
+///
+/// Engines drop a run with its connection. One that does not is told to stop, so that the
+/// run never goes on at two engines.
+pub fn ensure_stopped(call: &Call, source: &Spot, destination: &Spot) {
+  let dialect = &call.gateway.dialect;
+  let release = dialect.release.clone();
+  let address = source.target.listing.address;
+  let stopped = (dialect.relocate)(Order {
+    destination: destination.target.listing.address,
+    request_id: call.id().to_owned(),
+    source: address,
+    stop: true,
+  });
+  let id = call.id().to_owned();
+  let engine = source.target.id.clone();
+  tokio::spawn(async move {
+    time::sleep(STOP_DELAY).await;
+    let handle = match stopped.await {
+      Ok(copied) => copied.handle,
+      Err(Failure::NoRoom(Some(handle))) => handle,
+      Err(_) => return,
+    };
+    log::warn!(target: PREFIX, id = id.as_str(), engine:% = engine; "An engine went on with a run whose connection was closed; it was stopped.");
+    release(address, handle).await;
+  });
 }
 
 /// Plans the copy of a run with what this host knows of all runs at engines that leave.
--- a/yuccarudder/src/gateway/placed.rs
+++ b/yuccarudder/src/gateway/placed.rs
@@ -197,11 +197,6 @@
     }
   }
 
-  /// Takes a place at the target where a run is already.
-  pub fn stay(&self, spot: &Spot, load: Load) -> Spot {
-    self.take(spot.key, load)
-  }
-
   fn take(&self, key: Key, load: Load) -> Spot {
     let mut state = self.gateway.lock();
     state.pace.record(key, self.gateway.clock.now());
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -1,7 +1,7 @@
 use {
   super::{
     call::Call,
-    movement::{Movement, Step},
+    movement::{self, Movement, Step},
     pauses::Pauses,
     placed::Spot,
   },
@@ -17,7 +17,7 @@
     routing::Engine,
   },
   bytes::Bytes,
-  futures::stream,
+  futures::{future, stream},
   http_body_util::{BodyExt, StreamBody},
   hyper::body::{Frame, Incoming},
   std::time::Duration,
@@ -29,8 +29,6 @@
 /// Events that a run makes before an engine that leaves is gone: it needs no move.
 const EVENTS_IN_NOTICE: u64 = 10;
 const PREFIX: &str = "session";
-/// Longest wait for the last events of a run that stopped to be copied.
-const LAST_EVENTS: Duration = Duration::from_millis(300);
 /// Longest wait for the head of the answer where a run goes on.
 const SWITCH_PATIENCE: Duration = Duration::from_secs(3);
 /// Events after which the memory that a run takes is told anew.
@@ -63,24 +61,13 @@
   call: Call,
   caller: mpsc::Sender<Result<Bytes, BodyError>>,
   cursor: Cursor,
-  /// Whether the run's connection has ended while the outcome of a copy is awaited.
-  ended: Option<Ended>,
-  events: Incoming,
+  /// The connection of the run; none when it broke off and its copy is awaited.
+  events: Option<Incoming>,
   movement: Movement,
   moves: u32,
   pauses: Pauses,
-  /// A copy at the destination that was made while the run went on.
-  spare: Option<Copied>,
   spot: Spot,
   state: State,
-  /// The copy of a run that stopped, until its last events are in.
-  stopped: Option<(Copied, Spot)>,
-}
-
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Ended {
-  Broken,
-  Whole,
 }
 
 impl Session {
@@ -91,15 +78,12 @@
       cursor: Cursor::new(call.ask.last_event),
       call,
       caller,
-      ended: None,
-      events,
+      events: Some(events),
       movement: Movement::default(),
       moves: 0,
       pauses: Pauses::default(),
-      spare: None,
       spot,
       state,
-      stopped: None,
     };
     tokio::spawn(session.run());
     let pieces = stream::poll_fn(move |cx| pieces.poll_recv(cx));
@@ -121,10 +105,6 @@
     );
     self.measure(end);
     self.movement.abandon(&self.call, &self.spot);
-    let stopped = self.stopped.take().map(|(copied, _)| copied);
-    if let Some(copied) = stopped.or(self.spare.take()) {
-      self.release(copied);
-    }
     let reason = match end {
       End::Complete => {
         let call = &self.call;
@@ -168,7 +148,7 @@
         () = self.caller.closed() => Some(End::CallerGone),
         () = &mut deadline => Some(End::Deadline),
         step = self.movement.next() => self.step(step).await,
-        frame = self.events.frame(), if self.ended.is_none() => self.take(frame).await,
+        frame = next_frame(&mut self.events) => self.take(frame).await,
         changed = changes.changed() => {
           if changed.is_ok() {
             self.consider_move();
@@ -184,32 +164,17 @@
 
   /// Takes what came on the connection of the run.
   async fn take(&mut self, frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> Option<End> {
-    let ended = match frame {
+    match frame {
       Some(Ok(frame)) => match frame.into_data() {
-        Ok(bytes) => return self.pass_on(&bytes).await,
-        Err(_) => return None,
+        Ok(bytes) => self.pass_on(&bytes).await,
+        Err(_) => None,
       },
-      Some(Err(_)) => Ended::Broken,
-      None if self.cursor.is_partial() => Ended::Broken,
-      None => Ended::Whole,
-    };
-    if let Some((copied, destination)) = self.stopped.take() {
-      return self.switch(copied, destination).await;
-    }
-    if self.movement.is_copying() && (ended == Ended::Broken || self.movement.is_stopping()) {
-      self.ended = Some(ended);
-      return None;
-    }
-    match ended {
-      Ended::Whole => Some(End::Complete),
-      Ended::Broken => self.go_on_from_spare().await,
-    }
-  }
-
-  /// Goes on from the copy of a run that broke off before it was stopped, if there is one.
-  async fn go_on_from_spare(&mut self) -> Option<End> {
-    match (self.spare.take(), self.movement.take_destination()) {
-      (Some(copied), Some(destination)) => self.switch(copied, destination).await,
+      None if !self.cursor.is_partial() => Some(End::Complete),
+      // The destination may have all of the memory already.
+      _ if self.movement.is_copying() => {
+        self.events = None;
+        None
+      }
       _ => self.recover().await,
     }
   }
@@ -279,7 +244,7 @@
     let Some(engine) = self.engine().filter(|engine| engine.relocatable) else {
       return;
     };
-    if !self.movement.is_idle() || self.ended.is_some() || self.stopped.is_some() {
+    if !self.movement.is_idle() {
       return;
     }
     let left = self.call.ask.max_tokens.saturating_sub(self.generated());
@@ -304,67 +269,29 @@
         self.movement.copy(&self.call, &self.spot, run);
         None
       }
-      Step::StopDue(destination) => {
-        self.movement.stop(&self.call, &self.spot, destination);
-        None
-      }
-      Step::LastEvents => {
-        let (copied, destination) = self.stopped.take()?;
-        self.switch(copied, destination).await
-      }
       Step::Copied {
         destination,
         result,
-        stop,
-      } => self.copied(destination, result, stop).await,
+      } => self.copied(*destination, result).await,
     }
   }
 
-  async fn copied(
-    &mut self,
-    destination: Spot,
-    result: Result<Copied, Failure>,
-    stop: bool,
-  ) -> Option<End> {
+  async fn copied(&mut self, destination: Spot, result: Result<Copied, Failure>) -> Option<End> {
+    let broken = self.events.is_none();
     log::info!(
       target: PREFIX, id = self.call.id(), source:% = self.spot.target.id, destination:% = destination.target.id,
-      stop, result:? = result, ended:? = self.ended, events = self.cursor.events();
+      result:? = result, broken, events = self.cursor.events();
       "A copy of a run was answered."
     );
-    self.count_move(match (&result, stop) {
-      (Ok(_), false) => "copied",
-      (Ok(_), true) => "stopped",
-      (Err(Failure::NoRoom(_)), _) => "no_room",
-      (Err(_), _) => "failed",
+    self.count_move(match &result {
+      Ok(_) => "copied",
+      Err(Failure::NoRoom(_)) => "no_room",
+      Err(_) => "failed",
     });
-    match (result, stop, self.ended) {
-      (Ok(copied), true, None) => {
-        self.stopped = Some((copied, destination));
-        self.movement.await_last_events(LAST_EVENTS);
-        None
-      }
-      (Ok(copied), _, Some(_)) => self.switch(copied, destination).await,
-      (Ok(copied), false, None) => {
-        self.spare = Some(copied);
-        self.movement.stop(&self.call, &self.spot, destination);
-        None
-      }
-      (Err(Failure::NoRoom(Some(handle))), true, _) => {
-        // The run stands still with its memory where it was; it goes on there.
-        let here = self.call.stay(&self.spot, self.load());
-        let copied = Copied {
-          events: self.cursor.events(),
-          handle,
-        };
-        self.switch(copied, here).await
-      }
-      (Err(_), _, Some(Ended::Whole)) => Some(End::Complete),
-      (Err(_), _, Some(Ended::Broken)) => match self.spare.take() {
-        // The source is gone, but the destination has most of the run's memory.
-        Some(copied) => self.switch(copied, destination).await,
-        None => self.recover().await,
-      },
-      (Err(_), _, None) => {
+    match result {
+      Ok(copied) => self.switch(copied, destination).await,
+      Err(_) if broken => self.recover().await,
+      Err(_) => {
         drop(destination);
         self.movement.retry(&self.call);
         None
@@ -372,9 +299,15 @@
     }
   }
 
-  /// Goes on at the engine that holds the copy, or where the run stopped.
+  /// Goes on at the engine that holds the copy.
+  ///
+  /// The run is dropped with its connection and the other engine generates anew what the
+  /// copy lacks, so the caller notices nothing and the links carry each run once.
   async fn switch(&mut self, copied: Copied, destination: Spot) -> Option<End> {
     self.movement = Movement::default();
+    if self.events.take().is_some() {
+      movement::ensure_stopped(&self.call, &self.spot, &destination);
+    }
     let source = self.spot.target.listing.address;
     let resume = Resume {
       copy: Some(format!("{source}/{}", copied.handle)),
@@ -397,10 +330,8 @@
 
   fn continue_with(&mut self, spot: Spot, events: Incoming) {
     self.cursor.restart();
-    self.ended = None;
-    self.events = events;
+    self.events = Some(events);
     self.spot = spot;
-    self.spare = None;
     self.spot.place.update(self.load());
     self.consider_move();
   }
@@ -434,3 +365,11 @@
     tokio::spawn((self.call.gateway.dialect.release)(source, copied.handle));
   }
 }
+
+/// Returns what comes next on the connection of a run; waits for ever without one.
+async fn next_frame(events: &mut Option<Incoming>) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+  match events {
+    Some(events) => events.frame().await,
+    None => future::pending().await,
+  }
+}
--- a/yuccarudder/src/relocation/plan.rs
+++ b/yuccarudder/src/relocation/plan.rs
@@ -55,8 +55,6 @@
   pub destination: Key,
   /// When its copy is complete.
   pub end: Duration,
-  /// When the copies of all runs are complete.
-  pub ends: Vec<Duration>,
   /// When its copy starts.
   pub start: Duration,
 }
@@ -76,7 +74,6 @@
 ) -> Option<Plan> {
   let mut links = Links::new(engine, candidates);
   let mut own = None;
-  let mut ends = Vec::new();
   let longest = sources.iter().map(|source| source.runs).max().unwrap_or_default();
   for round in 0..longest.max(position.index + 1) {
     for source in sources {
@@ -88,7 +85,6 @@
       let Some(copy) = links.copy(source.process, source.data_centre, &copied) else {
         continue;
       };
-      ends.push(copy.end);
       if is_own {
         own = Some(copy);
       }
@@ -98,7 +94,6 @@
   Some(Plan {
     destination: own.destination,
     end: own.end,
-    ends,
     start: own.start,
   })
 }
--- a/yuccarudder/src/relocation/window.rs
+++ b/yuccarudder/src/relocation/window.rs
@@ -1,7 +1,5 @@
 use {super::Plan, std::time::Duration};
 
-/// Shortest time from the notice that an engine leaves until it is gone.
-const SHORTEST: Duration = Duration::from_millis(1400);
 /// Time from the notice that is hoped for until the engine's report tells more.
 const HOPED_FOR: Duration = Duration::from_millis(1800);
 /// Times longer that copies take than planned.
@@ -10,19 +8,13 @@
 pub const REPORT_AGE: Duration = Duration::from_millis(600);
 /// Time from the notice until an engine's report tells of it.
 pub const REPORT_LAG: Duration = Duration::from_millis(560);
-/// Time at the end of the notice for the runs to stop, one shortly after another, and
-/// for the last part of their memory to be copied.
-const STOPPING: Duration = Duration::from_millis(130);
+/// Time at the end of the notice for a run to go on at the other engine.
+const SWITCHING: Duration = Duration::from_millis(40);
 /// Share of the time until a copy's planned start after which it is ordered: engines
 /// keep the order, and the link has no gap if earlier copies take less than planned.
 const LEAD: f64 = 0.4;
 
 /// The time in which the runs of an engine that leaves are copied.
-///
-/// A run stands still from its stop until the rest of its memory has arrived. If it
-/// stopped while other runs were being copied, that rest would wait behind them on the
-/// link and the caller would notice. So the runs are copied while they go on, and stop
-/// when all links are idle again, or when the notice ends.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Window {
   /// Time from the notice until the engine is gone, if it is known.
@@ -37,14 +29,7 @@
   }
 
   fn fits(&self, end: Duration) -> bool {
-    let latest = self.notice.unwrap_or(HOPED_FOR).saturating_sub(STOPPING);
+    let latest = self.notice.unwrap_or(HOPED_FOR).saturating_sub(SWITCHING);
     end.mul_f64(SLIP) <= latest
   }
-
-  /// Returns when a run stops, counted from the notice.
-  pub fn stop_at(&self, plan: &Plan) -> Duration {
-    let copied = plan.ends.iter().copied().filter(|end| self.fits(*end));
-    let idle = copied.max().unwrap_or_default().mul_f64(SLIP);
-    idle.min(self.notice.unwrap_or(SHORTEST).saturating_sub(STOPPING))
-  }
 }
