--- a/yuccarudder/src/gateway/published.rs
+++ b/yuccarudder/src/gateway/published.rs
@@ -91,11 +91,6 @@
     });
   }
 
-  /// Returns the longest pause between two tries to reach the platform.
-  pub fn longest_backoff(&self) -> Duration {
-    self.duty().longest_backoff()
-  }
-
   /// Records that the platform gave no answer.
   pub fn missed_platform(&self, area: Area, error: &Error) {
     let first = self.lock().troubled.insert(area.name());
@@ -203,7 +198,8 @@
     engines.map(|(key, target)| (key, target.listing.address)).collect()
   }
 
-  fn duty(&self) -> Duty {
+  /// Returns this host's duties as a reader.
+  pub fn duty(&self) -> Duty {
     let state = self.lock();
     Duty {
       hosts: state.members.count(),
--- a/yuccarudder/src/reader/duty.rs
+++ b/yuccarudder/src/reader/duty.rs
@@ -5,11 +5,13 @@
 
 /// Hosts that follow the operator's documents: each of them proves that the catalog is
 /// current, so that the age of the proof stays short when some are cut off.
-const OPERATOR_READERS: usize = 8;
+const OPERATOR_READERS: usize = 5;
 /// Age of the proof at which any host reads for itself.
 const OLD_PROOF: Duration = Duration::from_millis(2500);
 /// Longest pause between two tries of a reader to reach the platform.
 const MAX_BACKOFF: Duration = Duration::from_millis(500);
+/// Pause of a reader after its first try that did not reach the platform.
+const MIN_BACKOFF: Duration = Duration::from_millis(80);
 /// How often a host that does not read looks whether it has to.
 const REST: Duration = Duration::from_millis(250);
 /// Pauses between two questions of the hosts that follow the targets closely; they tell
@@ -31,15 +33,26 @@
 }
 
 impl Duty {
+  /// Returns the pause after the first try that did not reach the platform; later ones are
+  /// longer.
+  pub fn first_backoff(&self) -> Duration {
+    MIN_BACKOFF.mul_f64(self.crowd())
+  }
+
+  /// Returns how many hosts there are for each that reads for the others; 1 for those.
+  fn crowd(&self) -> f64 {
+    if self.rank < OPERATOR_READERS {
+      return 1.0;
+    }
+    (self.hosts as f64 / OPERATOR_READERS as f64).max(1.0)
+  }
+
   /// Returns the longest pause between two tries to reach the platform.
   ///
   /// All hosts try while it is away, so the more they are, the less often each does; those
   /// that read for the others go on as in a small fleet.
   pub fn longest_backoff(&self) -> Duration {
-    if self.rank < OPERATOR_READERS {
-      return MAX_BACKOFF;
-    }
-    MAX_BACKOFF.mul_f64((self.hosts as f64 / OPERATOR_READERS as f64).max(1.0))
+    MAX_BACKOFF.mul_f64(self.crowd())
   }
 
   /// Returns whether a host asks the engines themselves whether they leave: it reads the
--- a/yuccarudder/src/reader/run.rs
+++ b/yuccarudder/src/reader/run.rs
@@ -1,5 +1,5 @@
 use {
-  super::{Area, Currency, Error, Mode, Store},
+  super::{Area, Currency, Duty, Error, Mode, Store},
   crate::gateway::Gateway,
   anyhow::anyhow,
   std::time::Duration,
@@ -13,12 +13,11 @@
 /// Time beyond the wait after which a connection counts as silent.
 const WAIT_MARGIN: Duration = Duration::from_millis(500);
 const LIST_TIMEOUT: Duration = Duration::from_millis(1500);
-const MIN_BACKOFF: Duration = Duration::from_millis(80);
 const PREFIX: &str = "reader";
 
 /// Follows an area until the task is dropped.
 pub async fn run(gateway: Gateway, store: Store, area: Area) {
-  let mut backoff = MIN_BACKOFF;
+  let mut backoff = Duration::ZERO;
   loop {
     let currency = match gateway.read_mode(area) {
       Mode::Follow(_) => Currency::Current,
@@ -32,7 +31,7 @@
     let listed = time::timeout(LIST_TIMEOUT, (store.list)(area, currency)).await;
     match listed.unwrap_or_else(|_| Err(timed_out())) {
       Ok(snapshot) => {
-        backoff = MIN_BACKOFF;
+        backoff = Duration::ZERO;
         let revision = snapshot.revision;
         gateway.reached_platform(area);
         gateway.replace(area, snapshot, asked);
@@ -46,7 +45,7 @@
       }
       Err(error) => {
         gateway.missed_platform(area, &error);
-        backoff = pause(backoff, gateway.longest_backoff()).await;
+        backoff = pause(&gateway.duty(), backoff).await;
       }
     }
   }
@@ -55,13 +54,13 @@
 /// Takes in changes while this host is to follow the area, or until the platform no
 /// longer keeps those that are next.
 async fn follow(gateway: &Gateway, store: &Store, area: Area, mut revision: u64) {
-  let mut backoff = MIN_BACKOFF;
+  let mut backoff = Duration::ZERO;
   while let Mode::Follow(rest) = gateway.read_mode(area) {
     let asked = gateway.clock.boot();
     let watched = time::timeout(WAIT + WAIT_MARGIN, (store.watch)(area, revision, WAIT)).await;
     match watched.unwrap_or_else(|_| Err(timed_out())) {
       Ok(changes) => {
-        backoff = MIN_BACKOFF;
+        backoff = Duration::ZERO;
         revision = changes.revision.max(revision);
         gateway.reached_platform(area);
         gateway.apply(area, changes, asked);
@@ -73,17 +72,18 @@
       }
       Err(error) => {
         gateway.missed_platform(area, &error);
-        backoff = pause(backoff, gateway.longest_backoff()).await;
+        backoff = pause(&gateway.duty(), backoff).await;
       }
     }
   }
 }
 
-/// Waits with jitter and returns the next wait.
-async fn pause(backoff: Duration, longest: Duration) -> Duration {
+/// Waits with jitter, longer than `last`, and returns how long at most.
+async fn pause(duty: &Duty, last: Duration) -> Duration {
+  let next = (last * 2).clamp(duty.first_backoff(), duty.longest_backoff());
   let jitter = rand::random_range(0.5..1.0);
-  time::sleep(backoff.mul_f64(jitter)).await;
-  (backoff * 2).min(longest)
+  time::sleep(next.mul_f64(jitter)).await;
+  next
 }
 
 fn timed_out() -> Error {
--- a/yuccarudder/src/reader/tests.rs
+++ b/yuccarudder/src/reader/tests.rs
@@ -77,8 +77,11 @@
 #[test]
 fn larger_fleets_try_an_absent_platform_less_often() {
   let backoff = |hosts, rank| Duty { hosts, rank }.longest_backoff();
-  assert_eq!(backoff(6, 5), backoff(75, 7));
-  assert!(backoff(75, 8) > 9 * backoff(75, 7));
+  assert_eq!(backoff(6, 4), backoff(75, 4));
+  assert!(backoff(75, 5) > 9 * backoff(75, 4));
+  let first = |hosts, rank| Duty { hosts, rank }.first_backoff();
+  assert_eq!(first(6, 4), first(75, 4));
+  assert!(first(75, 5) > 9 * first(75, 4));
 }
 
 /// Names a case: rank, whether the platform failed the host, milliseconds without an
