Never take a removed target from a list that is older than its removal

Cause: hosts that glance at outdated lists had learnt of a leave and a removal, and took the entry in again from an older list, as a new target that takes work. Ruled out: memory ('no room' was the engines' word for a destination that cannot be reached). The new test fails without the change.

--- a/yuccarudder/src/roster/roster.rs
+++ b/yuccarudder/src/roster/roster.rs
@@ -204,7 +204,11 @@
     now: Instant,
   ) -> Option<Key> {
     let known = self.keys.get(id).copied();
-    if known.is_some_and(|key| revision <= self.targets[key].revision) {
+    let newest = match known {
+      Some(key) => Some(self.targets[key].revision),
+      None => self.removed_at(id),
+    };
+    if newest.is_some_and(|newest| revision <= newest) {
       return None;
     }
     let Some(listing) = listing else {
@@ -246,6 +250,13 @@
     None
   }
 
+  /// Returns the revision of the last removal of an entry that is still remembered; lists
+  /// that are older still have the entry.
+  fn removed_at(&self, id: &str) -> Option<u64> {
+    let removed = self.targets.values().filter(|target| &*target.id == id);
+    removed.map(|target| target.revision).max()
+  }
+
   fn remove(&mut self, key: Key, now: Instant) -> Option<Key> {
     let target = &mut self.targets[key];
     let leaves = matches!(target.standing, Standing::Serving | Standing::Lapsed(_));
--- a/yuccarudder/src/roster/tests.rs
+++ b/yuccarudder/src/roster/tests.rs
@@ -215,3 +215,16 @@
   let at = world.now + Duration::from_secs(1);
   assert_eq!(world.roster.get(key).unwrap().leaves_at, Some(at));
 }
+
+#[test]
+fn outdated_list_does_not_bring_a_removed_target_back() {
+  let mut world = World::new();
+  world.put(3, available(7));
+  world.roster.expire("a", 5, false, world.now);
+  let entry = ("a".into(), 3, available(7));
+  world.roster.replace(vec![entry], 4, false, world.now);
+  assert_eq!(world.open(), 0);
+  // An entry that was written after the removal is another process or the same one again.
+  world.put(6, available(8));
+  assert_eq!(world.open(), 1);
+}
