Notice a silent platform in time, and let plain services queue before refusing

Silent platform: the two readers of the targets wait 0.3 s for changes instead of 1 s, ask the engines every 150 ms and do not wait to hear that the other hosts fail, too.

Plain services: a request that has waited as long as helps is now sent to a target that seems full or that failed lately, up to three requests a place, before it is refused. The tests fail without the change; bounds of the copy windows follow the change of their notice.

--- a/yuccarudder/src/dialect.rs
+++ b/yuccarudder/src/dialect.rs
@@ -68,8 +68,6 @@
 pub struct Report {
   /// When it is gone, if it knows.
   pub leaves_in: Option<Duration>,
-  /// Whether it takes no more work.
-  pub leaving: bool,
 }
 
 /// A call to an engine.
--- a/yuccarudder/src/gateway/inspection.rs
+++ b/yuccarudder/src/gateway/inspection.rs
@@ -9,9 +9,13 @@
 };
 
 /// Pause between two rounds of questions: a fraction of the notice that engines give.
-const PERIOD: Duration = Duration::from_millis(250);
+const PERIOD: Duration = Duration::from_millis(150);
 const PREFIX: &str = "inspection";
 
+/// Time until an engine is gone below which its runs have to move. Those that stay longer
+/// are needed: engines that come are not known before the platform speaks again.
+const SOON: Duration = Duration::from_millis(2500);
+
 /// Asks while it is needed, until the task is dropped.
 pub async fn run(gateway: Gateway) {
   let mut asking = false;
@@ -30,14 +34,11 @@
   }
 }
 
-/// Asks one engine; returns it if it is news that it leaves.
+/// Asks one engine; returns it if it is news that it will soon be gone.
 async fn ask(gateway: &Gateway, key: Key, address: SocketAddr) -> Option<Key> {
   let report = (gateway.dialect.inspect)(address).await?;
-  if !report.leaving {
-    return None;
-  }
+  let leaves_in = report.leaves_in.filter(|time| *time <= SOON)?;
   let now = gateway.clock.now();
   let made = now.checked_sub(relocation::REPORT_AGE).unwrap_or(now);
-  let leaves_at = report.leaves_in.map(|time| made + time);
-  gateway.lock().roster.announce(key, leaves_at, now).then_some(key)
+  gateway.lock().roster.announce(key, made + leaves_in, now).then_some(key)
 }
--- a/yuccarudder/src/gateway/placed.rs
+++ b/yuccarudder/src/gateway/placed.rs
@@ -51,7 +51,7 @@
     loop {
       let freed = self.gateway.places.freed();
       let placed = if waiting.is_first() {
-        self.try_place(tried)
+        self.try_place(tried, false)
       } else {
         Err(self.full())
       };
@@ -66,7 +66,7 @@
       };
       let now = self.gateway.clock.now();
       if now >= rank.gives_up {
-        return Err(refusal);
+        return self.try_place(tried, true).map_err(|_| refusal);
       }
       let recheck = (now + RECHECK).min(rank.gives_up);
       // Both a place that was freed and the time to look again lead to another look.
@@ -95,10 +95,10 @@
     Refusal::not_run(Reason::TargetsBusy).with_retry_after(after)
   }
 
-  fn try_place(&self, tried: &[Key]) -> Result<Spot, Refusal> {
+  fn try_place(&self, tried: &[Key], last_resort: bool) -> Result<Spot, Refusal> {
     let now = self.gateway.clock.now();
     let engine = self.service().and_then(|service| service.engine.as_ref());
-    let need = self.need(engine);
+    let need = self.need(engine, last_resort);
     let near = self.gateway.settings().data_centre.clone();
     match self.choose(tried, &need, &near, now) {
       Choice::Chosen(key) => Ok(self.take(key, self.first_load(&need))),
@@ -173,9 +173,10 @@
     })
   }
 
-  fn need(&self, engine: Option<&Engine>) -> Need {
+  fn need(&self, engine: Option<&Engine>, last_resort: bool) -> Need {
     let stream = matches!(self.route().kind, Kind::Stream { .. });
     Need {
+      last_resort,
       memory: engine.map(|engine| (engine.memory_tokens as f64 * FILL) as u64),
       tokens: if stream { self.expected_memory(0) } else { 0 },
     }
--- a/yuccarudder/src/gateway/published.rs
+++ b/yuccarudder/src/gateway/published.rs
@@ -183,8 +183,7 @@
     };
     let silence = now.saturating_duration_since(*answered);
     let failed = state.troubled.contains(Area::Targets.name());
-    let others_read = state.members.anyone_reads(self.clock.boot());
-    if !duty.asks_engines(failed, silence, others_read) {
+    if !duty.asks_engines(failed, silence) {
       return Vec::new();
     }
     let is_engine = |service: &str| {
--- a/yuccarudder/src/member/table.rs
+++ b/yuccarudder/src/member/table.rs
@@ -192,18 +192,13 @@
     sent.at.checked_sub(age)
   }
 
-  /// Returns whether another host reads the platform without trouble.
-  pub fn anyone_reads(&self, now: Duration) -> bool {
-    self.live(now).any(|(_, member)| member.reads)
-  }
-
   /// Returns how many live hosts go before this one, which can carry `weight`, when a
   /// duty of few hosts is dealt: those that read the platform and can carry more.
   ///
   /// While nobody can read the platform, all live hosts count.
   pub fn rank(&self, weight: u32, now: Duration) -> usize {
     let this = (Reverse(weight), self.this);
-    let away = !self.anyone_reads(now);
+    let away = !self.live(now).any(|(_, member)| member.reads);
     let before = self.live(now).filter(|(address, member)| {
       (member.reads || away) && (Reverse(member.weight), *address) < this
     });
--- a/yuccarudder/src/placement/choose.rs
+++ b/yuccarudder/src/placement/choose.rs
@@ -7,6 +7,8 @@
 /// better off in our queue, from where it goes to the first engine that is free, than
 /// behind more of them.
 const MAX_ARRIVING: f64 = 0.25;
+/// Requests for each place that a plain target may have at most, waiting ones included.
+const QUEUED: u32 = 3;
 /// Share of the memory by which choices of hosts that see the same loads differ.
 const JITTER: f64 = 0.04;
 
@@ -32,6 +34,9 @@
 /// What a request needs.
 #[derive(Clone, Copy, Debug)]
 pub struct Need {
+  /// Whether it has waited here for as long as that helps: then it may wait at a target,
+  /// and one that failed lately is better than a refusal.
+  pub last_resort: bool,
   /// Tokens that one target may hold; `None` where memory does not bind.
   pub memory: Option<u64>,
   /// Tokens that the request is expected to need in the end.
@@ -75,13 +80,17 @@
 ) -> Choice {
   let mut candidates: Vec<Candidate> =
     candidates.into_iter().filter(|candidate| !candidate.tried).collect();
-  if candidates.iter().any(|candidate| !candidate.ejected) {
-    candidates.retain(|candidate| !candidate.ejected);
-  }
   if candidates.is_empty() {
     return Choice::None;
   }
-  candidates.retain(|candidate| has_room(candidate, need));
+  let all_ejected = candidates.iter().all(|candidate| candidate.ejected);
+  let passes = |candidate: &Candidate| all_ejected || !candidate.ejected;
+  let fits = |candidate: &Candidate| passes(candidate) && has_room(candidate, need);
+  if candidates.iter().any(fits) {
+    candidates.retain(fits);
+  } else {
+    candidates.retain(|candidate| need.last_resort && may_queue(candidate, need));
+  }
   let count = (candidates.len() as f64 * sample).ceil().max(MIN_SAMPLE) as usize;
   while candidates.len() > count {
     let index = (random() * candidates.len() as f64) as usize;
@@ -108,6 +117,13 @@
   memory && load.runs < candidate.slots
 }
 
+/// Returns whether a request may wait at a target that seems full. Loads of other hosts
+/// are a little old, and plain services queue; where memory binds, our own queue is better.
+fn may_queue(candidate: &Candidate, need: &Need) -> bool {
+  let queue = candidate.slots.saturating_mul(QUEUED);
+  need.memory.is_none() && !candidate.cold && candidate.load.runs < queue
+}
+
 fn cost(candidate: &Candidate, need: &Need) -> f64 {
   let distance = if candidate.near { 0.0 } else { JITTER };
   let slots = f64::from(candidate.load.runs) / f64::from(candidate.slots.max(1));
--- a/yuccarudder/src/placement/tests.rs
+++ b/yuccarudder/src/placement/tests.rs
@@ -9,6 +9,7 @@
 };
 
 const NEED: Need = Need {
+  last_resort: false,
   memory: Some(30_000),
   tokens: 4_000,
 };
@@ -108,6 +109,44 @@
   |keys| Choice::Chosen(keys[1])
 );
 
+/// Names a case: whether it is the last resort of a plain request, the requests at the
+/// targets, whether the last of them is ejected, and the index of the choice.
+macro_rules! plain_choices {
+  ($name:ident, $last_resort:expr, $runs:expr, $ejected:expr, $expected:expr) => {
+    #[test]
+    fn $name() {
+      let runs: &[u32] = &$runs;
+      let keys = keys(runs.len());
+      let loaded = |(key, runs): (&Key, &u32)| Candidate {
+        slots: 6,
+        ..candidate(*key, load(0, *runs, 0))
+      };
+      let mut candidates: Vec<Candidate> = keys.iter().zip(runs).map(loaded).collect();
+      candidates.last_mut().unwrap().ejected = $ejected;
+      let need = Need {
+        last_resort: $last_resort,
+        memory: None,
+        tokens: 0,
+      };
+      let expected: Option<usize> = $expected;
+      let expected = expected.map_or(Choice::Full, |index| Choice::Chosen(keys[index]));
+      assert_eq!(choose(candidates, &need, 1.0, || 0.5), expected);
+    }
+  };
+}
+
+plain_choices!(full_targets_are_waited_for, false, [6, 7], false, None);
+plain_choices!(full_target_queues_at_last, true, [7, 6], false, Some(1));
+plain_choices!(
+  ejected_target_with_room_is_better_than_a_refusal,
+  true,
+  [6, 1],
+  true,
+  Some(1)
+);
+plain_choices!(sound_target_goes_first, true, [5, 0], true, Some(0));
+plain_choices!(long_queues_are_refused, true, [18, 18], false, None);
+
 #[test]
 fn loads_of_all_hosts_add_up() {
   let places = Places::default();
--- a/yuccarudder/src/reader/duty.rs
+++ b/yuccarudder/src/reader/duty.rs
@@ -1,5 +1,5 @@
 use {
-  super::{Area, Mode, run::WAIT},
+  super::{Area, Mode, run::TARGETS_WAIT},
   std::time::Duration,
 };
 
@@ -56,13 +56,14 @@
   }
 
   /// Returns whether a host asks the engines themselves whether they leave: it reads the
-  /// targets for the others, none of which reads them now, and the platform `failed` it or
-  /// has been silent for longer than its answers take.
-  pub fn asks_engines(&self, failed: bool, silence: Duration, others_read: bool) -> bool {
+  /// targets for the others, and the platform `failed` it or has been silent for longer than
+  /// its answers take. It does not wait to hear that the others fail, too: hosts that look
+  /// at the targets now and then notice late.
+  pub fn asks_engines(&self, failed: bool, silence: Duration) -> bool {
     let Some(pause) = TARGET_READERS.get(self.rank) else {
       return false;
     };
-    !others_read && (failed || silence >= WAIT + *pause + SILENCE_MARGIN)
+    failed || silence >= TARGETS_WAIT + *pause + SILENCE_MARGIN
   }
 
   /// Returns how a host follows an area.
--- a/yuccarudder/src/reader/run.rs
+++ b/yuccarudder/src/reader/run.rs
@@ -6,10 +6,14 @@
   tokio::time,
 };
 
-/// How long one question waits for a change. It is longer than the time for which a
-/// platform that drops its history keeps watches from hearing of changes, so a question
-/// that ends without a change proves that there was none before it was asked.
-pub(super) const WAIT: Duration = Duration::from_secs(1);
+/// How long one question about the operator's documents waits for a change. It is longer
+/// than the time for which a platform that drops its history keeps watches from hearing of
+/// changes, so a question that ends without a change proves that there was none before it
+/// was asked.
+const OPERATOR_WAIT: Duration = Duration::from_secs(1);
+/// How long one question about the targets waits for a change: a part of the notice that
+/// engines give, so that a platform that fell silent is noticed in time.
+pub(super) const TARGETS_WAIT: Duration = Duration::from_millis(300);
 /// Time beyond the wait after which a connection counts as silent.
 const WAIT_MARGIN: Duration = Duration::from_millis(500);
 const LIST_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -57,7 +61,11 @@
   let mut backoff = Duration::ZERO;
   while let Mode::Follow(rest) = gateway.read_mode(area) {
     let asked = gateway.clock.boot();
-    let watched = time::timeout(WAIT + WAIT_MARGIN, (store.watch)(area, revision, WAIT)).await;
+    let wait = match area {
+      Area::Operator => OPERATOR_WAIT,
+      Area::Targets => TARGETS_WAIT,
+    };
+    let watched = time::timeout(wait + WAIT_MARGIN, (store.watch)(area, revision, wait)).await;
     match watched.unwrap_or_else(|_| Err(timed_out())) {
       Ok(changes) => {
         backoff = Duration::ZERO;
--- a/yuccarudder/src/reader/tests.rs
+++ b/yuccarudder/src/reader/tests.rs
@@ -85,9 +85,9 @@
 }
 
 /// Names a case: rank, whether the platform failed the host, milliseconds without an
-/// answer, whether other hosts read, and whether the engines are asked.
+/// answer, and whether the engines are asked.
 macro_rules! asks_engines {
-  ($name:ident, $rank:expr, $failed:expr, $silence:expr, $others:expr, $expected:expr) => {
+  ($name:ident, $rank:expr, $failed:expr, $silence:expr, $expected:expr) => {
     #[test]
     fn $name() {
       let duty = Duty {
@@ -95,21 +95,13 @@
         rank: $rank,
       };
       let silence = Duration::from_millis($silence);
-      assert_eq!(duty.asks_engines($failed, silence, $others), $expected);
+      assert_eq!(duty.asks_engines($failed, silence), $expected);
     }
   };
 }
 
-asks_engines!(engines_are_asked_after_a_failure, 0, true, 10, false, true);
-asks_engines!(engines_are_asked_in_a_silence, 0, false, 1_320, false, true);
-asks_engines!(long_wait_is_no_silence, 0, false, 1_319, false, false);
-asks_engines!(second_reader_pauses_longer, 1, false, 1_320, false, false);
-asks_engines!(others_that_read_tell_more, 0, true, 9_000, true, false);
-asks_engines!(
-  hosts_that_do_not_read_ask_nobody,
-  2,
-  true,
-  9_000,
-  false,
-  false
-);
+asks_engines!(engines_are_asked_after_a_failure, 0, true, 10, true);
+asks_engines!(engines_are_asked_in_a_silence, 0, false, 620, true);
+asks_engines!(long_wait_is_no_silence, 0, false, 619, false);
+asks_engines!(second_reader_pauses_longer, 1, false, 620, false);
+asks_engines!(hosts_that_do_not_read_ask_nobody, 2, true, 9_000, false);
--- a/yuccarudder/src/relocation/tests.rs
+++ b/yuccarudder/src/relocation/tests.rs
@@ -166,15 +166,15 @@
 }
 
 windows!(copy_is_ordered_before_its_turn, 700, None, Some(200));
-windows!(long_notice_is_hoped_for, 1_570, None, Some(200));
-windows!(copy_beyond_all_notices_holds_up_no_other, 1_580, None, None);
+windows!(long_notice_is_hoped_for, 1_960, None, Some(200));
+windows!(copy_beyond_all_notices_holds_up_no_other, 1_961, None, None);
 windows!(
   copy_that_cannot_be_done_holds_up_no_other,
-  1_600,
+  1_661,
   Some(1_700),
   None
 );
-windows!(notice_is_used_to_its_end, 1_480, Some(1_700), Some(200));
+windows!(notice_is_used_to_its_end, 1_660, Some(1_700), Some(200));
 windows!(longer_notice_takes_more_runs, 1_600, Some(2_100), Some(200));
 
 proptest! {
--- a/yuccarudder/src/roster/roster.rs
+++ b/yuccarudder/src/roster/roster.rs
@@ -124,11 +124,11 @@
 
   /// Records that a target itself says that it leaves, and when it will be gone; returns
   /// whether that is news.
-  pub fn announce(&mut self, key: Key, leaves_at: Option<Instant>, now: Instant) -> bool {
+  pub fn announce(&mut self, key: Key, leaves_at: Instant, now: Instant) -> bool {
     let Some(target) = self.targets.get_mut(key) else {
       return false;
     };
-    target.leaves_at = leaves_at.or(target.leaves_at);
+    target.leaves_at = Some(leaves_at);
     if !matches!(target.standing, Standing::Serving | Standing::Lapsed(_)) {
       return false;
     }
--- a/yuccarudder/src/roster/tests.rs
+++ b/yuccarudder/src/roster/tests.rs
@@ -180,8 +180,8 @@
   let mut world = World::new();
   let key = world.key();
   let at = world.now + Duration::from_millis(900);
-  assert!(world.roster.announce(key, Some(at), world.now));
-  assert!(!world.roster.announce(key, Some(at), world.now));
+  assert!(world.roster.announce(key, at, world.now));
+  assert!(!world.roster.announce(key, at, world.now));
   assert_eq!(world.open(), 0);
   let told = world.roster.leaving(world.now).next().unwrap();
   assert_eq!(told.leaves_in, Some(Duration::from_millis(900)));
@@ -196,7 +196,7 @@
 #[test]
 fn target_that_takes_work_again_after_its_own_word_is_open() {
   let mut world = World::new();
-  world.roster.announce(world.key(), None, world.now);
+  world.roster.announce(world.key(), world.now, world.now);
   world.put(9, available(7));
   assert_eq!(world.open(), 1);
 }
