--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -7,6 +7,7 @@
     member::{self, Phase},
     metrics::Metrics,
     placement::{Health, Lengths, Outcome, Pace, Places},
+    reader::Duty,
     roster::{Key, Roster},
     routing::{Bounds, Catalog, Freshness},
     settings,
@@ -260,6 +261,14 @@
 }
 
 impl State {
+  /// Returns the host's duties as a reader.
+  pub(super) fn duty(&self, now: Duration) -> Duty {
+    Duty {
+      hosts: self.members.count(),
+      rank: self.members.rank(self.settings.weight, now),
+    }
+  }
+
   pub(super) fn reads(&self) -> bool {
     self.troubled.is_empty() && self.listed_targets
   }
--- a/yuccarudder/src/gateway/published.rs
+++ b/yuccarudder/src/gateway/published.rs
@@ -199,11 +199,7 @@
 
   /// Returns this host's duties as a reader.
   pub fn duty(&self) -> Duty {
-    let state = self.lock();
-    Duty {
-      hosts: state.members.count(),
-      rank: state.members.rank(state.settings.weight, self.clock.boot()),
-    }
+    self.lock().duty(self.clock.boot())
   }
 
   /// Takes in all documents of an area.
--- a/yuccarudder/src/gateway/pulses.rs
+++ b/yuccarudder/src/gateway/pulses.rs
@@ -9,8 +9,6 @@
   tokio_util::udp::UdpFramed,
 };
 
-/// Hosts that one pulse names.
-const MEMBERS_TOLD: usize = 8;
 const PREFIX: &str = "member";
 /// Pause before another host is asked for its catalog after one gave none.
 const TAKE_DELAY: Duration = Duration::from_millis(100);
@@ -72,6 +70,8 @@
   let loads = gateway.places.lock().loads();
   let mut state = gateway.lock();
   let (known, forgotten) = state.members.outgoing(now);
+  let told = state.duty(now).tells_leaves_for();
+  let named = state.members.named_at_once(now);
   state.members.record_sent(Sent { at: now, sequence });
   let age = state.freshness.age(now);
   let pulse = Pulse {
@@ -82,9 +82,9 @@
     evacuated: state.roster.evacuated().map(str::to_owned).collect(),
     operator_revision: state.operator_revision,
     incarnation: state.members.incarnation(),
-    leaving: state.roster.leaving(gateway.clock.now()).map(member::Leaving::from).collect(),
+    leaving: state.roster.leaving(told, gateway.clock.now()).map(member::Leaving::from).collect(),
     loads: loads.into_iter().map(|(target, load)| member::Load::new(target, load)).collect(),
-    members: some(state.members.live(now).map(|(address, _)| address)),
+    members: some(state.members.live(now).map(|(address, _)| address), named),
     phase: phase.number(),
     reads: state.reads(),
     sender: state.settings.peers.to_string(),
@@ -100,9 +100,9 @@
 }
 
 /// Returns a few of the hosts, others each time.
-fn some(hosts: impl Iterator<Item = SocketAddr>) -> Vec<String> {
+fn some(hosts: impl Iterator<Item = SocketAddr>, count: usize) -> Vec<String> {
   let mut hosts: Vec<SocketAddr> = hosts.collect();
-  while hosts.len() > MEMBERS_TOLD {
+  while hosts.len() > count {
     hosts.swap_remove(rand::random_range(0..hosts.len()));
   }
   hosts.into_iter().map(|host| host.to_string()).collect()
--- a/yuccarudder/src/member/table.rs
+++ b/yuccarudder/src/member/table.rs
@@ -10,6 +10,12 @@
 
 /// Silence after which a host is no longer sent pulses, unless it is a seed.
 const FORGET: Duration = Duration::from_secs(60);
+/// Hosts that a pulse names in a fleet that changes.
+const MANY_NAMED: usize = 8;
+/// Hosts that a pulse names in a settled fleet.
+const FEW_NAMED: usize = 1;
+/// Time without a new host after which the fleet counts as settled.
+const SETTLED: Duration = Duration::from_secs(10);
 /// Own pulses whose sending times are kept.
 const SENT_KEPT: usize = 64;
 /// Hosts beyond which no further ones are taken in.
@@ -67,6 +73,8 @@
 pub struct Table {
   candidates: HashMap<SocketAddr, Duration>,
   incarnation: u64,
+  /// When a host was last taken in or forgotten.
+  changed: Duration,
   members: HashMap<SocketAddr, Member>,
   seeds: Vec<SocketAddr>,
   sent: VecDeque<Sent>,
@@ -85,6 +93,16 @@
       .filter(move |(_, m)| live(m))
   }
 
+  /// Returns how many hosts a pulse names: many while the fleet changes, as the hosts have
+  /// yet to find each other, and few when it is settled.
+  pub fn named_at_once(&self, now: Duration) -> usize {
+    if now.saturating_sub(self.changed) < SETTLED {
+      MANY_NAMED
+    } else {
+      FEW_NAMED
+    }
+  }
+
   /// Returns the live hosts that have a catalog above a version.
   pub fn with_catalog_above(&self, version: u64, now: Duration) -> Vec<SocketAddr> {
     let newer = self.live(now).filter(|(_, member)| member.catalog_version > version);
@@ -105,6 +123,7 @@
   pub fn new(this: SocketAddr, incarnation: u64, seeds: Vec<SocketAddr>) -> Self {
     Self {
       candidates: HashMap::new(),
+      changed: Duration::ZERO,
       incarnation,
       members: HashMap::new(),
       seeds,
@@ -120,6 +139,9 @@
     let old = |at: Duration| now.saturating_sub(at) >= FORGET;
     let forgotten: Vec<SocketAddr> =
       self.members.iter().filter(|(_, member)| old(member.heard)).map(|(at, _)| *at).collect();
+    if !forgotten.is_empty() {
+      self.changed = now;
+    }
     for address in &forgotten {
       self.members.remove(address);
     }
@@ -153,6 +175,9 @@
     {
       return None;
     }
+    if !known {
+      self.changed = now;
+    }
     self.candidates.remove(&sender);
     self.members.insert(
       sender,
--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -261,3 +261,14 @@
   assert_eq!(fetch(address, 2).await.unwrap(), catalog);
   assert!(fetch(address, 3).await.unwrap().is_empty());
 }
+
+#[test]
+fn pulses_name_fewer_hosts_when_the_fleet_is_settled() {
+  let mut table = table();
+  table.receive(&pulse(2, 1), ms(1_000)).unwrap();
+  assert_eq!(table.named_at_once(ms(10_999)), 8);
+  table.receive(&pulse(2, 2), ms(10_999)).unwrap();
+  assert_eq!(table.named_at_once(ms(11_000)), 1);
+  table.receive(&pulse(3, 1), ms(12_000)).unwrap();
+  assert_eq!(table.named_at_once(ms(12_000)), 8);
+}
--- a/yuccarudder/src/placement/ledger.rs
+++ b/yuccarudder/src/placement/ledger.rs
@@ -21,6 +21,8 @@
 /// The requests of this host and the loads that other hosts tell of.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
+  /// The sums over this host's requests, by target.
+  own_total: HashMap<u64, Load>,
   peers: HashMap<SocketAddr, HashMap<u64, Load>>,
   /// The sums over the other hosts, by target.
   peers_total: HashMap<u64, Load>,
@@ -30,6 +32,7 @@
 impl Ledger {
   /// Adds a request.
   pub fn add(&mut self, run: Run) -> RunKey {
+    *self.own_total.entry(run.target).or_default() += run.load;
     self.runs.insert(run)
   }
 
@@ -53,20 +56,12 @@
 
   /// Returns the loads of this host by target.
   pub fn loads(&self) -> HashMap<u64, Load> {
-    let mut loads: HashMap<u64, Load> = HashMap::new();
-    for run in self.runs.values() {
-      *loads.entry(run.target).or_default() += run.load;
-    }
-    loads
+    self.own_total.clone()
   }
 
   /// Returns the load of a target from this host.
   pub fn own(&self, target: u64) -> Load {
-    let mut load = Load::default();
-    for run in self.runs.values().filter(|run| run.target == target) {
-      load += run.load;
-    }
-    load
+    self.own_total.get(&target).copied().unwrap_or_default()
   }
 
   /// Returns the load that one other host has at a target.
@@ -96,11 +91,29 @@
 
   /// Removes a request.
   pub fn remove(&mut self, key: RunKey) {
-    self.runs.remove(key);
+    if let Some(run) = self.runs.remove(key) {
+      self.take_off(&run);
+    }
+  }
+
+  fn take_off(&mut self, run: &Run) {
+    let Some(total) = self.own_total.get_mut(&run.target) else {
+      return;
+    };
+    *total -= run.load;
+    if *total == Load::default() {
+      self.own_total.remove(&run.target);
+    }
   }
 
-  /// Returns a request for changes.
-  pub fn run_mut(&mut self, key: RunKey) -> Option<&mut Run> {
-    self.runs.get_mut(key)
+  /// Records what a request takes now.
+  pub fn update(&mut self, key: RunKey, load: Load) {
+    let Some(run) = self.runs.get_mut(key) else {
+      return;
+    };
+    let before = std::mem::replace(&mut run.load, load);
+    let total = self.own_total.entry(run.target).or_default();
+    *total += load;
+    *total -= before;
   }
 }
--- a/yuccarudder/src/placement/place.rs
+++ b/yuccarudder/src/placement/place.rs
@@ -62,9 +62,7 @@
 impl Place {
   /// Records what the request takes now.
   pub fn update(&self, load: Load) {
-    if let Some(run) = self.places.lock().run_mut(self.key) {
-      run.load = load;
-    }
+    self.places.lock().update(self.key, load);
   }
 }
 
--- a/yuccarudder/src/reader/duty.rs
+++ b/yuccarudder/src/reader/duty.rs
@@ -20,6 +20,8 @@
 /// Time beyond the longest pause between two answers after which a reader takes the
 /// platform for silent.
 const SILENCE_MARGIN: Duration = Duration::from_millis(200);
+/// Time for which a host passes on what another one told of a target that leaves.
+const RELAY: Duration = Duration::from_secs(1);
 /// Pause between two looks of all others at the targets.
 const GLANCE: Duration = Duration::from_millis(1200);
 
@@ -66,6 +68,16 @@
     failed || silence >= TARGETS_WAIT + *pause + SILENCE_MARGIN
   }
 
+  /// Returns for how long a host tells the others of a target that leaves: those that read
+  /// the targets as long as it matters, the others once or twice, in case a pulse was lost.
+  pub fn tells_leaves_for(&self) -> Duration {
+    if self.rank < TARGET_READERS.len() {
+      Duration::MAX
+    } else {
+      RELAY
+    }
+  }
+
   /// Returns how a host follows an area.
   ///
   /// `proof` is the age of its proof that the catalog is current, and `listed` tells
--- a/yuccarudder/src/roster/roster.rs
+++ b/yuccarudder/src/roster/roster.rs
@@ -172,14 +172,19 @@
     news.then_some(key)
   }
 
-  /// Returns the processes that leave or have left lately.
-  pub fn leaving(&self, now: Instant) -> impl Iterator<Item = Departure> {
+  /// Returns the processes that leave or have left lately, of which this host knows for no
+  /// longer than `known`.
+  pub fn leaving(&self, known: Duration, now: Instant) -> impl Iterator<Item = Departure> {
     let told = move |target: &&Target| match target.standing {
       Standing::Gone(forgotten) => now + MEMORY < forgotten + TOLD,
       Standing::Leaving => true,
       Standing::Lapsed(_) | Standing::Serving => false,
     };
-    let targets = self.targets.values().filter(told);
+    let fresh = move |target: &&Target| {
+      let since = target.leaving_since;
+      since.is_some_and(|since| now.saturating_duration_since(since) <= known)
+    };
+    let targets = self.targets.values().filter(told).filter(fresh);
     targets.map(move |target| Departure {
       fingerprint: target.fingerprint,
       leaves_in: target.leaves_at.map(|at| at.saturating_duration_since(now)),
--- a/yuccarudder/src/roster/tests.rs
+++ b/yuccarudder/src/roster/tests.rs
@@ -144,7 +144,8 @@
 fn hosts_are_told_of_removed_entries_for_a_while() {
   let mut world = World::new();
   world.roster.expire("a", 2, false, world.now);
-  let told = |after| world.roster.leaving(world.now + Duration::from_secs(after)).count();
+  let told =
+    |after| world.roster.leaving(Duration::MAX, world.now + Duration::from_secs(after)).count();
   assert_eq!((told(0), told(2), told(3)), (1, 1, 0));
 }
 
@@ -183,7 +184,7 @@
   assert!(world.roster.announce(key, at, world.now));
   assert!(!world.roster.announce(key, at, world.now));
   assert_eq!(world.open(), 0);
-  let told = world.roster.leaving(world.now).next().unwrap();
+  let told = world.roster.leaving(Duration::MAX, world.now).next().unwrap();
   assert_eq!(told.leaves_in, Some(Duration::from_millis(900)));
   // Another host with the same list learns it, and when the target will be gone.
   let mut other = World::new();
@@ -228,3 +229,14 @@
   world.put(6, available(8));
   assert_eq!(world.open(), 1);
 }
+
+#[test]
+fn leave_that_is_known_for_long_is_not_relayed() {
+  let mut world = World::new();
+  world.roster.expire("a", 2, false, world.now);
+  let relayed = |after| {
+    let now = world.now + Duration::from_millis(after);
+    world.roster.leaving(Duration::from_secs(1), now).count()
+  };
+  assert_eq!((relayed(1_000), relayed(1_001)), (1, 0));
+}
