--- a/yuccarudder/src/member/table.rs
+++ b/yuccarudder/src/member/table.rs
@@ -10,6 +10,9 @@
 
 /// Silence after which a host is no longer sent pulses, unless it is a seed.
 const FORGET: Duration = Duration::from_secs(60);
+/// Time after its first pulse in which a process hears of the other hosts, if there are any:
+/// several pulses of a small fleet.
+const FIRST_WORD: Duration = Duration::from_millis(600);
 /// Hosts that a pulse names in a fleet that changes.
 const MANY_NAMED: usize = 8;
 /// Hosts that a pulse names in a settled fleet.
@@ -72,6 +75,8 @@
 #[derive(Clone, Debug)]
 pub struct Table {
   candidates: HashMap<SocketAddr, Duration>,
+  /// When the first pulse was sent.
+  first_sent: Option<Duration>,
   incarnation: u64,
   /// When a host was last taken in or forgotten.
   changed: Duration,
@@ -124,6 +129,7 @@
     Self {
       candidates: HashMap::new(),
       changed: Duration::ZERO,
+      first_sent: None,
       incarnation,
       members: HashMap::new(),
       seeds,
@@ -220,8 +226,12 @@
   /// Returns how many live hosts go before this one, which can carry `weight`, when a
   /// duty of few hosts is dealt: those that read the platform and can carry more.
   ///
-  /// While nobody can read the platform, all live hosts count.
+  /// While nobody can read the platform, all live hosts count. A process that has yet to
+  /// hear of the others goes last.
   pub fn rank(&self, weight: u32, now: Duration) -> usize {
+    if self.awaits_others(now) {
+      return usize::MAX;
+    }
     let this = (Reverse(weight), self.this);
     let away = !self.live(now).any(|(_, member)| member.reads);
     let before = self.live(now).filter(|(address, member)| {
@@ -230,8 +240,16 @@
     before.count()
   }
 
+  /// Returns whether the process has just started and heard of no other host yet.
+  fn awaits_others(&self, now: Duration) -> bool {
+    let has_seeds = self.seeds.iter().any(|seed| *seed != self.this);
+    let is_new = self.first_sent.is_none_or(|at| now.saturating_sub(at) < FIRST_WORD);
+    self.members.is_empty() && has_seeds && is_new
+  }
+
   /// Records that pulses were sent.
   pub fn record_sent(&mut self, sent: Sent) {
+    self.first_sent.get_or_insert(sent.at);
     self.sent.push_back(sent);
     if self.sent.len() > SENT_KEPT {
       self.sent.pop_front();
--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -161,6 +161,28 @@
   assert_eq!(Phase::from_number(77), Phase::Starting);
 }
 
+#[test]
+fn new_process_leaves_duties_to_others_until_it_has_heard_of_them() {
+  let mut table = table();
+  assert_eq!(table.rank(250, ms(0)), usize::MAX);
+  table.record_sent(Sent {
+    at: ms(0),
+    sequence: 1,
+  });
+  assert_eq!(table.rank(250, ms(599)), usize::MAX);
+  assert_eq!(table.rank(250, ms(600)), 0);
+  let mut heavy = pulse(2, 1);
+  heavy.weight = 500;
+  table.receive(&heavy, ms(10)).unwrap();
+  assert_eq!(table.rank(250, ms(10)), 1);
+}
+
+#[test]
+fn only_host_has_all_duties_at_once() {
+  let table = Table::new(address(1), 1, vec![address(1)]);
+  assert_eq!(table.rank(250, ms(0)), 0);
+}
+
 #[test]
 fn hosts_that_read_and_carry_more_go_first() {
   let mut table = Table::new(address(3), 3, Vec::new());
