--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -265,9 +265,8 @@
 
 #[tokio::test]
 async fn catalog_with_many_routes_is_small_on_the_way_and_whole_at_its_end() {
-  let route =
-    r#"{"name":"r","hostname":"a.example","path_prefix":"/a/","route_type":"idempotent"}"#;
-  let catalog = Bytes::from([route; 4_000].join(","));
+  let route = "- name: lookup\n  host: a.example\n  prefix: /lookup/\n  kind: repeatable\n";
+  let catalog = Bytes::from(route.repeat(4_000));
   let packed = pack(&catalog);
   assert!(packed.len() * 10 < catalog.len());
   let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
