--- a/yuccarudder/src/gateway/published.rs
+++ b/yuccarudder/src/gateway/published.rs
@@ -65,12 +65,8 @@
     let Some(target) = state.roster.get(key) else {
       return;
     };
-    let service =
-      state.catalog.as_ref().and_then(|catalog| catalog.service(&target.listing.service));
-    let relocatable = service
-      .and_then(|service| service.engine.as_ref())
-      .is_some_and(|engine| engine.relocatable);
-    if !relocatable
+    let catalog = state.catalog.as_ref();
+    if !catalog.is_some_and(|catalog| catalog.can_relocate(&target.listing.service))
       || target.leaves_at.is_some()
       || self.places.lock().own(target.fingerprint).runs == 0
     {
@@ -82,11 +78,10 @@
     tokio::spawn(async move {
       time::sleep(relocation::REPORT_LAG).await;
       let now = gateway.clock.now();
-      let made = now.checked_sub(relocation::REPORT_AGE).unwrap_or(now);
       let leaves_in = report.await.and_then(|report| report.leaves_in);
       log::info!(target: PREFIX, leaves_in_ms = leaves_in.map(|time| time.as_millis() as u64); "An engine that leaves was asked when.");
       if let Some(leaves_in) = leaves_in {
-        gateway.lock().roster.set_leaves_at(key, made + leaves_in);
+        gateway.lock().roster.set_leaves_at(key, relocation::gone_at(leaves_in, now));
       }
     });
   }
@@ -186,14 +181,9 @@
     if !duty.asks_engines(failed, silence) {
       return Vec::new();
     }
-    let is_engine = |service: &str| {
-      let engine = catalog.service(service).and_then(|service| service.engine.as_ref());
-      engine.is_some_and(|engine| engine.relocatable)
-    };
-    let engines = state
-      .roster
-      .all()
-      .filter(|(key, target)| state.roster.is_open(*key) && is_engine(&target.listing.service));
+    let engines = state.roster.all().filter(|(key, target)| {
+      state.roster.is_open(*key) && catalog.can_relocate(&target.listing.service)
+    });
     engines.map(|(key, target)| (key, target.listing.address)).collect()
   }
 
--- a/yuccarudder/src/generation/engine.rs
+++ b/yuccarudder/src/generation/engine.rs
@@ -81,13 +81,9 @@
     timeout: Duration,
   ) -> Opened {
     let call = Call {
-      address: self.address,
       admission,
-      connect_timeout: self.knobs.connect_timeout,
-      fresh: false,
-      keep: true,
       permit,
-      request,
+      ..Call::new(self.address, self.knobs.connect_timeout, request)
     };
     match time::timeout(timeout, self.pool.send(call)).await {
       Ok(Ok(response)) => opened(response),
@@ -138,15 +134,8 @@
 pub async fn cancel(pool: Pool, address: SocketAddr, generation: Id, connect_timeout: Duration) {
   for _ in 0..CANCEL_TRIES {
     let request = Request::delete(format!("/v1/generations/{generation}"));
-    let call = Call {
-      address,
-      admission: None,
-      connect_timeout,
-      fresh: false,
-      keep: true,
-      permit: Box::new(|| Ok(())),
-      request: request.body(http::empty()).expect("the request is valid"),
-    };
+    let request = request.body(http::empty()).expect("the request is valid");
+    let call = Call::new(address, connect_timeout, request);
     if let Ok(Ok(_)) = time::timeout(CANCEL_TIMEOUT, pool.send(call)).await {
       return;
     }
--- a/yuccarudder/src/relocation/mod.rs
+++ b/yuccarudder/src/relocation/mod.rs
@@ -8,7 +8,7 @@
 pub use links::Candidate;
 pub use order::{Copied, Failure, Order};
 pub use plan::{Plan, Position, Run, Source, plan};
-pub use window::{REPORT_AGE, REPORT_LAG, Window};
+pub use window::{REPORT_LAG, Window, gone_at};
 
 #[cfg(test)]
 mod tests;
--- a/yuccarudder/src/routing/catalog.rs
+++ b/yuccarudder/src/routing/catalog.rs
@@ -94,6 +94,12 @@
     keys.iter().copied().find(|key| path.starts_with(&self.routes[*key].prefix))
   }
 
+  /// Returns whether runs of a service can go on at another of its engines.
+  pub fn can_relocate(&self, service: &str) -> bool {
+    let engine = self.service(service).and_then(|service| service.engine.as_ref());
+    engine.is_some_and(|engine| engine.relocatable)
+  }
+
   /// Returns a service.
   pub fn service(&self, name: &str) -> Option<&Service> {
     self.services.get(name)
