--- a/yuccarudder/src/dialect.rs
+++ b/yuccarudder/src/dialect.rs
@@ -56,10 +56,15 @@
 /// Metadata in the head of a target's response.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ResponseMetadata {
+  /// Whether the target states that it is leaving service.
+  pub leaving: bool,
   /// Whether the target guarantees that it has not run the request and will not.
   pub not_run: bool,
   /// The request that the response belongs to.
   pub request_id: Option<String>,
+  /// How long the target wants no further request from this host; only in a response by which it
+  /// turns a request away.
+  pub retry_after: Option<Duration>,
   /// Whether the response carries the target's signature.
   pub signed: bool,
 }
--- a/yuccarudder/src/gateway/assignment.rs
+++ b/yuccarudder/src/gateway/assignment.rs
@@ -43,6 +43,10 @@
   pub target: Target,
 }
 
+fn targets_paused(until: Instant, now: Instant) -> Refusal {
+  Refusal::not_run(Reason::TargetsPaused).with_retry_after(until.saturating_duration_since(now))
+}
+
 impl Call {
   /// Assigns the request to a target and reserves capacity there.
   ///
@@ -51,7 +55,8 @@
   ///
   /// # Errors
   ///
-  /// Fails when all targets are still full after the wait, or when there is no target.
+  /// Fails when all targets are still full after the wait, when there is no target, or at once
+  /// when all targets asked for a pause that ends after the wait.
   pub async fn assign(&self, tried_targets: &[Key]) -> Result<Assignment, Refusal> {
     let rank = self.queue_rank();
     let waiter = self.gateway.scheduler.enqueue(&self.service_name, rank);
@@ -72,6 +77,11 @@
         Err(refusal) => refusal,
       };
       let now = self.gateway.clock.now();
+      let is_hopeless = refusal.reason == Reason::TargetsPaused
+        && refusal.retry_after.is_some_and(|pause| now + pause >= rank.give_up_at);
+      if is_hopeless {
+        return Err(refusal);
+      }
       if now >= rank.give_up_at {
         return self.try_assign(tried_targets, true).map_err(|_| refusal);
       }
@@ -111,12 +121,22 @@
     match self.choose_target(tried_targets, &demand, &own_data_centre, now) {
       Choice::Chosen(key) => Ok(self.reserve(key, self.initial_load(&demand))),
       Choice::Full => Err(self.targets_full()),
-      Choice::None => {
-        Err(Refusal::not_run(Reason::NoTarget).with_retry_after(NO_TARGET_RETRY_AFTER))
-      }
+      Choice::Paused(until) => Err(targets_paused(until, now)),
+      Choice::None => Err(self.all_paused().unwrap_or_else(|| {
+        Refusal::not_run(Reason::NoTarget).with_retry_after(NO_TARGET_RETRY_AFTER)
+      })),
     }
   }
 
+  /// Returns the refusal for when every target of the service has asked for a pause.
+  pub fn all_paused(&self) -> Option<Refusal> {
+    let now = self.gateway.clock.now();
+    let state = self.gateway.lock();
+    let accepting = state.roster.accepting(&self.service_name);
+    let ends: Option<Vec<Instant>> = accepting.map(|(key, _)| state.pauses.end(key, now)).collect();
+    ends?.into_iter().min().map(|until| targets_paused(until, now))
+  }
+
   /// Plans where and when a run on a leaving engine is copied; returns `None` when no engine has
   /// capacity for it or the targets of the service are not engines.
   pub fn plan_migration(
@@ -131,7 +151,7 @@
     let load_table = self.gateway.scheduler.lock();
     let accepting_targets = state.roster.accepting(&self.service_name);
     let mut available: Vec<_> =
-      accepting_targets.filter(|(key, _)| !state.health.is_ejected(*key, now)).collect();
+      accepting_targets.filter(|(key, _)| state.is_usable(*key, now)).collect();
     // All hosts use the same order, so that their plans agree.
     available.sort_by_key(|(_, target)| target.fingerprint);
     let candidates = available.into_iter().map(|(key, target)| relocation::Candidate {
@@ -144,9 +164,12 @@
 
   /// Reserves capacity for a migrated run, if the destination still accepts requests.
   pub fn reserve_planned(&self, destination: Key, run: Run) -> Option<Assignment> {
-    if !self.gateway.lock().roster.is_accepting(destination) {
+    let now = self.gateway.clock.now();
+    let state = self.gateway.lock();
+    if !state.roster.is_accepting(destination) || state.pauses.end(destination, now).is_some() {
       return None;
     }
+    drop(state);
     let load = Load {
       transfer_tokens: run.cached_tokens,
       used_tokens: run.cached_tokens,
@@ -180,6 +203,7 @@
         key,
         load: load_table.total_load(target.fingerprint),
         local: target.listing.data_centre == own_data_centre,
+        paused_until: state.pauses.end(key, now),
         slots: target.listing.slots,
         tried: tried_targets.contains(&key),
       }
--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -2,12 +2,12 @@
   super::{instruments::Instruments, shutdown::Shutdown},
   crate::{
     clock::Clock,
-    dialect::{Dialect, RequestMetadata},
+    dialect::{Dialect, RequestMetadata, ResponseMetadata},
     limit::{Memory, RetryQuota},
     member::{self, Phase},
     metrics::Metrics,
-    placement::{Health, LengthModel, Outcome, Scheduler, Throttle},
-    reader::Role,
+    placement::{Health, LengthModel, Outcome, Pauses, Scheduler, Throttle},
+    reader::{Era, Relation, Role, Version},
     roster::{Key, Roster},
     routing::{AgeLimits, Catalog, Freshness},
     settings,
@@ -32,6 +32,8 @@
 const RECOVERY_PERIOD: Duration = Duration::from_millis(2500);
 /// Subtracted from the limit on the catalog age, since acting on a decision takes time.
 const AGE_MARGIN: Duration = Duration::from_millis(250);
+/// How long an evacuation stays in force after the store was restored without it.
+pub(super) const EVACUATION_HOLD: Duration = Duration::from_secs(5);
 /// Maximum number of routes for which request statistics are kept.
 const MAX_ROUTES: usize = 4096;
 const PREFIX: &str = "gateway";
@@ -54,8 +56,12 @@
   length_models: HashMap<String, LengthModel>,
   /// The other hosts.
   pub(super) members: member::Table,
-  /// The revision up to which the operator's documents have been read.
-  pub(super) operator_revision: u64,
+  /// The newest era of the platform's store.
+  pub(super) era: Era,
+  /// The state of the store up to which the operator's documents have been read.
+  pub(super) operator_version: Version,
+  /// Targets that asked this host to pause.
+  pub(super) pauses: Pauses,
   /// Recent requests to targets, which limit the request rate of cold targets.
   pub(super) throttle: Throttle,
   /// The transfer of a newer catalog from another host.
@@ -198,7 +204,9 @@
       length_models: HashMap::new(),
       targets_listed: false,
       members: member::Table::new(settings.peers, incarnation, settings.seeds.clone()),
-      operator_revision: 0,
+      era: Era::default(),
+      operator_version: Version::default(),
+      pauses: Pauses::default(),
       throttle: Throttle::default(),
       catalog_transfer: member::CatalogSource::default(),
       encoded_catalog: Bytes::new(),
@@ -261,6 +269,26 @@
     }
   }
 
+  /// Applies what a response of a target states about the target itself.
+  pub(super) fn record_statements(&self, key: Key, metadata: &ResponseMetadata) {
+    let now = self.clock.now();
+    if let Some(pause) = metadata.retry_after {
+      let mut state = self.lock();
+      state.pauses.record(key, pause, now);
+      if let Some(target) = state.roster.get(key) {
+        log::info!(target: PREFIX, target:% = target.id, pause_ms = pause.as_millis() as u64; "A target asked for a pause.");
+      }
+    }
+    if metadata.leaving && self.lock().roster.record_own_statement(key, now) {
+      self.announce_departures(&[key], "response");
+    }
+  }
+
+  /// Returns whether a target wants no request from this host now.
+  pub(super) fn is_paused(&self, key: Key) -> bool {
+    self.lock().pauses.end(key, self.clock.now()).is_some()
+  }
+
   /// Applies changed settings.
   pub fn apply_settings(&self, settings: settings::Gateway) {
     let mut state = self.lock();
@@ -285,6 +313,23 @@
 }
 
 impl State {
+  /// Records the era of a response of the platform or of another host's heartbeat; returns
+  /// whether what it says still holds.
+  ///
+  /// After a restore of the store, evacuations stay in force until the operator has written them
+  /// again, and targets until they have registered again.
+  pub(super) fn observe_era(&mut self, era: u64, clock: &Clock) -> bool {
+    let relation = self.era.observe(era, clock.since_boot());
+    if relation == Relation::Restored {
+      let now = clock.now();
+      log::warn!(target: PREFIX, era; "The platform's store was restored from an older copy.");
+      let evacuated: Vec<String> = self.roster.evacuated().map(str::to_owned).collect();
+      self.roster.hold_evacuations(evacuated, now + EVACUATION_HOLD);
+      self.recovered_at = Some(now);
+    }
+    relation != Relation::Outdated
+  }
+
   /// Returns this host's part in reading the platform.
   pub(super) fn role(&self, now: Duration) -> Role {
     Role {
@@ -298,6 +343,11 @@
     self.failing_areas.is_empty() && self.targets_listed
   }
 
+  /// Returns whether a target is neither ejected nor paused.
+  pub(super) fn is_usable(&self, key: Key, now: Instant) -> bool {
+    !self.health.is_ejected(key, now) && self.pauses.end(key, now).is_none()
+  }
+
   /// Returns whether an outage of the platform ended recently.
   pub(super) fn is_recovering(&self, now: Instant) -> bool {
     let recently = |at: Instant| now.saturating_duration_since(at) < RECOVERY_PERIOD;
--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -1,6 +1,12 @@
 use {
-  super::{Gateway, gateway::HOST_SOURCE},
-  crate::member::{self, Codec, Heartbeat, Phase, Recipient, Sent},
+  super::{
+    Gateway,
+    gateway::{EVACUATION_HOLD, HOST_SOURCE, State},
+  },
+  crate::{
+    member::{self, Codec, Heartbeat, Phase, Recipient, Sent},
+    reader,
+  },
   bytes::Bytes,
   futures::{SinkExt, StreamExt, stream::SplitSink},
   prost::Message,
@@ -79,11 +85,14 @@
   let age = state.freshness.age(now);
   let heartbeat = Heartbeat {
     callers: state.settings.callers.to_string(),
-    catalog_age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX) + 1),
+    catalog_age_ms: age.map(|age| milliseconds(age) + 1),
     catalog_version: state.catalog_version(),
     echo: None,
+    era: state.era.number(),
     evacuated: state.roster.evacuated().map(str::to_owned).collect(),
-    operator_revision: state.operator_revision,
+    held_evacuations: state.roster.held_evacuations().map(str::to_owned).collect(),
+    operator_era: state.operator_version.era,
+    operator_revision: state.operator_version.revision,
     incarnation: state.members.incarnation(),
     leaving: state
       .roster
@@ -97,6 +106,7 @@
     ),
     phase: phase.number(),
     reads: state.reads_platform(),
+    restore_age_ms: state.era.restore_age(now).map(milliseconds),
     sender: state.settings.peers.to_string(),
     sequence,
     weight: state.settings.weight,
@@ -126,6 +136,7 @@
   let Some(received) = state.members.receive(heartbeat, now) else {
     return;
   };
+  let is_current = merge_era(&mut state, heartbeat, gateway);
   let version = state.catalog_version();
   if heartbeat.catalog_version == version
     && version > 0
@@ -133,8 +144,9 @@
   {
     state.freshness.confirm(confirmed_at);
   }
-  if heartbeat.operator_revision > state.operator_revision {
-    state.operator_revision = heartbeat.operator_revision;
+  let operator_version = reader::Version::new(heartbeat.operator_era, heartbeat.operator_revision);
+  if is_current && operator_version > state.operator_version {
+    state.operator_version = operator_version;
     state.roster.set_evacuated(heartbeat.evacuated.iter().cloned());
   }
   let departures = heartbeat.leaving.iter();
@@ -153,6 +165,23 @@
   }
 }
 
+/// Merges what another host knows of restores of the platform's store; returns whether it knows
+/// the newest era.
+fn merge_era(state: &mut State, heartbeat: &Heartbeat, gateway: &Gateway) -> bool {
+  let is_current = heartbeat.era.is_some_and(|era| state.observe_era(era, &gateway.clock));
+  let Some(age) = heartbeat.restore_age_ms.filter(|_| is_current).map(Duration::from_millis) else {
+    return is_current;
+  };
+  state.era.observe_restore(age, gateway.clock.since_boot());
+  let held_until = gateway.clock.now() + EVACUATION_HOLD.saturating_sub(age);
+  state.roster.hold_evacuations(heartbeat.held_evacuations.iter().cloned(), held_until);
+  is_current
+}
+
+fn milliseconds(duration: Duration) -> u64 {
+  u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Records the load that another host has at the targets; a host that shuts down and has none
 /// left is removed.
 fn record_loads(gateway: &Gateway, heartbeat: &Heartbeat, sender: SocketAddr) {
--- a/yuccarudder/src/gateway/retrying.rs
+++ b/yuccarudder/src/gateway/retrying.rs
@@ -22,7 +22,8 @@
         Outcome::NotSent => Reason::TargetsUnreachable,
         _ => Reason::TargetsBusy,
       };
-      return Refusal::not_run(reason).with_retry_after(RETRY_AFTER);
+      let refusal = || Refusal::not_run(reason).with_retry_after(RETRY_AFTER);
+      return self.all_paused().unwrap_or_else(refusal);
     }
     let reason = if self.time_left().is_zero() {
       Reason::DeadlinePassed
--- a/yuccarudder/src/gateway/sending.rs
+++ b/yuccarudder/src/gateway/sending.rs
@@ -63,7 +63,7 @@
       .on_dedicated_connection(),
     );
     let result = match time::timeout(timeout, response).await {
-      Ok(Ok(response)) => self.validate(response),
+      Ok(Ok(response)) => self.validate(assignment, response),
       Ok(Err(Error::Denied(_) | Error::NotSent { .. })) => Err(Outcome::NotSent.into()),
       Ok(Err(Error::Sent(_))) | Err(_) => Err(Outcome::Lost.into()),
     };
@@ -71,9 +71,14 @@
     result
   }
 
-  fn validate(&self, response: Response<Incoming>) -> Result<Response<Incoming>, Failure> {
+  fn validate(
+    &self,
+    assignment: &Assignment,
+    response: Response<Incoming>,
+  ) -> Result<Response<Incoming>, Failure> {
     let status = response.status();
     let metadata = (self.gateway.dialect.read_response)(status, response.headers());
+    self.gateway.record_statements(assignment.key, &metadata);
     if metadata.not_run {
       return Err(Outcome::NotRun.into());
     }
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -322,6 +322,14 @@
       Err(_) => "failed",
     });
     match result {
+      Ok(copied) if self.call.gateway.is_paused(destination.key) => {
+        self.release_copy(copied);
+        if broken {
+          return self.recover().await;
+        }
+        self.migration.retry(&self.call);
+        None
+      }
       Ok(copied) => self.resume_from_copy(copied, destination).await,
       Err(_) if broken => self.recover().await,
       Err(_) => {
--- a/yuccarudder/src/gateway/updates.rs
+++ b/yuccarudder/src/gateway/updates.rs
@@ -17,15 +17,22 @@
 
 impl Gateway {
   /// Applies changes from a watch on the platform, whose request was sent at `requested_at`.
+  ///
+  /// Ignores changes from before the store was restored.
   pub fn apply_changes(&self, area: Area, changes: Changes, requested_at: Duration) {
+    if !self.lock().observe_era(changes.version.era, &self.clock) {
+      return;
+    }
     let mut departing = Vec::new();
     for change in changes.changes {
       departing.extend(self.apply_change(change, requested_at));
     }
     if area == Area::Operator {
       let mut state = self.lock();
-      state.freshness.confirm(requested_at);
-      state.operator_revision = state.operator_revision.max(changes.revision);
+      if state.era.is_complete(requested_at) {
+        state.freshness.confirm(requested_at);
+      }
+      state.operator_version = state.operator_version.max(changes.version);
     }
     self.announce_departures(&departing, "platform");
   }
@@ -33,7 +40,8 @@
   /// Applies one change; returns the target that leaves service because of it, if any.
   fn apply_change(&self, change: Change, requested_at: Duration) -> Option<Key> {
     let now = self.clock.now();
-    let revision = change.revision;
+    let version = change.version;
+    let revision = version.revision;
     match change.subject {
       Subject::Catalog(Some(bytes)) => {
         self.apply_catalog(bytes, Some(requested_at), "platform");
@@ -49,13 +57,13 @@
         if listing.is_none() {
           log::warn!(target: PREFIX, target:% = id, revision; "The entry of a target cannot be parsed.");
         }
-        self.lock().roster.put(&id, revision, listing, now)
+        self.lock().roster.put(&id, version, listing, now)
       }
       Subject::TargetExpired { id } => {
         let mut state = self.lock();
         let recovering = state.is_recovering(now);
         log::info!(target: PREFIX, target:% = id, revision, recovering; "The entry of a target was removed.");
-        state.roster.expire(&id, revision, recovering, now)
+        state.roster.expire(&id, version, recovering, now)
       }
     }
   }
@@ -120,10 +128,11 @@
       state.catalog = Some(Arc::new(catalog));
       state.encoded_catalog = bytes;
       state.compressed_catalog = None;
-      state.freshness.reset(requested_at);
-      drop(state);
       self.heartbeat_trigger.notify_one();
-    } else if let Some(requested_at) = requested_at {
+    }
+    // The confirmation of an older catalog holds for a newer one, too: when it was requested, no
+    // version above that of the older catalog had been published.
+    if let Some(requested_at) = requested_at.filter(|at| state.era.is_complete(*at)) {
       state.freshness.confirm(requested_at);
     }
   }
@@ -191,7 +200,9 @@
       return Vec::new();
     }
     let engines = state.roster.all().filter(|(key, target)| {
-      state.roster.is_accepting(*key) && catalog.can_relocate(&target.listing.service)
+      state.roster.is_accepting(*key)
+        && state.pauses.end(*key, now).is_none()
+        && catalog.can_relocate(&target.listing.service)
     });
     engines.map(|(key, target)| (key, target.listing.address)).collect()
   }
@@ -202,7 +213,12 @@
   }
 
   /// Applies a snapshot of all documents of an area, requested at `requested_at`.
+  ///
+  /// Ignores a snapshot from before the store was restored.
   pub fn apply_snapshot(&self, area: Area, snapshot: Snapshot, requested_at: Duration) {
+    if !self.lock().observe_era(snapshot.version.era, &self.clock) {
+      return;
+    }
     match area {
       Area::Operator => self.apply_operator_snapshot(snapshot, requested_at),
       Area::Targets => self.apply_target_snapshot(snapshot),
@@ -223,22 +239,22 @@
     }
     let mut state = self.lock();
     state.roster.set_evacuated(evacuated);
-    state.operator_revision = state.operator_revision.max(snapshot.revision);
+    state.operator_version = state.operator_version.max(snapshot.version);
   }
 
   fn apply_target_snapshot(&self, snapshot: Snapshot) {
     let now = self.clock.now();
     let entries = snapshot.changes.into_iter().filter_map(|change| match change.subject {
-      Subject::Target { id, listing } => Some((id, change.revision, listing)),
+      Subject::Target { id, listing } => Some((id, change.version, listing)),
       _ => None,
     });
     let entries: Vec<_> = entries.collect();
     let mut state = self.lock();
     let recovering = state.is_recovering(now);
     if !state.targets_listed {
-      log::info!(target: PREFIX, targets = entries.len(), revision = snapshot.revision, recovering; "Listed the targets.");
+      log::info!(target: PREFIX, targets = entries.len(), revision = snapshot.version.revision, recovering; "Listed the targets.");
     }
-    let departing = state.roster.apply_snapshot(entries, snapshot.revision, recovering, now);
+    let departing = state.roster.apply_snapshot(entries, snapshot.version, recovering, now);
     state.targets_listed = true;
     drop(state);
     self.announce_departures(&departing, "platform");
--- a/yuccarudder/src/member/heartbeat.rs
+++ b/yuccarudder/src/member/heartbeat.rs
@@ -1,5 +1,5 @@
 use {
-  crate::{placement, roster},
+  crate::{placement, reader, roster},
   std::time::Duration,
 };
 
@@ -17,6 +17,12 @@
 /// A target that accepts no new requests.
 #[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
 pub struct Leaving {
+  /// Era of the platform's store to which `revision` belongs.
+  #[prost(uint64, tag = "4")]
+  pub era: u64,
+  /// Whether a response of the target stated it.
+  #[prost(bool, tag = "5")]
+  pub is_own_statement: bool,
   /// Time until the target stops, in milliseconds, if the sender knows it.
   #[prost(uint64, optional, tag = "3")]
   pub leaves_in_ms: Option<u64>,
@@ -32,8 +38,10 @@
   fn from(departure: roster::Departure) -> Self {
     let milliseconds = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
     Self {
+      era: departure.version.era,
+      is_own_statement: departure.is_own_statement,
       leaves_in_ms: departure.leaves_in.map(milliseconds),
-      revision: departure.revision,
+      revision: departure.version.revision,
       target: departure.fingerprint,
     }
   }
@@ -43,8 +51,9 @@
   fn from(leaving: Leaving) -> Self {
     Self {
       fingerprint: leaving.target,
+      is_own_statement: leaving.is_own_statement,
       leaves_in: leaving.leaves_in_ms.map(Duration::from_millis),
-      revision: leaving.revision,
+      version: reader::Version::new(leaving.era, leaving.revision),
     }
   }
 }
@@ -104,9 +113,23 @@
   /// Address at which callers reach the sender.
   #[prost(string, tag = "1")]
   pub callers: String,
+  /// Newest era of the platform's store that the sender knows, if it has read the store.
+  #[prost(uint64, optional, tag = "16")]
+  pub era: Option<u64>,
   /// Data centres that are out of service as of `operator_revision`.
   #[prost(string, repeated, tag = "14")]
   pub evacuated: Vec<String>,
+  /// Data centres that were out of service before the store was restored, while the sender keeps
+  /// them so.
+  #[prost(string, repeated, tag = "18")]
+  pub held_evacuations: Vec<String>,
+  /// Era of the store to which `operator_revision` belongs.
+  #[prost(uint64, tag = "19")]
+  pub operator_era: u64,
+  /// Time since the sender learned that the store was restored, in milliseconds; absent if that
+  /// is long ago.
+  #[prost(uint64, optional, tag = "17")]
+  pub restore_age_ms: Option<u64>,
   /// Revision of the platform's store up to which the sender has read the operator's
   /// documents.
   #[prost(uint64, tag = "15")]
--- a/yuccarudder/src/placement/choose.rs
+++ b/yuccarudder/src/placement/choose.rs
@@ -1,4 +1,4 @@
-use {super::Load, crate::roster::Key};
+use {super::Load, crate::roster::Key, std::time::Instant};
 
 /// Cost of a prompt token that awaits prefill, relative to an expected token: the prefill
 /// of one prompt delays the other requests of an engine about as much as a third of its KV
@@ -29,6 +29,8 @@
   pub load: Load,
   /// Whether it is in the data centre of this host.
   pub local: bool,
+  /// Until when it wants no request from this host, if it asked for a pause.
+  pub paused_until: Option<Instant>,
   /// Maximum number of requests that it runs concurrently.
   pub slots: u32,
   /// Whether the request has already been sent to it.
@@ -57,6 +59,9 @@
   Full,
   /// The request has been sent to every target that accepts requests, or there is none.
   None,
+  /// All targets that the request may still be sent to have asked for a pause; the first ends at
+  /// the given time.
+  Paused(Instant),
 }
 
 /// Number of other hosts up to which each host considers all targets. With more, hosts that
@@ -87,8 +92,10 @@
 ) -> Choice {
   let mut candidates: Vec<Candidate> =
     candidates.into_iter().filter(|candidate| !candidate.tried).collect();
+  let first_end = candidates.iter().filter_map(|candidate| candidate.paused_until).min();
+  candidates.retain(|candidate| candidate.paused_until.is_none());
   if candidates.is_empty() {
-    return Choice::None;
+    return first_end.map_or(Choice::None, Choice::Paused);
   }
   let all_ejected = candidates.iter().all(|candidate| candidate.ejected);
   let usable = |candidate: &Candidate| all_ejected || !candidate.ejected;
--- a/yuccarudder/src/placement/tests.rs
+++ b/yuccarudder/src/placement/tests.rs
@@ -35,6 +35,7 @@
     key,
     load,
     local: true,
+    paused_until: None,
     slots: 24,
     tried: false,
   }
@@ -312,3 +313,47 @@
   assert!(throttle.allows(key, &COLD_LIMIT, 75, 0.16, now));
   assert!(!throttle.allows(key, &COLD_LIMIT, 75, 0.17, now));
 }
+
+#[test]
+fn target_that_asked_for_a_pause_is_chosen_in_no_case() {
+  let keys = keys(2);
+  let until = Instant::now();
+  let mut candidates: Vec<Candidate> =
+    keys.iter().map(|key| candidate(*key, load(0, 0, 0))).collect();
+  candidates[0].paused_until = Some(until);
+  candidates[1].ejected = true;
+  let demand = Demand {
+    last_resort: true,
+    capacity_tokens: None,
+    expected_tokens: 0,
+  };
+  let choice = |candidates: &[Candidate]| choose(candidates.to_vec(), &demand, 1.0, || 0.5);
+  assert_eq!(choice(&candidates), Choice::Chosen(keys[1]));
+  let later = until + Duration::from_secs(1);
+  candidates[1].paused_until = Some(later);
+  assert_eq!(choice(&candidates), Choice::Paused(until));
+  candidates[0].tried = true;
+  assert_eq!(choice(&candidates), Choice::Paused(later));
+}
+
+#[test]
+fn pause_ends_at_the_latest_time_that_the_target_asked_for() {
+  let key = keys(1)[0];
+  let now = Instant::now();
+  let mut pauses = Pauses::default();
+  assert_eq!(pauses.end(key, now), None);
+  pauses.record(key, Duration::from_secs(2), now);
+  pauses.record(key, Duration::from_secs(1), now);
+  let end = now + Duration::from_secs(2);
+  assert_eq!(pauses.end(key, end - Duration::from_millis(1)), Some(end));
+  assert_eq!(pauses.end(key, end), None);
+}
+
+#[test]
+fn absurd_pause_is_bounded() {
+  let key = keys(1)[0];
+  let now = Instant::now();
+  let mut pauses = Pauses::default();
+  pauses.record(key, Duration::MAX, now);
+  assert_eq!(pauses.end(key, now + Duration::from_secs(300)), None);
+}
--- a/yuccarudder/src/reader/document.rs
+++ b/yuccarudder/src/reader/document.rs
@@ -1,4 +1,5 @@
 use {
+  super::Version,
   crate::roster,
   bytes::Bytes,
   futures::future::BoxFuture,
@@ -55,22 +56,22 @@
 /// A document that was written or removed.
 #[derive(Clone, Debug)]
 pub struct Change {
-  /// Revision of the store with which it was written or removed.
-  pub revision: u64,
+  /// State of the store with which it was written or removed.
+  pub version: Version,
   /// What it describes.
   pub subject: Subject,
 }
 
-/// Changes of an area up to a revision.
+/// Changes of an area up to a state of the store.
 #[derive(Clone, Debug)]
 pub struct Changes {
   /// The changes, in order.
   pub changes: Vec<Change>,
-  /// Revision up to which they are complete.
-  pub revision: u64,
+  /// State up to which they are complete.
+  pub version: Version,
 }
 
-/// All documents of an area; each is as of `revision` or later.
+/// All documents of an area; each is as of `version` or later.
 pub type Snapshot = Changes;
 
 /// How current a list has to be.
--- a/yuccarudder/src/reader/run.rs
+++ b/yuccarudder/src/reader/run.rs
@@ -1,5 +1,5 @@
 use {
-  super::{Area, Consistency, Error, Mode, Role, Store},
+  super::{Area, Consistency, Error, Mode, Role, Store, Version},
   crate::gateway::Gateway,
   anyhow::anyhow,
   std::time::Duration,
@@ -35,12 +35,12 @@
     match listed.unwrap_or_else(|_| Err(timed_out())) {
       Ok(snapshot) => {
         backoff = Duration::ZERO;
-        let revision = snapshot.revision;
+        let version = snapshot.version;
         gateway.record_read_success(area);
         gateway.apply_snapshot(area, snapshot, requested_at);
         match gateway.read_mode(area) {
           Mode::Watch(_) if consistency == Consistency::Current => {
-            watch(&gateway, &store, area, revision).await;
+            watch(&gateway, &store, area, version).await;
           }
           Mode::Watch(_) => {}
           Mode::Poll(pause) | Mode::Idle(pause) => time::sleep(pause).await,
@@ -55,8 +55,9 @@
 }
 
 /// Applies changes while this host is to watch the area, and returns early if the platform no
-/// longer keeps the changes that come next.
-async fn watch(gateway: &Gateway, store: &Store, area: Area, mut revision: u64) {
+/// longer keeps the changes that come next, or was restored from an older copy.
+async fn watch(gateway: &Gateway, store: &Store, area: Area, listed: Version) {
+  let mut revision = listed.revision;
   let mut backoff = Duration::ZERO;
   while let Mode::Watch(pause) = gateway.read_mode(area) {
     let requested_at = gateway.clock.since_boot();
@@ -70,9 +71,14 @@
     )
     .await;
     match watched.unwrap_or_else(|_| Err(timed_out())) {
+      Ok(changes) if changes.version.era != listed.era => {
+        // The revision that the watch continued from was assigned to another change since.
+        log::info!(target: PREFIX, area = area.name(), revision, era = changes.version.era; "The platform was restored from a copy; listing the area again.");
+        return;
+      }
       Ok(changes) => {
         backoff = Duration::ZERO;
-        revision = changes.revision.max(revision);
+        revision = changes.version.revision.max(revision);
         gateway.record_read_success(area);
         gateway.apply_changes(area, changes, requested_at);
         time::sleep(pause).await;
--- a/yuccarudder/src/reader/tests.rs
+++ b/yuccarudder/src/reader/tests.rs
@@ -129,3 +129,59 @@
   9_000,
   false
 );
+
+const fn ms(milliseconds: u64) -> Duration {
+  Duration::from_millis(milliseconds)
+}
+
+#[test]
+fn first_era_of_a_process_is_no_restore() {
+  let mut era = Era::default();
+  assert_eq!(era.observe(4, ms(0)), Relation::Current);
+  assert_eq!(era.restore_age(ms(0)), None);
+  assert!(era.is_complete(ms(0)));
+}
+
+#[test]
+fn late_responses_of_an_earlier_era_are_outdated() {
+  let mut era = Era::default();
+  era.observe(1, ms(0));
+  assert_eq!(era.observe(2, ms(10)), Relation::Restored);
+  assert_eq!(era.observe(1, ms(20)), Relation::Outdated);
+  assert_eq!(era.observe(2, ms(30)), Relation::Current);
+  assert_eq!(era.number(), Some(2));
+}
+
+#[test]
+fn reads_prove_nothing_until_lost_writes_are_repeated() {
+  let mut era = Era::default();
+  era.observe(1, ms(0));
+  era.observe(2, ms(10_000));
+  // Requested before the restore was known, and in the rewrite period.
+  assert!(!era.is_complete(ms(9_000)));
+  assert!(!era.is_complete(ms(11_999)));
+  assert!(era.is_complete(ms(12_000)));
+}
+
+#[test]
+fn second_restore_begins_another_rewrite_period() {
+  let mut era = Era::default();
+  era.observe(1, ms(0));
+  era.observe(2, ms(1_000));
+  era.observe(3, ms(2_500));
+  assert!(!era.is_complete(ms(4_000)));
+  assert!(era.is_complete(ms(4_500)));
+}
+
+#[test]
+fn process_that_started_after_a_restore_learns_of_it_from_other_hosts() {
+  let mut era = Era::default();
+  era.observe(2, ms(500));
+  era.observe_restore(ms(300), ms(1_000));
+  assert_eq!(era.restore_age(ms(1_000)), Some(ms(300)));
+  assert!(!era.is_complete(ms(2_600)));
+  // The age grows with each host that passes it on, so it ends for all.
+  assert_eq!(era.restore_age(ms(2_700)), None);
+  era.observe_restore(ms(1_990), ms(2_710));
+  assert!(era.is_complete(ms(2_710)));
+}
--- a/yuccarudder/src/roster/roster.rs
+++ b/yuccarudder/src/roster/roster.rs
@@ -1,5 +1,6 @@
 use {
   super::{Listing, State},
+  crate::reader::Version,
   siphasher::sip::SipHasher13,
   slotmap::{SlotMap, new_key_type},
   std::{
@@ -53,10 +54,19 @@
   pub leaves_at: Option<Instant>,
   /// When this host learned that it is leaving or was removed.
   pub leaving_since: Option<Instant>,
-  /// The platform's revision of the last change.
-  revision: u64,
+  /// Whether a response of the process itself stated that it is leaving. Such a process does not
+  /// return to service, whatever the platform lists.
+  states_departure: bool,
+  /// Whether the last entry may have been written before the platform was restored. It then does
+  /// not show that the process is alive.
+  may_be_restored: bool,
+  /// The newest entry that was ignored because it does not bring the process back, and when it
+  /// was read.
+  ignored: Option<(Version, Instant)>,
   /// Whether it accepts new requests.
   pub status: Status,
+  /// The platform's state of the last change.
+  version: Version,
 }
 
 /// A leaving process of a target, as hosts report it to each other.
@@ -66,8 +76,17 @@
   pub fingerprint: u64,
   /// Time until the process stops, if known.
   pub leaves_in: Option<Duration>,
-  /// The platform's revision that announced it.
-  pub revision: u64,
+  /// Whether the process itself stated it, which no entry of the platform overrides.
+  pub is_own_statement: bool,
+  /// The platform's state that announced it.
+  pub version: Version,
+}
+
+impl Target {
+  /// Returns the version of the newest entry or change that was read of the process.
+  fn newest_version(&self) -> Version {
+    self.ignored.map_or(self.version, |(ignored, _)| ignored.max(self.version))
+  }
 }
 
 fn cold_until(listing: &Listing, now: Instant) -> Option<Instant> {
@@ -87,6 +106,9 @@
 pub struct Roster {
   /// Data centres that are out of service.
   evacuated: HashSet<String>,
+  /// Data centres that were out of service before the platform was restored, with the time until
+  /// which they stay so unless the platform lists them again.
+  held_evacuations: HashMap<String, Instant>,
   /// Targets that are listed now, by the IDs of their entries.
   keys: HashMap<Arc<str>, Key>,
   targets: SlotMap<Key, Target>,
@@ -98,18 +120,24 @@
     self.targets.iter()
   }
 
-  /// Records that an entry was removed at a revision; returns its target if the removal is
-  /// what makes it leave.
+  /// Records that an entry was removed; returns its target if the removal is what makes it
+  /// leave.
   ///
   /// `recovering` means that the platform was unavailable recently, so the entry may have
   /// lapsed although the target is alive.
-  pub fn expire(&mut self, id: &str, revision: u64, recovering: bool, now: Instant) -> Option<Key> {
+  pub fn expire(
+    &mut self,
+    id: &str,
+    version: Version,
+    recovering: bool,
+    now: Instant,
+  ) -> Option<Key> {
     let key = *self.keys.get(id)?;
     let target = &mut self.targets[key];
-    if revision <= target.revision {
+    if version <= target.version {
       return None;
     }
-    target.revision = revision;
+    target.version = version;
     match target.status {
       Status::Serving if recovering => {
         target.status = Status::Lapsed(now + LAPSE_GRACE);
@@ -122,6 +150,7 @@
 
   /// Takes a data centre out of service, or puts it back when `out` is false.
   pub fn evacuate(&mut self, data_centre: &str, out: bool) {
+    self.held_evacuations.remove(data_centre);
     if out {
       self.evacuated.insert(data_centre.into());
     } else {
@@ -142,20 +171,53 @@
     target.status = Status::Leaving;
     target.leaving_since = Some(now);
     // Ranks the report above the entry that the platform published.
-    target.revision += 1;
+    target.version.revision += 1;
     true
   }
 
+  /// Records that a response of a target stated that the target is leaving; returns whether that
+  /// is new.
+  pub fn record_own_statement(&mut self, key: Key, now: Instant) -> bool {
+    let Some(target) = self.targets.get_mut(key) else {
+      return false;
+    };
+    target.states_departure = true;
+    let is_new = matches!(target.status, Status::Serving | Status::Lapsed(_));
+    if is_new {
+      target.status = Status::Leaving;
+      target.leaving_since = Some(now);
+    }
+    is_new
+  }
+
   /// Returns a target.
   pub fn get(&self, key: Key) -> Option<&Target> {
     self.targets.get(key)
   }
 
-  /// Returns the data centres that are out of service.
+  /// Returns the data centres that the platform lists as out of service.
   pub fn evacuated(&self) -> impl Iterator<Item = &str> {
     self.evacuated.iter().map(String::as_str)
   }
 
+  /// Returns the data centres that stay out of service for some time although the platform, which
+  /// was restored, does not list them.
+  pub fn held_evacuations(&self) -> impl Iterator<Item = &str> {
+    self.held_evacuations.keys().map(String::as_str)
+  }
+
+  /// Keeps data centres out of service until a time, unless the platform lists them by then.
+  pub fn hold_evacuations(
+    &mut self,
+    data_centres: impl IntoIterator<Item = String>,
+    until: Instant,
+  ) {
+    for data_centre in data_centres {
+      let held_until = self.held_evacuations.entry(data_centre).or_insert(until);
+      *held_until = until.max(*held_until);
+    }
+  }
+
   /// Returns whether a target accepts new requests.
   pub fn is_accepting(&self, key: Key) -> bool {
     self.targets.get(key).is_some_and(|target| self.accepts_requests(target))
@@ -170,11 +232,14 @@
     };
     let (key, target) = self.targets.iter_mut().find(|(_, target)| is_same_process(target))?;
     let is_alive = matches!(target.status, Status::Serving | Status::Lapsed(_));
-    let is_news = is_alive && target.revision < departure.revision;
+    let is_later = target.version < departure.version
+      || (target.may_be_restored && departure.version.era < target.version.era);
+    let is_news = is_alive && (is_later || departure.is_own_statement);
+    target.states_departure |= departure.is_own_statement;
     if is_news {
       target.status = Status::Leaving;
       target.leaving_since = Some(now);
-      target.revision = departure.revision;
+      target.version = target.version.max(departure.version);
     }
     if is_news || target.status == Status::Leaving {
       target.leaves_at = target.leaves_at.or(departure.leaves_in.map(|time| now + time));
@@ -186,19 +251,24 @@
   /// it no longer than `max_age` ago.
   pub fn departures(&self, max_age: Duration, now: Instant) -> impl Iterator<Item = Departure> {
     let is_reported = move |target: &&Target| match target.status {
-      Status::Removed(kept_until) => now + REMOVED_RETENTION < kept_until + GOSSIP_PERIOD,
+      Status::Removed(kept_until) => {
+        let is_relisted =
+          target.ignored.is_some_and(|(_, at)| now.saturating_duration_since(at) < GOSSIP_PERIOD);
+        is_relisted || now + REMOVED_RETENTION < kept_until + GOSSIP_PERIOD
+      }
       Status::Leaving => true,
       Status::Lapsed(_) | Status::Serving => false,
     };
     let is_recent = move |target: &&Target| {
-      let since = target.leaving_since;
+      let since = target.leaving_since.max(target.ignored.map(|(_, at)| at));
       since.is_some_and(|since| now.saturating_duration_since(since) <= max_age)
     };
     let targets = self.targets.values().filter(is_reported).filter(is_recent);
     targets.map(move |target| Departure {
       fingerprint: target.fingerprint,
+      is_own_statement: target.states_departure,
       leaves_in: target.leaves_at.map(|at| at.saturating_duration_since(now)),
-      revision: target.revision,
+      version: target.version,
     })
   }
 
@@ -210,24 +280,27 @@
       .filter(move |(_, target)| target.listing.service == service && self.accepts_requests(target))
   }
 
-  /// Records an entry at a revision; `None` stands for an entry that cannot be parsed, which
-  /// removes its target. An entry of another process or address replaces the target. Returns
-  /// the target if the entry is what makes it leave, unless it was replaced.
+  /// Records an entry; `None` stands for an entry that cannot be parsed, which removes its
+  /// target. An entry of another process or address replaces the target. Returns the target if
+  /// the entry is what makes it leave, unless it was replaced.
+  ///
+  /// After the platform was restored, the first entry of a process may be a copy from before. It
+  /// brings back no process that was leaving or removed.
   pub fn put(
     &mut self,
     id: &str,
-    revision: u64,
+    version: Version,
     listing: Option<Listing>,
     now: Instant,
   ) -> Option<Key> {
     let listed_key = self.keys.get(id).copied();
-    let last_revision = match listed_key {
-      Some(key) => Some(self.targets[key].revision),
-      None => self.removal_revision(id),
-    };
-    if last_revision.is_some_and(|last| revision <= last) {
+    let last_key = listed_key.or_else(|| self.last_removed(id));
+    let last_version = last_key.map(|key| self.targets[key].newest_version());
+    if last_version.is_some_and(|last| version <= last) {
       return None;
     }
+    // The first entry that a process of this host reads may be a copy, too.
+    let may_be_restored = last_version.is_none_or(|last| last.era < version.era);
     let Some(listing) = listing else {
       return listed_key.and_then(|key| self.remove(key, now));
     };
@@ -236,6 +309,15 @@
       State::Draining => Status::Leaving,
     };
     let process_fingerprint = fingerprint(id, listing.started_ms);
+    if let Some(key) = last_key {
+      let target = &mut self.targets[key];
+      let is_out = matches!(target.status, Status::Leaving | Status::Removed(_));
+      let is_same_process = target.fingerprint == process_fingerprint;
+      if is_same_process && is_out && (may_be_restored || target.states_departure) {
+        target.ignored = Some((version, now));
+        return None;
+      }
+    }
     if let Some(key) = listed_key {
       let target = &mut self.targets[key];
       if target.fingerprint == process_fingerprint && target.listing.address == listing.address {
@@ -247,7 +329,8 @@
           _ => None,
         };
         target.listing = listing;
-        target.revision = revision;
+        target.version = version;
+        target.may_be_restored = may_be_restored;
         return starts_leaving.then_some(key);
       }
       self.remove(key, now);
@@ -260,18 +343,21 @@
       leaves_at: None,
       leaving_since: (status == Status::Leaving).then_some(now),
       listing,
-      revision,
+      states_departure: false,
+      may_be_restored,
+      ignored: None,
       status,
+      version,
     });
     self.keys.insert(id, key);
     None
   }
 
-  /// Returns the revision at which an entry was last removed, while its target is kept; older
-  /// snapshots still contain the entry.
-  fn removal_revision(&self, id: &str) -> Option<u64> {
-    let removed = self.targets.values().filter(|target| &*target.id == id);
-    removed.map(|target| target.revision).max()
+  /// Returns the target of an entry that was removed last, while it is kept; older snapshots still
+  /// contain the entry.
+  fn last_removed(&self, id: &str) -> Option<Key> {
+    let removed = self.targets.iter().filter(|(_, target)| &*target.id == id);
+    removed.max_by_key(|(_, target)| target.newest_version()).map(|(key, _)| key)
   }
 
   fn remove(&mut self, key: Key, now: Instant) -> Option<Key> {
@@ -283,22 +369,21 @@
     was_alive.then_some(key)
   }
 
-  /// Applies a snapshot of all entries at a revision; returns the targets that start to leave
-  /// by it.
+  /// Applies a snapshot of all entries; returns the targets that start to leave by it.
   pub fn apply_snapshot(
     &mut self,
-    entries: Vec<(Arc<str>, u64, Option<Listing>)>,
-    revision: u64,
+    entries: Vec<(Arc<str>, Version, Option<Listing>)>,
+    version: Version,
     recovering: bool,
     now: Instant,
   ) -> Vec<Key> {
     let listed: HashSet<Arc<str>> = entries.iter().map(|(id, ..)| Arc::clone(id)).collect();
     let missing: Vec<Arc<str>> =
       self.keys.keys().filter(|id| !listed.contains(*id)).cloned().collect();
-    let expired = missing.iter().filter_map(|id| self.expire(id, revision, recovering, now));
+    let expired = missing.iter().filter_map(|id| self.expire(id, version, recovering, now));
     let mut leaving: Vec<Key> = expired.collect();
-    for (id, revision, listing) in entries {
-      leaving.extend(self.put(&id, revision, listing, now));
+    for (id, version, listing) in entries {
+      leaving.extend(self.put(&id, version, listing, now));
     }
     leaving
   }
@@ -310,19 +395,24 @@
     }
   }
 
-  /// Sets which data centres are out of service.
+  /// Sets which data centres the platform lists as out of service.
   pub fn set_evacuated(&mut self, data_centres: impl IntoIterator<Item = String>) {
     self.evacuated = data_centres.into_iter().collect();
   }
 
   fn accepts_requests(&self, target: &Target) -> bool {
     let is_alive = matches!(target.status, Status::Serving | Status::Lapsed(_));
-    is_alive && !self.evacuated.contains(&target.listing.data_centre)
+    let data_centre = &target.listing.data_centre;
+    let is_evacuated =
+      self.evacuated.contains(data_centre) || self.held_evacuations.contains_key(data_centre);
+    is_alive && !is_evacuated
   }
 
   /// Removes the targets whose entries lapsed longer than `LAPSE_GRACE` ago and returns them;
-  /// also drops the targets that were removed longer than `REMOVED_RETENTION` ago.
+  /// also drops the targets that were removed longer than `REMOVED_RETENTION` ago and ends the
+  /// evacuations that were held until now.
   pub fn remove_lapsed(&mut self, now: Instant) -> Vec<Key> {
+    self.held_evacuations.retain(|_, until| now < *until);
     let is_overdue =
       |target: &Target| matches!(target.status, Status::Lapsed(until) if until <= now);
     let keys: Vec<Key> =
--- a/yuccarudder/src/roster/tests.rs
+++ b/yuccarudder/src/roster/tests.rs
@@ -1,5 +1,6 @@
 use {
   super::*,
+  crate::reader::Version,
   std::time::{Duration, Instant},
 };
 
@@ -19,6 +20,16 @@
   Some(listing(started_ms, State::Available))
 }
 
+/// Returns a state of the store before it is restored.
+fn version(revision: u64) -> Version {
+  Version::new(1, revision)
+}
+
+/// Returns a state of the store after it was restored.
+fn restored(revision: u64) -> Version {
+  Version::new(2, revision)
+}
+
 struct Fixture {
   now: Instant,
   roster: Roster,
@@ -35,7 +46,7 @@
   }
 
   fn put(&mut self, revision: u64, listing: Option<Listing>) -> Option<Key> {
-    self.roster.put("a", revision, listing, self.now)
+    self.roster.put("a", version(revision), listing, self.now)
   }
 
   fn accepting_count(&self) -> usize {
@@ -68,7 +79,7 @@
 #[test]
 fn unreadable_entry_removes_only_its_own_target() {
   let mut fixture = Fixture::new();
-  fixture.roster.put("b", 2, available(9), fixture.now);
+  fixture.roster.put("b", version(2), available(9), fixture.now);
   fixture.put(3, None);
   assert_eq!(fixture.accepting_count(), 1);
 }
@@ -77,7 +88,10 @@
 fn removal_of_an_entry_makes_its_target_leave() {
   let mut fixture = Fixture::new();
   let key = fixture.key();
-  assert_eq!(fixture.roster.expire("a", 2, false, fixture.now), Some(key));
+  assert_eq!(
+    fixture.roster.expire("a", version(2), false, fixture.now),
+    Some(key)
+  );
   assert_eq!(fixture.accepting_count(), 0);
 }
 
@@ -85,14 +99,20 @@
 fn removal_older_than_the_entry_is_ignored() {
   let mut fixture = Fixture::new();
   fixture.put(5, available(7));
-  assert_eq!(fixture.roster.expire("a", 4, false, fixture.now), None);
+  assert_eq!(
+    fixture.roster.expire("a", version(4), false, fixture.now),
+    None
+  );
   assert_eq!(fixture.accepting_count(), 1);
 }
 
 #[test]
 fn target_keeps_serving_if_its_lapsed_entry_comes_back() {
   let mut fixture = Fixture::new();
-  assert_eq!(fixture.roster.expire("a", 2, true, fixture.now), None);
+  assert_eq!(
+    fixture.roster.expire("a", version(2), true, fixture.now),
+    None
+  );
   assert_eq!(fixture.accepting_count(), 1);
   fixture.put(3, available(7));
   assert_eq!(
@@ -106,7 +126,7 @@
 fn target_is_removed_if_its_lapsed_entry_stays_away() {
   let mut fixture = Fixture::new();
   let key = fixture.key();
-  fixture.roster.expire("a", 2, true, fixture.now);
+  fixture.roster.expire("a", version(2), true, fixture.now);
   assert_eq!(
     fixture.roster.remove_lapsed(fixture.now + Duration::from_secs(2)),
     [key]
@@ -149,7 +169,7 @@
 #[test]
 fn removed_entries_are_reported_for_a_limited_time() {
   let mut fixture = Fixture::new();
-  fixture.roster.expire("a", 2, false, fixture.now);
+  fixture.roster.expire("a", version(2), false, fixture.now);
   let reported = |after| {
     fixture.roster.departures(Duration::MAX, fixture.now + Duration::from_secs(after)).count()
   };
@@ -159,8 +179,12 @@
 #[test]
 fn snapshot_removes_entries_that_it_lacks() {
   let mut fixture = Fixture::new();
-  let leaving =
-    fixture.roster.apply_snapshot(vec![("b".into(), 2, available(9))], 3, false, fixture.now);
+  let leaving = fixture.roster.apply_snapshot(
+    vec![("b".into(), version(2), available(9))],
+    version(3),
+    false,
+    fixture.now,
+  );
   assert_eq!(leaving.len(), 1);
   assert_eq!(fixture.accepting_count(), 1);
 }
@@ -179,8 +203,9 @@
 fn departure(fingerprint: u64, revision: u64) -> Departure {
   Departure {
     fingerprint,
+    is_own_statement: false,
     leaves_in: None,
-    revision,
+    version: version(revision),
   }
 }
 
@@ -229,9 +254,9 @@
 fn outdated_snapshot_does_not_restore_a_removed_target() {
   let mut fixture = Fixture::new();
   fixture.put(3, available(7));
-  fixture.roster.expire("a", 5, false, fixture.now);
-  let entry = ("a".into(), 3, available(7));
-  fixture.roster.apply_snapshot(vec![entry], 4, false, fixture.now);
+  fixture.roster.expire("a", version(5), false, fixture.now);
+  let entry = ("a".into(), version(3), available(7));
+  fixture.roster.apply_snapshot(vec![entry], version(4), false, fixture.now);
   assert_eq!(fixture.accepting_count(), 0);
   // An entry written after the removal belongs to a new process, or to the same one again.
   fixture.put(6, available(8));
@@ -241,7 +266,7 @@
 #[test]
 fn departure_known_for_too_long_is_not_relayed() {
   let mut fixture = Fixture::new();
-  fixture.roster.expire("a", 2, false, fixture.now);
+  fixture.roster.expire("a", version(2), false, fixture.now);
   let relayed = |after| {
     let now = fixture.now + Duration::from_millis(after);
     fixture.roster.departures(Duration::from_secs(1), now).count()
@@ -253,8 +278,148 @@
 fn departure_of_a_process_that_was_removed_and_came_back_is_applied() {
   let mut fixture = Fixture::new();
   let fingerprint = fixture.roster.get(fixture.key()).unwrap().fingerprint;
-  fixture.roster.expire("a", 2, false, fixture.now);
+  fixture.roster.expire("a", version(2), false, fixture.now);
   fixture.put(3, available(7));
   assert!(fixture.roster.merge_departure(&departure(fingerprint, 4), fixture.now).is_some());
   assert_eq!(fixture.accepting_count(), 0);
 }
+
+impl Fixture {
+  fn put_restored(&mut self, revision: u64, listing: Option<Listing>) -> Option<Key> {
+    self.roster.put("a", restored(revision), listing, self.now)
+  }
+}
+
+#[test]
+fn entry_of_a_restored_store_is_newer_than_all_entries_before() {
+  let mut fixture = Fixture::new();
+  fixture.put(50, available(7));
+  fixture.put_restored(3, Some(listing(7, State::Draining)));
+  assert_eq!(fixture.accepting_count(), 0);
+  fixture.put(60, available(7));
+  assert_eq!(fixture.accepting_count(), 0);
+}
+
+#[test]
+fn restored_entry_does_not_bring_back_a_removed_target() {
+  let mut fixture = Fixture::new();
+  fixture.roster.expire("a", version(50), false, fixture.now);
+  fixture.put_restored(3, available(7));
+  assert_eq!(fixture.accepting_count(), 0);
+  // A second entry in the new era was written by the process itself.
+  fixture.put_restored(4, available(7));
+  assert_eq!(fixture.accepting_count(), 1);
+}
+
+#[test]
+fn restored_entry_does_not_bring_back_a_leaving_target() {
+  let mut fixture = Fixture::new();
+  fixture.put(50, Some(listing(7, State::Draining)));
+  fixture.put_restored(3, available(7));
+  assert_eq!(fixture.accepting_count(), 0);
+  fixture.put_restored(4, available(7));
+  assert_eq!(fixture.accepting_count(), 1);
+}
+
+#[test]
+fn new_process_is_used_from_its_first_entry_in_a_restored_store() {
+  let mut fixture = Fixture::new();
+  fixture.roster.expire("a", version(50), false, fixture.now);
+  fixture.put_restored(3, available(8));
+  assert_eq!(fixture.accepting_count(), 1);
+}
+
+#[test]
+fn two_restores_in_a_row_do_not_bring_back_a_removed_target() {
+  let mut fixture = Fixture::new();
+  fixture.roster.expire("a", version(50), false, fixture.now);
+  fixture.put_restored(3, available(7));
+  fixture.roster.put("a", Version::new(3, 3), available(7), fixture.now);
+  assert_eq!(fixture.accepting_count(), 0);
+}
+
+#[test]
+fn target_missing_in_a_restored_store_lapses_until_it_registers_again() {
+  let mut fixture = Fixture::new();
+  fixture.roster.apply_snapshot(Vec::new(), restored(1), true, fixture.now);
+  assert_eq!(fixture.accepting_count(), 1);
+  fixture.put_restored(2, available(7));
+  let later = fixture.now + Duration::from_secs(60);
+  assert_eq!(fixture.roster.remove_lapsed(later), []);
+  assert_eq!(fixture.accepting_count(), 1);
+}
+
+#[test]
+fn departure_from_before_the_restore_applies_to_an_entry_that_may_be_a_copy() {
+  let mut before = Fixture::new();
+  before.roster.expire("a", version(50), false, before.now);
+  // The host that knows the departure reports it again once the copy lists the target.
+  before.put_restored(3, available(7));
+  let later = before.now + Duration::from_millis(2_900);
+  let departure = before.roster.departures(Duration::MAX, later).next().unwrap();
+  assert_eq!(departure.version, version(50));
+  // A process that starts after the restore reads only the copy.
+  let mut started = Fixture::new();
+  started.roster = Roster::default();
+  started.put_restored(3, available(7));
+  assert_eq!(started.accepting_count(), 1);
+  assert!(started.roster.merge_departure(&departure, started.now).is_some());
+  assert_eq!(started.accepting_count(), 0);
+}
+
+#[test]
+fn departure_from_before_the_restore_does_not_apply_to_a_process_that_registered_since() {
+  let mut fixture = Fixture::new();
+  let fingerprint = fixture.roster.get(fixture.key()).unwrap().fingerprint;
+  fixture.put_restored(3, available(7));
+  fixture.put_restored(4, available(7));
+  assert!(fixture.roster.merge_departure(&departure(fingerprint, 50), fixture.now).is_none());
+  assert_eq!(fixture.accepting_count(), 1);
+}
+
+#[test]
+fn no_entry_of_the_same_process_overrides_its_own_statement() {
+  let mut fixture = Fixture::new();
+  let key = fixture.key();
+  assert!(fixture.roster.record_own_statement(key, fixture.now));
+  assert!(!fixture.roster.record_own_statement(key, fixture.now));
+  fixture.put(9, available(7));
+  fixture.put_restored(3, available(7));
+  fixture.put_restored(4, available(7));
+  assert_eq!(fixture.accepting_count(), 0);
+  fixture.put_restored(5, available(8));
+  assert_eq!(fixture.accepting_count(), 1);
+}
+
+#[test]
+fn own_statement_reaches_hosts_with_newer_entries() {
+  let mut fixture = Fixture::new();
+  fixture.roster.record_own_statement(fixture.key(), fixture.now);
+  let departure = fixture.roster.departures(Duration::MAX, fixture.now).next().unwrap();
+  let mut other = Fixture::new();
+  other.put(9, available(7));
+  assert!(other.roster.merge_departure(&departure, other.now).is_some());
+  other.put(10, available(7));
+  assert_eq!(other.accepting_count(), 0);
+}
+
+#[test]
+fn evacuation_that_a_restored_store_lacks_is_held_for_some_time() {
+  let mut fixture = Fixture::new();
+  let until = fixture.now + Duration::from_secs(5);
+  fixture.roster.hold_evacuations(["kochi".to_owned()], until);
+  fixture.roster.set_evacuated([]);
+  fixture.roster.remove_lapsed(until - Duration::from_millis(1));
+  assert_eq!(fixture.accepting_count(), 0);
+  fixture.roster.remove_lapsed(until);
+  assert_eq!(fixture.accepting_count(), 1);
+}
+
+#[test]
+fn held_evacuation_ends_when_the_operator_puts_the_data_centre_back() {
+  let mut fixture = Fixture::new();
+  let until = fixture.now + Duration::from_secs(5);
+  fixture.roster.hold_evacuations(["kochi".to_owned()], until);
+  fixture.roster.evacuate("kochi", false);
+  assert_eq!(fixture.accepting_count(), 1);
+}
--- a/yuccarudder/src/routing/freshness.rs
+++ b/yuccarudder/src/routing/freshness.rs
@@ -26,9 +26,4 @@
   pub fn is_younger_than(&self, limit: Duration, now: Duration) -> bool {
     self.age(now).is_some_and(|age| age < limit)
   }
-
-  /// Replaces the confirmation when another catalog becomes active.
-  pub fn reset(&mut self, requested_at: Option<Duration>) {
-    self.confirmed_at = requested_at;
-  }
 }
--- a/yuccarudder/src/routing/tests.rs
+++ b/yuccarudder/src/routing/tests.rs
@@ -1,4 +1,4 @@
-use {super::*, crate::refusal::Reason, std::time::Duration};
+use {super::*, crate::refusal::Reason, proptest::prelude::*, std::time::Duration};
 
 const LIMITS: AgeLimits = AgeLimits {
   denial: Duration::from_secs(2),
@@ -186,10 +186,37 @@
   assert!(!freshness.is_younger_than(Duration::from_secs(2), now));
 }
 
-#[test]
-fn reset_discards_the_confirmation_of_the_previous_catalog() {
-  let mut freshness = Freshness::default();
-  freshness.confirm(Duration::from_secs(10));
-  freshness.reset(None);
-  assert_eq!(freshness.age(Duration::from_secs(12)), None);
+/// Catalogs are published once a second: version `n` at second `n`. Each step is the time of an
+/// event in milliseconds and either the delay of a read, or none for a catalog that another host
+/// sends, which confirms nothing.
+fn events() -> impl Strategy<Value = Vec<(u64, Option<u64>)>> {
+  prop::collection::vec((0..20_000_u64, prop::option::of(0..3_000_u64)), 1..40)
+}
+
+proptest! {
+  /// A confirmation states that no version above the active one had been published by then,
+  /// whichever catalogs became active since.
+  #[test]
+  fn active_catalog_is_never_older_than_its_confirmation(mut events in events()) {
+    events.sort_unstable();
+    let mut freshness = Freshness::default();
+    let mut active = 0;
+    for (at, read_delay) in events {
+      let requested_at = read_delay.map(|delay| at.saturating_sub(delay));
+      // A read returns a version from between its request and its response.
+      let version = requested_at.map_or(at, |requested_at| requested_at.midpoint(at)) / 1_000;
+      if version < active {
+        continue;
+      }
+      active = version;
+      if let Some(requested_at) = requested_at {
+        freshness.confirm(Duration::from_millis(requested_at));
+      }
+      let now = Duration::from_millis(at);
+      if let Some(age) = freshness.age(now) {
+        let published = u64::try_from((now - age).as_millis()).unwrap() / 1_000;
+        prop_assert!(active >= published);
+      }
+    }
+  }
 }
