List the targets only while they differ from a reader's, and let two hosts poll engines

Change: readers tell a digest of the listed targets in their heartbeats; others list them only while theirs differs, or every ten seconds. Back-off and the polling of engines follow the order of all live hosts, not the rank among those that read. A host whose copy matches counts as having heard the platform, so that an outage still begins when reads end.

--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -77,8 +77,8 @@
   pub(super) settings: Arc<settings::Gateway>,
   /// Number of copies that this host has planned, by the engine that leaves service.
   pub(super) planned_copies: SecondaryMap<Key, u32>,
-  /// Whether the targets have been listed once.
-  pub(super) targets_listed: bool,
+  /// When the targets were last listed; `None` if they have not been.
+  pub(super) targets_listed_at: Option<Instant>,
   /// When the platform last responded, by area.
   pub(super) last_reads: HashMap<&'static str, Instant>,
   /// Areas whose last read failed.
@@ -202,7 +202,7 @@
       health: Health::default(),
       shutdown: None,
       length_models: HashMap::new(),
-      targets_listed: false,
+      targets_listed_at: None,
       members: member::Table::new(settings.peers, incarnation, settings.seeds.clone()),
       era: Era::default(),
       operator_version: Version::default(),
@@ -246,7 +246,7 @@
     }
     let revocation = state.settings.guarantees.revocation_delay.saturating_sub(AGE_MARGIN);
     let is_fresh = state.freshness.is_younger_than(revocation, self.clock.since_boot());
-    if state.targets_listed && is_fresh {
+    if state.targets_listed_at.is_some() && is_fresh {
       Phase::Ready
     } else {
       Phase::Starting
@@ -334,13 +334,14 @@
   pub(super) fn role(&self, now: Duration) -> Role {
     Role {
       hosts: self.members.fleet_size(),
+      order: self.members.order(self.settings.weight, now),
       rank: self.members.rank(self.settings.weight, now),
     }
   }
 
   /// Returns whether this host reads the platform without failures.
   pub(super) fn reads_platform(&self) -> bool {
-    self.failing_areas.is_empty() && self.targets_listed
+    self.failing_areas.is_empty() && self.targets_listed_at.is_some()
   }
 
   /// Returns whether a target is neither ejected nor paused.
--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -79,7 +79,9 @@
   let loads = gateway.scheduler.lock().local_loads();
   let mut state = gateway.lock();
   let (recipients, removed) = state.members.recipients(now);
-  let relay_time = state.role(now).departure_relay_time();
+  let role = state.role(now);
+  let relay_time = role.departure_relay_time();
+  let reads_targets = role.reads_targets() && state.reads_platform();
   let max_members = state.members.members_per_heartbeat(now);
   state.members.record_sent(Sent { at: now, sequence });
   let age = state.freshness.age(now);
@@ -109,6 +111,7 @@
     restore_age_ms: state.era.restore_age(now).map(milliseconds),
     sender: state.settings.peers.to_string(),
     sequence,
+    targets_digest: reads_targets.then(|| state.roster.digest(gateway.clock.now())),
     weight: state.settings.weight,
   };
   drop(state);
--- a/yuccarudder/src/gateway/updates.rs
+++ b/yuccarudder/src/gateway/updates.rs
@@ -2,7 +2,7 @@
   super::{Gateway, gateway::HOST_SOURCE},
   crate::{
     member,
-    reader::{Area, Change, Changes, Error, Mode, Role, Snapshot, Subject},
+    reader::{Area, Change, Changes, Copies, Error, Mode, Role, Snapshot, Subject},
     relocation,
     roster::Key,
   },
@@ -178,9 +178,23 @@
   /// Returns how this host is to read an area of the platform.
   pub fn read_mode(&self, area: Area) -> Mode {
     let role = self.role();
+    let since_boot = self.clock.since_boot();
+    let now = self.clock.now();
     let state = self.lock();
-    let catalog_age = state.freshness.age(self.clock.since_boot());
-    role.mode(area, catalog_age, state.targets_listed)
+    let digest = state.roster.digest(now);
+    let copies = Copies {
+      catalog_age: state.freshness.age(since_boot),
+      targets_age: state.targets_listed_at.map(|at| now.saturating_duration_since(at)),
+      targets_match: state.members.target_digests(since_boot).any(|reader| reader == digest),
+    };
+    role.mode(area, &copies)
+  }
+
+  /// Records that this host need not read an area now, since others do; an outage of the platform
+  /// begins for this host no earlier than now.
+  pub fn record_idle(&self, area: Area) {
+    let now = self.clock.now();
+    self.lock().last_reads.insert(area.name(), now);
   }
 
   /// Returns the engines that this host is to poll for shutdowns because the platform does not
@@ -251,11 +265,11 @@
     let entries: Vec<_> = entries.collect();
     let mut state = self.lock();
     let recovering = state.is_recovering(now);
-    if !state.targets_listed {
+    if state.targets_listed_at.is_none() {
       log::info!(target: PREFIX, targets = entries.len(), revision = snapshot.version.revision, recovering; "Listed the targets.");
     }
     let departing = state.roster.apply_snapshot(entries, snapshot.version, recovering, now);
-    state.targets_listed = true;
+    state.targets_listed_at = Some(now);
     drop(state);
     self.announce_departures(&departing, "platform");
   }
--- a/yuccarudder/src/member/heartbeat.rs
+++ b/yuccarudder/src/member/heartbeat.rs
@@ -167,6 +167,9 @@
   /// Sequence number of the heartbeat; it rises within one process.
   #[prost(uint64, tag = "12")]
   pub sequence: u64,
+  /// Digest of the listed targets; only from hosts that read them for the others.
+  #[prost(fixed64, optional, tag = "20")]
+  pub targets_digest: Option<u64>,
   /// Capacity of the sender, in thousandths of a core.
   #[prost(uint32, tag = "13")]
   pub weight: u32,
--- a/yuccarudder/src/member/table.rs
+++ b/yuccarudder/src/member/table.rs
@@ -38,6 +38,8 @@
   /// Whether it has listed the targets and its last reads of the platform succeeded.
   pub reads_platform: bool,
   sequence: u64,
+  /// Digest of the targets that it has read for the others.
+  targets_digest: Option<u64>,
   /// Its capacity, in thousandths of a core.
   pub weight: u32,
 }
@@ -209,6 +211,7 @@
         phase: Phase::from_number(heartbeat.phase),
         reads_platform: heartbeat.reads,
         sequence: heartbeat.sequence,
+        targets_digest: heartbeat.targets_digest,
         weight: heartbeat.weight,
       },
     );
@@ -248,12 +251,32 @@
     if self.is_joining(now) {
       return usize::MAX;
     }
-    let own_key = (Reverse(weight), self.own_address);
     let none_reads = !self.live(now).any(|(_, member)| member.reads_platform);
-    let preceding = self.live(now).filter(|(address, member)| {
-      (member.reads_platform || none_reads) && (Reverse(member.weight), *address) < own_key
-    });
-    preceding.count()
+    let preceding = self.preceding(weight, now);
+    preceding.filter(|member| member.reads_platform || none_reads).count()
+  }
+
+  /// Returns how many live hosts precede this one, whether or not they read the platform. It
+  /// stays the same on all hosts while reads fail on some of them.
+  pub fn order(&self, weight: u32, now: Duration) -> usize {
+    if self.is_joining(now) {
+      return usize::MAX;
+    }
+    self.preceding(weight, now).count()
+  }
+
+  /// Returns the live hosts with more capacity, or as much and a lower address.
+  fn preceding(&self, weight: u32, now: Duration) -> impl Iterator<Item = &Member> {
+    let own_key = (Reverse(weight), self.own_address);
+    let live = self.live(now);
+    live
+      .filter(move |(address, member)| (Reverse(member.weight), *address) < own_key)
+      .map(|(_, member)| member)
+  }
+
+  /// Returns the digests of the targets that the live readers of the platform have listed.
+  pub fn target_digests(&self, now: Duration) -> impl Iterator<Item = u64> {
+    self.live(now).filter_map(|(_, member)| member.targets_digest)
   }
 
   /// Returns whether the process has just started and heard from no other host yet.
--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -34,6 +34,7 @@
     reads: true,
     sender: address(host).to_string(),
     sequence,
+    targets_digest: None,
     weight: 250,
   }
 }
@@ -42,6 +43,39 @@
   Table::new(address(1), 1, vec![address(1), address(2)])
 }
 
+#[test]
+fn order_does_not_depend_on_who_reads_the_platform() {
+  let mut table = Table::new(address(9), 1, vec![address(2)]);
+  for host in 2..6 {
+    let received = Heartbeat {
+      reads: host == 5,
+      ..heartbeat(host, 1)
+    };
+    table.receive(&received, ms(0)).unwrap();
+  }
+  assert_eq!((table.rank(250, ms(0)), table.order(250, ms(0))), (1, 4));
+  assert_eq!(table.order(1_000, ms(0)), 0);
+}
+
+#[test]
+fn process_that_heard_from_no_other_host_is_last_in_order() {
+  let table = Table::new(address(1), 1, vec![address(2)]);
+  assert_eq!(table.order(250, ms(0)), usize::MAX);
+}
+
+#[test]
+fn digests_of_silent_readers_are_ignored() {
+  let mut table = table();
+  let received = Heartbeat {
+    targets_digest: Some(7),
+    ..heartbeat(2, 1)
+  };
+  table.receive(&received, ms(0)).unwrap();
+  table.receive(&heartbeat(3, 1), ms(0)).unwrap();
+  assert_eq!(table.target_digests(ms(100)).collect::<Vec<_>>(), [7]);
+  assert_eq!(table.target_digests(ms(5_000)).count(), 0);
+}
+
 fn recipients(table: &mut Table, now: Duration) -> Vec<SocketAddr> {
   table.recipients(now).0.into_iter().map(|recipient| recipient.address).collect()
 }
--- a/yuccarudder/src/reader/role.rs
+++ b/yuccarudder/src/reader/role.rs
@@ -23,18 +23,34 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(200);
 /// Time for which a host relays that a target is leaving after another host has reported it.
 const RELAY_TIME: Duration = Duration::from_secs(1);
-/// Pause between two lists of the targets on all other hosts.
+/// Pause between two lists of the targets on all other hosts while their targets differ from
+/// those of a reader.
 const POLL_PAUSE: Duration = Duration::from_millis(1200);
+/// Age at which another host lists the targets again although they match those of a reader.
+const MAX_LIST_AGE: Duration = Duration::from_secs(10);
 
 /// Position of a host among those that may read the platform for the others.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Role {
   /// Number of hosts, including this one.
   pub hosts: usize,
-  /// Number of live hosts that precede this one.
+  /// Number of live hosts that precede this one, whether or not they read the platform.
+  pub order: usize,
+  /// Number of live hosts that precede this one and read the platform.
   pub rank: usize,
 }
 
+/// What a host knows of its own copy of the documents.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Copies {
+  /// Time since its catalog was last confirmed as current.
+  pub catalog_age: Option<Duration>,
+  /// Time since it last listed the targets; `None` if it has not.
+  pub targets_age: Option<Duration>,
+  /// Whether its targets match those of a live host that reads them for the others.
+  pub targets_match: bool,
+}
+
 impl Role {
   /// Returns the pause after the first failed attempt to reach the platform; later pauses are
   /// longer.
@@ -42,9 +58,10 @@
     MIN_BACKOFF.mul_f64(self.hosts_per_reader())
   }
 
-  /// Returns the number of hosts per reader of the operator's documents; 1 on the readers.
+  /// Returns the number of hosts per reader of the operator's documents; 1 on the hosts that read
+  /// them unless their reads fail.
   fn hosts_per_reader(&self) -> f64 {
-    if self.rank < OPERATOR_READERS {
+    if self.order < OPERATOR_READERS {
       return 1.0;
     }
     (self.hosts as f64 / OPERATOR_READERS as f64).max(1.0)
@@ -60,12 +77,12 @@
 
   /// Returns whether a host asks the engines directly whether they are leaving.
   ///
-  /// It does if it reads the targets for the others, and its last request to the platform
+  /// It does if it is among the first hosts of the fleet, and its last request to the platform
   /// `failed` or the time `since_response` is longer than a watch and the pause after it take.
   /// It does not wait until other hosts fail to read the platform, too: those that only poll
   /// the targets notice it late.
   pub fn polls_engines(&self, failed: bool, since_response: Duration) -> bool {
-    let Some(pause) = TARGET_READER_PAUSES.get(self.rank) else {
+    let Some(pause) = TARGET_READER_PAUSES.get(self.order) else {
       return false;
     };
     failed || since_response >= TARGETS_WATCH_TIMEOUT + *pause + RESPONSE_MARGIN
@@ -76,28 +93,33 @@
   /// The readers of the targets do it for as long as it is relevant. The others do it only for
   /// the next heartbeats, in case one of a reader was lost.
   pub fn departure_relay_time(&self) -> Duration {
-    if self.rank < TARGET_READER_PAUSES.len() {
+    if self.reads_targets() {
       Duration::MAX
     } else {
       RELAY_TIME
     }
   }
 
-  /// Returns how a host reads an area.
-  ///
-  /// `catalog_age` is the time since its catalog was last confirmed as current, and `listed`
-  /// tells whether it has listed the targets.
-  pub fn mode(&self, area: Area, catalog_age: Option<Duration>, listed: bool) -> Mode {
+  /// Returns whether the host reads the targets for the others.
+  pub fn reads_targets(&self) -> bool {
+    self.rank < TARGET_READER_PAUSES.len()
+  }
+
+  /// Returns how a host with the given copies of the documents reads an area.
+  pub fn mode(&self, area: Area, copies: &Copies) -> Mode {
     match area {
       Area::Operator if self.rank < OPERATOR_READERS => Mode::Watch(Duration::ZERO),
-      Area::Operator if catalog_age.is_some_and(|age| age < MAX_CATALOG_AGE) => {
+      Area::Operator if copies.catalog_age.is_some_and(|age| age < MAX_CATALOG_AGE) => {
         Mode::Idle(IDLE_PAUSE)
       }
       Area::Operator => Mode::Watch(Duration::ZERO),
       Area::Targets => match TARGET_READER_PAUSES.get(self.rank) {
         Some(pause) => Mode::Watch(*pause),
-        None if listed => Mode::Poll(POLL_PAUSE),
-        None => Mode::Watch(POLL_PAUSE),
+        None => match copies.targets_age {
+          None => Mode::Watch(POLL_PAUSE),
+          Some(age) if copies.targets_match && age < MAX_LIST_AGE => Mode::Idle(IDLE_PAUSE),
+          Some(_) => Mode::Poll(POLL_PAUSE),
+        },
       },
     }
   }
--- a/yuccarudder/src/reader/run.rs
+++ b/yuccarudder/src/reader/run.rs
@@ -26,6 +26,7 @@
       Mode::Watch(_) => Consistency::Current,
       Mode::Poll(_) => Consistency::Stale,
       Mode::Idle(pause) => {
+        gateway.record_idle(area);
         time::sleep(pause).await;
         continue;
       }
--- a/yuccarudder/src/reader/tests.rs
+++ b/yuccarudder/src/reader/tests.rs
@@ -1,17 +1,26 @@
 use {super::*, std::time::Duration};
 
+fn role(hosts: usize, rank: usize) -> Role {
+  Role {
+    hosts,
+    order: rank,
+    rank,
+  }
+}
+
 /// Tests the mode of a host, given its rank, the area, the age of its catalog in milliseconds
-/// and whether it has listed the targets.
+/// and whether it has listed the targets, which differ from those of the readers.
 macro_rules! modes {
   ($name:ident, $rank:expr, $area:ident, $age:expr, $listed:expr, $mode:pat) => {
     #[test]
     fn $name() {
-      let role = Role {
-        hosts: 75,
-        rank: $rank,
-      };
       let age: Option<u64> = $age;
-      let mode = role.mode(Area::$area, age.map(Duration::from_millis), $listed);
+      let copies = Copies {
+        catalog_age: age.map(Duration::from_millis),
+        targets_age: $listed.then_some(Duration::ZERO),
+        targets_match: false,
+      };
+      let mode = role(75, $rank).mode(Area::$area, &copies);
       assert!(matches!(mode, $mode), "{mode:?}");
     }
   };
@@ -76,10 +85,10 @@
 
 #[test]
 fn hosts_of_larger_fleets_retry_an_unavailable_platform_less_often() {
-  let max = |hosts, rank| Role { hosts, rank }.max_backoff();
+  let max = |hosts, rank| role(hosts, rank).max_backoff();
   assert_eq!(max(6, 4), max(75, 4));
   assert!(max(75, 5) > 9 * max(75, 4));
-  let min = |hosts, rank| Role { hosts, rank }.min_backoff();
+  let min = |hosts, rank| role(hosts, rank).min_backoff();
   assert_eq!(min(6, 4), min(75, 4));
   assert!(min(75, 5) > 9 * min(75, 4));
 }
@@ -90,12 +99,11 @@
   ($name:ident, $rank:expr, $failed:expr, $since_response:expr, $expected:expr) => {
     #[test]
     fn $name() {
-      let role = Role {
-        hosts: 75,
-        rank: $rank,
-      };
       let since_response = Duration::from_millis($since_response);
-      assert_eq!(role.polls_engines($failed, since_response), $expected);
+      assert_eq!(
+        role(75, $rank).polls_engines($failed, since_response),
+        $expected
+      );
     }
   };
 }
@@ -185,3 +193,44 @@
   era.observe_restore(ms(1_990), ms(2_710));
   assert!(era.is_complete(ms(2_710)));
 }
+
+/// Tests how a host that does not read the targets for the others reads them, given the age of
+/// its list in milliseconds and whether its targets match those of a reader.
+macro_rules! lists_targets {
+  ($name:ident, $age:expr, $matches:expr, $mode:pat) => {
+    #[test]
+    fn $name() {
+      let copies = Copies {
+        catalog_age: None,
+        targets_age: Some(ms($age)),
+        targets_match: $matches,
+      };
+      let mode = role(300, 7).mode(Area::Targets, &copies);
+      assert!(matches!(mode, $mode), "{mode:?}");
+    }
+  };
+}
+
+lists_targets!(matching_targets_are_not_listed, 9_999, true, Mode::Idle(_));
+lists_targets!(
+  matching_targets_are_listed_from_time_to_time,
+  10_000,
+  true,
+  Mode::Poll(_)
+);
+lists_targets!(differing_targets_are_listed, 0, false, Mode::Poll(_));
+
+/// The platform refuses most hosts for seconds, and each host sees others that still read it.
+#[test]
+fn hosts_that_fail_to_read_neither_poll_engines_nor_retry_like_readers() {
+  let failing = |order| Role {
+    hosts: 300,
+    order,
+    rank: 0,
+  };
+  let polling = (0..300).filter(|order| failing(*order).polls_engines(true, Duration::ZERO));
+  assert_eq!(polling.count(), 2);
+  let calls_per_s: f64 =
+    (0..300).map(|order| 1.0 / failing(order).max_backoff().as_secs_f64()).sum();
+  assert!(calls_per_s < 25.0, "{calls_per_s}");
+}
--- a/yuccarudder/src/roster/roster.rs
+++ b/yuccarudder/src/roster/roster.rs
@@ -272,6 +272,25 @@
     })
   }
 
+  /// Returns a digest of the listed targets. It is equal on two hosts with the same entries, but
+  /// for what only a heartbeat changes.
+  pub fn digest(&self, now: Instant) -> u64 {
+    let hashes = self.keys.values().map(|key| {
+      let target = &self.targets[*key];
+      let is_cold = target.cold_until.is_some_and(|until| now < until);
+      let mut hasher = SipHasher13::new();
+      (
+        target.fingerprint,
+        target.listing.address,
+        target.listing.state == State::Draining,
+        is_cold,
+      )
+        .hash(&mut hasher);
+      hasher.finish()
+    });
+    hashes.fold(0, |digest, hash| digest ^ hash)
+  }
+
   /// Returns the targets of a service that accept new requests.
   pub fn accepting<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (Key, &'a Target)> {
     self
--- a/yuccarudder/src/roster/tests.rs
+++ b/yuccarudder/src/roster/tests.rs
@@ -423,3 +423,34 @@
   fixture.roster.evacuate("kochi", false);
   assert_eq!(fixture.accepting_count(), 1);
 }
+
+#[test]
+fn digest_changes_with_entries_but_not_with_heartbeats() {
+  let mut fixture = Fixture::new();
+  let before = fixture.roster.digest(fixture.now);
+  fixture.put(2, available(7));
+  assert_eq!(fixture.roster.digest(fixture.now), before);
+  fixture.put(3, Some(listing(7, State::Draining)));
+  let draining = fixture.roster.digest(fixture.now);
+  fixture.put(4, available(8));
+  let replaced = fixture.roster.digest(fixture.now);
+  fixture.roster.expire("a", version(5), false, fixture.now);
+  let removed = fixture.roster.digest(fixture.now);
+  let mut digests = vec![before, draining, replaced, removed];
+  digests.sort_unstable();
+  digests.dedup();
+  assert_eq!(digests.len(), 4);
+}
+
+#[test]
+fn digest_does_not_depend_on_the_order_of_entries() {
+  let digest = |ids: [&str; 2]| {
+    let now = Instant::now();
+    let mut roster = Roster::default();
+    for id in ids {
+      roster.put(id, version(1), available(7), now);
+    }
+    roster.digest(now)
+  };
+  assert_eq!(digest(["a", "b"]), digest(["b", "a"]));
+}
