Let readers announce changed targets, so that other hosts need not list them

And a catalog is confirmed to the other hosts by heartbeats that echo theirs: a watch of a second, a heartbeat interval and an echo are 2.2 s on the mean at 295 hosts, so that many hosts passed the 2.5 s after which each reads the store itself. Change: the two readers put targets that came into service or changed within 2.5 s into their heartbeats, at most 12 at a time; the digest covers targets in service, so a departure known by any way makes it match. A host lists the targets after differing for 1.5 s. Hosts read the operator's documents themselves at an age of 3.2 s, 1.5 s before requests would be refused.

--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -77,6 +77,8 @@
   pub(super) settings: Arc<settings::Gateway>,
   /// Number of copies that this host has planned, by the engine that leaves service.
   pub(super) planned_copies: SecondaryMap<Key, u32>,
+  /// Since when the known targets differ from those of all hosts that read them for the others.
+  pub(super) targets_differ_since: Option<Instant>,
   /// When the targets were last listed; `None` if they have not been.
   pub(super) targets_listed_at: Option<Instant>,
   /// When the platform last responded, by area.
@@ -202,6 +204,7 @@
       health: Health::default(),
       shutdown: None,
       length_models: HashMap::new(),
+      targets_differ_since: None,
       targets_listed_at: None,
       members: member::Table::new(settings.peers, incarnation, settings.seeds.clone()),
       era: Era::default(),
--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -6,16 +6,25 @@
   crate::{
     member::{self, Codec, Heartbeat, Phase, Recipient, Sent},
     reader,
+    roster::{self, Roster},
   },
   bytes::Bytes,
   futures::{SinkExt, StreamExt, stream::SplitSink},
   prost::Message,
-  std::{collections::HashMap, net::SocketAddr, time::Duration},
+  std::{
+    collections::HashMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+  },
   tokio::{net::UdpSocket, time},
   tokio_util::udp::UdpFramed,
 };
 
 const PREFIX: &str = "member";
+/// How long a changed target is announced; several heartbeats of a large fleet, as some are lost.
+const ANNOUNCEMENT_PERIOD: Duration = Duration::from_millis(2500);
+/// Maximum number of targets that a heartbeat announces, so that it fits into one packet.
+const MAX_ANNOUNCEMENTS: usize = 12;
 /// Pause after a failed transfer before the next host is asked for its catalog.
 const FETCH_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Pause after a receive error.
@@ -86,6 +95,11 @@
   state.members.record_sent(Sent { at: now, sequence });
   let age = state.freshness.age(now);
   let heartbeat = Heartbeat {
+    announcements: if reads_targets {
+      announcements(&state.roster, gateway.clock.now())
+    } else {
+      Vec::new()
+    },
     callers: state.settings.callers.to_string(),
     catalog_age_ms: age.map(|age| milliseconds(age) + 1),
     catalog_version: state.catalog_version(),
@@ -122,6 +136,15 @@
   (heartbeat, recipients)
 }
 
+/// Returns the recently changed targets, or a random part of them if there are many.
+fn announcements(roster: &Roster, now: Instant) -> Vec<member::Announcement> {
+  let mut changed: Vec<_> = roster.changed(ANNOUNCEMENT_PERIOD, now).collect();
+  while changed.len() > MAX_ANNOUNCEMENTS {
+    changed.swap_remove(rand::random_range(0..changed.len()));
+  }
+  changed.into_iter().map(member::Announcement::from).collect()
+}
+
 /// Returns `count` randomly chosen hosts, or all if there are fewer.
 fn random_subset(hosts: impl Iterator<Item = SocketAddr>, count: usize) -> Vec<String> {
   let mut hosts: Vec<SocketAddr> = hosts.collect();
@@ -156,7 +179,22 @@
   let departing: Vec<_> = departures
     .filter_map(|departure| state.roster.merge_departure(&(*departure).into(), received_at))
     .collect();
+  if is_current && state.targets_listed_at.is_some() {
+    for announcement in
+      heartbeat.announcements.iter().filter_map(|announcement| announcement.target())
+    {
+      let roster::Announcement {
+        id,
+        listing,
+        version,
+      } = announcement;
+      state.roster.put(&id, version, Some(listing), received_at);
+    }
+  }
   drop(state);
+  if !heartbeat.announcements.is_empty() {
+    gateway.scheduler.notify_waiters();
+  }
   if !departing.is_empty() {
     gateway.announce_departures(&departing, HOST_SOURCE);
   }
--- a/yuccarudder/src/gateway/updates.rs
+++ b/yuccarudder/src/gateway/updates.rs
@@ -180,12 +180,19 @@
     let role = self.role();
     let since_boot = self.clock.since_boot();
     let now = self.clock.now();
-    let state = self.lock();
+    let mut state = self.lock();
     let digest = state.roster.digest(now);
+    let matches = state.members.target_digests(since_boot).any(|reader| reader == digest);
+    let differ_since = match state.targets_differ_since {
+      _ if matches => None,
+      known => known.or(Some(now)),
+    };
+    state.targets_differ_since = differ_since;
+    let age = |at| now.saturating_duration_since(at);
     let copies = Copies {
       catalog_age: state.freshness.age(since_boot),
-      targets_age: state.targets_listed_at.map(|at| now.saturating_duration_since(at)),
-      targets_match: state.members.target_digests(since_boot).any(|reader| reader == digest),
+      targets_age: state.targets_listed_at.map(age),
+      targets_differ_for: differ_since.map(age),
     };
     role.mode(area, &copies)
   }
--- a/yuccarudder/src/member/heartbeat.rs
+++ b/yuccarudder/src/member/heartbeat.rs
@@ -58,6 +58,79 @@
   }
 }
 
+/// A target that came into service or whose entry changed, as a reader of the platform tells it.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct Announcement {
+  /// Address at which it accepts requests.
+  #[prost(string, tag = "1")]
+  pub address: String,
+  /// Its data centre.
+  #[prost(string, tag = "2")]
+  pub data_centre: String,
+  /// Era of the platform's store to which `revision` belongs.
+  #[prost(uint64, tag = "3")]
+  pub era: u64,
+  /// ID of its entry.
+  #[prost(string, tag = "4")]
+  pub id: String,
+  /// Revision of the store at which its entry last changed.
+  #[prost(uint64, tag = "5")]
+  pub revision: u64,
+  /// The service it belongs to.
+  #[prost(string, tag = "6")]
+  pub service: String,
+  /// Number of requests that it runs concurrently.
+  #[prost(uint32, tag = "7")]
+  pub slots: u32,
+  /// Start time of its process, in milliseconds since the Unix epoch.
+  #[prost(uint64, optional, tag = "8")]
+  pub started_ms: Option<u64>,
+  /// Time until its cold start ends, in milliseconds; 0 when it is warm.
+  #[prost(uint64, tag = "9")]
+  pub warmup_remaining_ms: u64,
+}
+
+impl From<roster::Announcement> for Announcement {
+  fn from(announcement: roster::Announcement) -> Self {
+    let roster::Announcement {
+      id,
+      listing,
+      version,
+    } = announcement;
+    let warmup_ms = listing.warmup_remaining.as_millis();
+    Self {
+      address: listing.address.to_string(),
+      data_centre: listing.data_centre,
+      era: version.era,
+      id: id.as_ref().to_owned(),
+      revision: version.revision,
+      service: listing.service,
+      slots: listing.slots,
+      started_ms: listing.started_ms,
+      warmup_remaining_ms: u64::try_from(warmup_ms).unwrap_or(u64::MAX),
+    }
+  }
+}
+
+impl Announcement {
+  /// Returns the announced target; `None` if its address is invalid.
+  pub fn target(&self) -> Option<roster::Announcement> {
+    Some(roster::Announcement {
+      id: self.id.as_str().into(),
+      listing: roster::Listing {
+        address: self.address.parse().ok()?,
+        started_ms: self.started_ms,
+        data_centre: self.data_centre.clone(),
+        service: self.service.clone(),
+        slots: self.slots,
+        state: roster::State::Available,
+        warmup_remaining: Duration::from_millis(self.warmup_remaining_ms),
+      },
+      version: reader::Version::new(self.era, self.revision),
+    })
+  }
+}
+
 /// Load that the sender has placed on one target.
 #[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
 pub struct Load {
@@ -110,6 +183,10 @@
 /// State that a host sends to each other host at short intervals.
 #[derive(Clone, Eq, PartialEq, prost::Message)]
 pub struct Heartbeat {
+  /// Targets that came into service or changed recently; only from hosts that read them for the
+  /// others.
+  #[prost(message, repeated, tag = "21")]
+  pub announcements: Vec<Announcement>,
   /// Address at which callers reach the sender.
   #[prost(string, tag = "1")]
   pub callers: String,
--- a/yuccarudder/src/member/mod.rs
+++ b/yuccarudder/src/member/mod.rs
@@ -15,7 +15,7 @@
 
 pub use catalog_source::CatalogSource;
 pub use codec::Codec;
-pub use heartbeat::{Echo, Heartbeat, Leaving, Load};
+pub use heartbeat::{Announcement, Echo, Heartbeat, Leaving, Load};
 pub use phase::Phase;
 pub use table::{Member, Received, Recipient, Sent, Table};
 pub use timing::{failure_timeout, heartbeat_interval, min_heartbeat_interval};
--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -1,5 +1,6 @@
 use {
   super::*,
+  crate::{reader, roster},
   bytes::{Bytes, BytesMut},
   prost::Message,
   std::{net::SocketAddr, time::Duration},
@@ -16,6 +17,7 @@
 
 fn heartbeat(host: u8, sequence: u64) -> Heartbeat {
   Heartbeat {
+    announcements: Vec::new(),
     callers: address(host).to_string(),
     catalog_age_ms: Some(100),
     catalog_version: 1,
@@ -345,3 +347,28 @@
   table.receive(&heartbeat(3, 1), ms(12_000)).unwrap();
   assert_eq!(table.members_per_heartbeat(ms(12_000)), 8);
 }
+
+#[test]
+fn announcement_survives_encoding() {
+  let announced = roster::Announcement {
+    id: "i-1".into(),
+    listing: roster::Listing {
+      address: address(4),
+      started_ms: Some(7),
+      data_centre: "kochi".into(),
+      service: "llm".into(),
+      slots: 24,
+      state: roster::State::Available,
+      warmup_remaining: ms(1_500),
+    },
+    version: reader::Version::new(2, 9),
+  };
+  let bytes = Announcement::from(announced.clone()).encode_to_vec();
+  let decoded = Announcement::decode(&bytes[..]).unwrap();
+  assert_eq!(decoded.target(), Some(announced));
+  let invalid = Announcement {
+    address: "?".into(),
+    ..decoded
+  };
+  assert_eq!(invalid.target(), None);
+}
--- a/yuccarudder/src/reader/role.rs
+++ b/yuccarudder/src/reader/role.rs
@@ -7,7 +7,7 @@
 /// current, so that the confirmation stays recent when some of them are isolated.
 const OPERATOR_READERS: usize = 5;
 /// Age of the confirmation at which any host watches the documents itself.
-const MAX_CATALOG_AGE: Duration = Duration::from_millis(2500);
+const MAX_CATALOG_AGE: Duration = Duration::from_millis(3200);
 /// Longest pause between two attempts of a reader to reach the platform.
 const MAX_BACKOFF: Duration = Duration::from_millis(500);
 /// Pause of a reader after its first failed attempt.
@@ -26,6 +26,9 @@
 /// Pause between two lists of the targets on all other hosts while their targets differ from
 /// those of a reader.
 const POLL_PAUSE: Duration = Duration::from_millis(1200);
+/// Time within which the readers have told the other hosts of a changed target, unless their
+/// heartbeats were lost.
+const NEWS_DELAY: Duration = Duration::from_millis(1500);
 /// Age at which another host lists the targets again although they match those of a reader.
 const MAX_LIST_AGE: Duration = Duration::from_secs(10);
 
@@ -47,8 +50,16 @@
   pub catalog_age: Option<Duration>,
   /// Time since it last listed the targets; `None` if it has not.
   pub targets_age: Option<Duration>,
-  /// Whether its targets match those of a live host that reads them for the others.
-  pub targets_match: bool,
+  /// Time for which its targets have differed from those of all live hosts that read them for the
+  /// others, or for which there is no such host; `None` if they match.
+  pub targets_differ_for: Option<Duration>,
+}
+
+impl Copies {
+  /// Returns whether the targets differ for longer than the readers need to tell the change.
+  fn have_missed_news(&self) -> bool {
+    self.targets_differ_for.is_some_and(|time| time >= NEWS_DELAY)
+  }
 }
 
 impl Role {
@@ -117,7 +128,7 @@
         Some(pause) => Mode::Watch(*pause),
         None => match copies.targets_age {
           None => Mode::Watch(POLL_PAUSE),
-          Some(age) if copies.targets_match && age < MAX_LIST_AGE => Mode::Idle(IDLE_PAUSE),
+          Some(age) if age < MAX_LIST_AGE && !copies.have_missed_news() => Mode::Idle(IDLE_PAUSE),
           Some(_) => Mode::Poll(POLL_PAUSE),
         },
       },
--- a/yuccarudder/src/reader/tests.rs
+++ b/yuccarudder/src/reader/tests.rs
@@ -18,7 +18,7 @@
       let copies = Copies {
         catalog_age: age.map(Duration::from_millis),
         targets_age: $listed.then_some(Duration::ZERO),
-        targets_match: false,
+        targets_differ_for: Some(Duration::MAX),
       };
       let mode = role(75, $rank).mode(Area::$area, &copies);
       assert!(matches!(mode, $mode), "{mode:?}");
@@ -38,7 +38,7 @@
   later_host_is_idle_while_its_catalog_is_confirmed,
   8,
   Operator,
-  Some(2_499),
+  Some(3_199),
   true,
   Mode::Idle(_)
 );
@@ -46,7 +46,7 @@
   later_host_watches_when_the_confirmation_is_old,
   8,
   Operator,
-  Some(2_500),
+  Some(3_200),
   true,
   Mode::Watch(_)
 );
@@ -195,15 +195,15 @@
 }
 
 /// Tests how a host that does not read the targets for the others reads them, given the age of
-/// its list in milliseconds and whether its targets match those of a reader.
+/// its list and for how long its targets have differed from those of the readers, in milliseconds.
 macro_rules! lists_targets {
-  ($name:ident, $age:expr, $matches:expr, $mode:pat) => {
+  ($name:ident, $age:expr, $differ_for:expr, $mode:pat) => {
     #[test]
     fn $name() {
       let copies = Copies {
         catalog_age: None,
         targets_age: Some(ms($age)),
-        targets_match: $matches,
+        targets_differ_for: Option::<u64>::map($differ_for, ms),
       };
       let mode = role(300, 7).mode(Area::Targets, &copies);
       assert!(matches!(mode, $mode), "{mode:?}");
@@ -211,14 +211,20 @@
   };
 }
 
-lists_targets!(matching_targets_are_not_listed, 9_999, true, Mode::Idle(_));
+lists_targets!(matching_targets_are_not_listed, 9_999, None, Mode::Idle(_));
 lists_targets!(
   matching_targets_are_listed_from_time_to_time,
   10_000,
-  true,
+  None,
   Mode::Poll(_)
 );
-lists_targets!(differing_targets_are_listed, 0, false, Mode::Poll(_));
+lists_targets!(
+  news_of_the_readers_is_awaited,
+  0,
+  Some(1_499),
+  Mode::Idle(_)
+);
+lists_targets!(missed_news_is_listed, 0, Some(1_500), Mode::Poll(_));
 
 /// The platform refuses most hosts for seconds, and each host sees others that still read it.
 #[test]
--- a/yuccarudder/src/roster/mod.rs
+++ b/yuccarudder/src/roster/mod.rs
@@ -4,7 +4,7 @@
 mod roster;
 
 pub use listing::{Listing, State};
-pub use roster::{Departure, Key, Roster, Status, Target, fingerprint};
+pub use roster::{Announcement, Departure, Key, Roster, Status, Target, fingerprint};
 
 #[cfg(test)]
 mod tests;
--- a/yuccarudder/src/roster/roster.rs
+++ b/yuccarudder/src/roster/roster.rs
@@ -42,6 +42,9 @@
 /// One process of a target.
 #[derive(Clone, Debug)]
 pub struct Target {
+  /// When this host learned that it accepts requests, or that it became cold or warm; `None` if
+  /// it was listed before this host read the targets.
+  changed_at: Option<Instant>,
   /// When its cold start ends, by its last entry; `None` when it is warm.
   pub cold_until: Option<Instant>,
   /// Hash that identifies the process on all hosts.
@@ -83,12 +86,33 @@
 }
 
 impl Target {
+  /// Returns whether it is in its cold start.
+  pub fn is_cold(&self, now: Instant) -> bool {
+    self.cold_until.is_some_and(|until| now < until)
+  }
+
+  fn is_in_service(&self) -> bool {
+    matches!(self.status, Status::Serving | Status::Lapsed(_))
+  }
+
   /// Returns the version of the newest entry or change that was read of the process.
   fn newest_version(&self) -> Version {
     self.ignored.map_or(self.version, |(ignored, _)| ignored.max(self.version))
   }
 }
 
+/// A target that came into service or whose entry changed, as the readers of the platform tell the
+/// other hosts.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Announcement {
+  /// The ID of its entry.
+  pub id: Arc<str>,
+  /// Its entry, with the cold start that remains now.
+  pub listing: Listing,
+  /// The platform's state at its last change.
+  pub version: Version,
+}
+
 fn cold_until(listing: &Listing, now: Instant) -> Option<Instant> {
   (!listing.warmup_remaining.is_zero()).then(|| now + listing.warmup_remaining)
 }
@@ -109,6 +133,8 @@
   /// Data centres that were out of service before the platform was restored, with the time until
   /// which they stay so unless the platform lists them again.
   held_evacuations: HashMap<String, Instant>,
+  /// Whether a snapshot was applied.
+  is_listed: bool,
   /// Targets that are listed now, by the IDs of their entries.
   keys: HashMap<Arc<str>, Key>,
   targets: SlotMap<Key, Target>,
@@ -272,25 +298,36 @@
     })
   }
 
-  /// Returns a digest of the listed targets. It is equal on two hosts with the same entries, but
-  /// for what only a heartbeat changes.
+  /// Returns a digest of the targets that are in service. It is equal on two hosts that know the
+  /// same ones, whether from entries or from the news of other hosts.
   pub fn digest(&self, now: Instant) -> u64 {
-    let hashes = self.keys.values().map(|key| {
-      let target = &self.targets[*key];
-      let is_cold = target.cold_until.is_some_and(|until| now < until);
+    let in_service = self.targets.values().filter(|target| target.is_in_service());
+    let hashes = in_service.map(|target| {
       let mut hasher = SipHasher13::new();
-      (
-        target.fingerprint,
-        target.listing.address,
-        target.listing.state == State::Draining,
-        is_cold,
-      )
-        .hash(&mut hasher);
+      let is_cold = target.is_cold(now);
+      (target.fingerprint, target.listing.address, is_cold).hash(&mut hasher);
       hasher.finish()
     });
     hashes.fold(0, |digest, hash| digest ^ hash)
   }
 
+  /// Returns the targets in service whose entries changed, other than by a heartbeat, within
+  /// `max_age`.
+  pub fn changed(&self, max_age: Duration, now: Instant) -> impl Iterator<Item = Announcement> {
+    let is_recent = move |target: &&Target| target.changed_at.is_some_and(|at| now <= at + max_age);
+    let changed = self.targets.values().filter(|target| target.is_in_service()).filter(is_recent);
+    changed.map(move |target| Announcement {
+      id: Arc::clone(&target.id),
+      listing: Listing {
+        warmup_remaining: target
+          .cold_until
+          .map_or(Duration::ZERO, |until| until.saturating_duration_since(now)),
+        ..target.listing.clone()
+      },
+      version: target.version,
+    })
+  }
+
   /// Returns the targets of a service that accept new requests.
   pub fn accepting<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (Key, &'a Target)> {
     self
@@ -341,8 +378,12 @@
       let target = &mut self.targets[key];
       if target.fingerprint == process_fingerprint && target.listing.address == listing.address {
         let starts_leaving = status == Status::Leaving && target.status != Status::Leaving;
+        let was = (target.is_in_service(), target.is_cold(now));
         target.status = status;
         target.cold_until = cold_until(&listing, now);
+        if was != (target.is_in_service(), target.is_cold(now)) {
+          target.changed_at = Some(now);
+        }
         target.leaving_since = match status {
           Status::Leaving => target.leaving_since.or(Some(now)),
           _ => None,
@@ -356,6 +397,7 @@
     }
     let id: Arc<str> = id.into();
     let key = self.targets.insert(Target {
+      changed_at: self.is_listed.then_some(now),
       cold_until: cold_until(&listing, now),
       fingerprint: process_fingerprint,
       id: Arc::clone(&id),
@@ -404,6 +446,7 @@
     for (id, version, listing) in entries {
       leaving.extend(self.put(&id, version, listing, now));
     }
+    self.is_listed = true;
     leaving
   }
 
--- a/yuccarudder/src/roster/tests.rs
+++ b/yuccarudder/src/roster/tests.rs
@@ -430,16 +430,21 @@
   let before = fixture.roster.digest(fixture.now);
   fixture.put(2, available(7));
   assert_eq!(fixture.roster.digest(fixture.now), before);
-  fixture.put(3, Some(listing(7, State::Draining)));
-  let draining = fixture.roster.digest(fixture.now);
-  fixture.put(4, available(8));
+  fixture.put(3, available(8));
   let replaced = fixture.roster.digest(fixture.now);
-  fixture.roster.expire("a", version(5), false, fixture.now);
-  let removed = fixture.roster.digest(fixture.now);
-  let mut digests = vec![before, draining, replaced, removed];
+  let mut cold = listing(8, State::Available);
+  cold.warmup_remaining = Duration::from_secs(1);
+  fixture.put(4, Some(cold));
+  let cold = fixture.roster.digest(fixture.now);
+  fixture.put(5, Some(listing(8, State::Draining)));
+  let draining = fixture.roster.digest(fixture.now);
+  let mut digests = vec![before, replaced, cold, draining];
   digests.sort_unstable();
   digests.dedup();
   assert_eq!(digests.len(), 4);
+  // A target that leaves and one that is gone are the same to callers.
+  fixture.roster.expire("a", version(6), false, fixture.now);
+  assert_eq!(fixture.roster.digest(fixture.now), draining);
 }
 
 #[test]
@@ -454,3 +459,57 @@
   };
   assert_eq!(digest(["a", "b"]), digest(["b", "a"]));
 }
+
+#[test]
+fn announced_targets_match_those_of_the_reader() {
+  let mut reader = Fixture::new();
+  let mut other = Fixture::new();
+  let now = reader.now;
+  reader.roster.apply_snapshot(
+    vec![("a".into(), version(1), available(7))],
+    version(1),
+    false,
+    now,
+  );
+  let mut cold = listing(9, State::Available);
+  cold.warmup_remaining = Duration::from_secs(4);
+  reader.roster.put("b", version(2), Some(cold), now);
+  reader.roster.expire("a", version(3), false, now);
+  assert_ne!(other.roster.digest(now), reader.roster.digest(now));
+  for departure in reader.roster.departures(Duration::MAX, now) {
+    other.roster.merge_departure(&departure, now);
+  }
+  for announcement in reader.roster.changed(Duration::from_secs(1), now) {
+    let Announcement {
+      id,
+      listing,
+      version,
+    } = announcement;
+    other.roster.put(&id, version, Some(listing), now);
+  }
+  assert_eq!(other.roster.digest(now), reader.roster.digest(now));
+  assert_eq!(other.accepting_count(), 1);
+}
+
+#[test]
+fn targets_of_the_first_snapshot_and_heartbeats_are_not_announced() {
+  let mut fixture = Fixture::new();
+  let now = fixture.now;
+  fixture.roster.apply_snapshot(
+    vec![("a".into(), version(2), available(7))],
+    version(2),
+    false,
+    now,
+  );
+  fixture.put(3, available(7));
+  assert_eq!(
+    fixture.roster.changed(Duration::from_secs(9), now).count(),
+    0
+  );
+  fixture.put(4, available(8));
+  let changed = |after| {
+    let now = now + Duration::from_millis(after);
+    fixture.roster.changed(Duration::from_secs(2), now).count()
+  };
+  assert_eq!((changed(2_000), changed(2_001)), (1, 0));
+}
