--- a/yuccarudder/tests/promises.rs
+++ b/yuccarudder/tests/promises.rs
@@ -148,11 +148,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn job_is_rerun_when_its_engine_never_responds() {
   // Longer than a sound engine takes on a busy machine.
-  let overrides = [
-    "first_token_timeout: 2s",
-    "stall_timeout: 2s",
-    "resumes: 1",
-  ];
+  let overrides = ["first_token_timeout: 2s", "stall_timeout: 2s", "resumes: 1"];
   let fleet = Fleet::start(options(&overrides)).await.unwrap();
   fleet.engines[0].server.set_faults(engine::Faults {
     swallow: true,
