Log the prompt parts of a run that breaks off and whether its target is still there

The logs could not tell a request that crashes its engine from one that happens to run there: they named neither the parts of the prompt nor how long the answer had been running, nor whether the target was gone or had only cut one connection.

--- a/yuccarudder/src/dialect.rs
+++ b/yuccarudder/src/dialect.rs
@@ -23,12 +23,22 @@
   pub length_hint: Option<u64>,
   /// Maximum number of tokens to generate.
   pub max_tokens: u64,
+  /// IDs of the parts of the prompt, in order. Requests share parts; the last one belongs to this
+  /// request or its session.
+  pub prompt_parts: Vec<u64>,
   /// Number of tokens in the prompt.
   pub prompt_tokens: u64,
   /// Identifies this attempt of the caller.
   pub request_id: Option<String>,
 }
 
+impl RequestMetadata {
+  /// Returns the IDs of the prompt parts that other requests may have as well.
+  pub fn shared_parts(&self) -> &[u64] {
+    self.prompt_parts.split_last().map_or(&[], |(_, shared)| shared)
+  }
+}
+
 /// The point from which a target continues a stream that began on another target.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Resume {
--- a/yuccarudder/src/gateway/buffered.rs
+++ b/yuccarudder/src/gateway/buffered.rs
@@ -116,10 +116,13 @@
 ) -> Result<Response<Body>, Failure> {
   let started_at = call.gateway.clock.now();
   let result = call.send(assignment, None, timeout).await;
-  let elapsed = call.gateway.clock.now().saturating_duration_since(started_at);
-  let remaining = timeout.saturating_sub(elapsed);
+  let answered_at = call.gateway.clock.now();
+  let remaining = timeout.saturating_sub(answered_at.saturating_duration_since(started_at));
   match result {
-    Ok(response) => read_body(response, remaining).await.ok_or_else(|| Outcome::Lost.into()),
+    Ok(response) => read_body(response, remaining).await.ok_or_else(|| {
+      call.report_break(assignment, Some(answered_at));
+      Outcome::Lost.into()
+    }),
     Err(sending::Failure { outcome, response }) => {
       let response = match response {
         Some(response) => read_body(*response, remaining).await,
--- a/yuccarudder/src/gateway/mod.rs
+++ b/yuccarudder/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //! for routing, placement, attempts and relocation.
 
 mod assignment;
+mod breaks;
 mod buffered;
 mod call;
 mod directory;
--- a/yuccarudder/src/gateway/sending.rs
+++ b/yuccarudder/src/gateway/sending.rs
@@ -65,7 +65,11 @@
     let result = match time::timeout(timeout, response).await {
       Ok(Ok(response)) => self.validate(assignment, response),
       Ok(Err(Error::Denied(_) | Error::NotSent { .. })) => Err(Outcome::NotSent.into()),
-      Ok(Err(Error::Sent(_))) | Err(_) => Err(Outcome::Lost.into()),
+      Ok(Err(Error::Sent(_))) => {
+        self.report_break(assignment, None);
+        Err(Outcome::Lost.into())
+      }
+      Err(_) => Err(Outcome::Lost.into()),
     };
     self.record_outcome(assignment, resume, &result);
     result
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -20,7 +20,7 @@
   futures::{future, stream},
   http_body_util::{BodyExt, StreamBody},
   hyper::body::{Frame, Incoming},
-  std::time::Duration,
+  std::time::{Duration, Instant},
   tokio::{sync::mpsc, time},
 };
 
@@ -60,6 +60,8 @@
 /// A stream that is relayed to its caller, across all runs on different targets. A run is one
 /// execution of the request.
 pub struct Session {
+  /// When the head of the current run's response arrived.
+  answered_at: Instant,
   call: Call,
   chunk_sender: mpsc::Sender<Result<Bytes, BodyError>>,
   cursor: Cursor,
@@ -83,6 +85,7 @@
   ) -> Body {
     let (chunk_sender, mut chunk_receiver) = mpsc::channel(BODY_CHUNK_CAPACITY);
     let session = Self {
+      answered_at: call.gateway.clock.now(),
       cursor: Cursor::new(call.metadata.last_event_id),
       call,
       chunk_sender,
@@ -197,7 +200,10 @@
         self.target_body = None;
         None
       }
-      _ => self.recover().await,
+      _ => {
+        self.call.report_break(&self.assignment, Some(self.answered_at));
+        self.recover().await
+      }
     }
   }
 
@@ -372,6 +378,7 @@
 
   /// Continues the stream with the response of another run.
   fn relay_from(&mut self, assignment: Assignment, target_body: Incoming) {
+    self.answered_at = self.call.gateway.clock.now();
     self.cursor.discard_partial_event();
     self.target_body = Some(target_body);
     self.assignment = assignment;
--- a/yuccarudder/src/upstream/pool.rs
+++ b/yuccarudder/src/upstream/pool.rs
@@ -16,6 +16,7 @@
   hyper_util::rt::TokioIo,
   std::{
     collections::HashMap,
+    io,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
@@ -79,6 +80,19 @@
       .is_some_and(|at| now.saturating_duration_since(at) < WARM_REPORT_LIFETIME)
   }
 
+  /// Returns whether a connection to an address is accepted or refused; `None` when neither
+  /// happens within `timeout`.
+  pub async fn is_listening(&self, address: SocketAddr, timeout: Duration) -> Option<bool> {
+    match time::timeout(timeout, TcpStream::connect(address)).await {
+      Ok(Ok(_)) => Some(true),
+      Ok(Err(error)) => match error.kind() {
+        io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset => Some(false),
+        _ => None,
+      },
+      Err(_) => None,
+    }
+  }
+
   /// Creates an empty pool.
   pub fn new(clock: Clock) -> Self {
     Self {
