Keep requests with a prompt part that crashes targets away from the targets

Cause: nothing related a crash to the request that was being answered, on one host or across hosts. A lost run was retried or reported, and forgotten. It is of the class of a fault learned by one host and not acted on by all.

Now a host that loses a run verifies that the target crashed (it refuses connections, or another process took its place, and it was not leaving) and tells the others, with the prompt parts of requests that it had just begun to answer. Hosts that soundly answered a suspected part say so. A part is banned when enough crashes speak against it and no later sound answer for it; requests with it are refused at once with 400, before each send.

A stream without length or chunks that ends without an event counts as broken.

--- a/yuccarudder/src/gateway/assignment.rs
+++ b/yuccarudder/src/gateway/assignment.rs
@@ -56,8 +56,10 @@
   /// # Errors
   ///
   /// Fails when all targets are still full after the wait, when there is no target, or at once
-  /// when all targets asked for a pause that ends after the wait.
+  /// when all targets asked for a pause that ends after the wait or when the prompt has a part
+  /// that crashes targets.
   pub async fn assign(&self, tried_targets: &[Key]) -> Result<Assignment, Refusal> {
+    let is_trial = self.check_parts()?;
     let rank = self.queue_rank();
     let waiter = self.gateway.scheduler.enqueue(&self.service_name, rank);
     loop {
@@ -88,6 +90,9 @@
       let recheck_at = (now + RECHECK_INTERVAL).min(rank.give_up_at);
       // Freed capacity and the timeout both lead to another check.
       let _ = time::timeout_at(recheck_at.into(), capacity_freed).await;
+      if !is_trial {
+        self.check_parts()?;
+      }
     }
   }
 
@@ -162,8 +167,10 @@
     relocation::plan(engine, sources, candidates, position, run)
   }
 
-  /// Reserves capacity for a migrated run, if the destination still accepts requests.
+  /// Reserves capacity for a migrated run, if the destination still accepts requests and the run
+  /// may be sent there.
   pub fn reserve_planned(&self, destination: Key, run: Run) -> Option<Assignment> {
+    self.check_parts().ok()?;
     let now = self.gateway.clock.now();
     let state = self.gateway.lock();
     if !state.roster.is_accepting(destination) || state.pauses.end(destination, now).is_some() {
--- a/yuccarudder/src/gateway/buffered.rs
+++ b/yuccarudder/src/gateway/buffered.rs
@@ -1,5 +1,5 @@
 use {
-  super::{assignment::Assignment, call::Call, retrying::Attempts, sending},
+  super::{assignment::Assignment, breaks::Cause, call::Call, retrying::Attempts, sending},
   crate::{
     attempt::{History, Outcome},
     http::{self, Body},
@@ -119,10 +119,17 @@
   let answered_at = call.gateway.clock.now();
   let remaining = timeout.saturating_sub(answered_at.saturating_duration_since(started_at));
   match result {
-    Ok(response) => read_body(response, remaining).await.ok_or_else(|| {
-      call.report_break(assignment, Some(answered_at));
-      Outcome::Lost.into()
-    }),
+    Ok(response) => {
+      let is_framed = http::is_framed(response.headers());
+      let whole = read_body(response, remaining).await;
+      if whole.is_some() && is_framed {
+        call.report_sound(answered_at);
+      }
+      whole.ok_or_else(|| {
+        call.report_break(assignment, Some(answered_at), Cause::ConnectionLost);
+        Outcome::Lost.into()
+      })
+    }
     Err(sending::Failure { outcome, response }) => {
       let response = match response {
         Some(response) => read_body(*response, remaining).await,
--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -7,6 +7,7 @@
     member::{self, Phase},
     metrics::Metrics,
     placement::{Health, LengthModel, Outcome, Pauses, Scheduler, Throttle},
+    quarantine::Ledger,
     reader::{Era, Relation, Role, Version},
     roster::{Key, Roster},
     routing::{AgeLimits, Catalog, Freshness},
@@ -54,6 +55,8 @@
   pub(super) shutdown: Option<(Instant, Instant)>,
   /// Models that predict the number of generated tokens, by route.
   length_models: HashMap<String, LengthModel>,
+  /// Crashes of targets and the prompt parts that cause them.
+  pub(super) ledger: Ledger,
   /// The other hosts.
   pub(super) members: member::Table,
   /// The newest era of the platform's store.
@@ -203,6 +206,7 @@
       freshness: Freshness::default(),
       health: Health::default(),
       shutdown: None,
+      ledger: Ledger::new(clock.now()),
       length_models: HashMap::new(),
       targets_differ_since: None,
       targets_listed_at: None,
--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -5,6 +5,7 @@
   },
   crate::{
     member::{self, Codec, Heartbeat, Phase, Recipient, Sent},
+    quarantine::Ledger,
     reader,
     roster::{self, Roster},
   },
@@ -25,6 +26,9 @@
 const ANNOUNCEMENT_PERIOD: Duration = Duration::from_millis(2500);
 /// Maximum number of targets that a heartbeat announces, so that it fits into one packet.
 const MAX_ANNOUNCEMENTS: usize = 12;
+/// Maximum numbers of crashes and of sound answers in a heartbeat, so that it fits into one packet.
+const MAX_CRASHES: usize = 8;
+const MAX_SOUNDS: usize = 16;
 /// Pause after a failed transfer before the next host is asked for its catalog.
 const FETCH_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Pause after a receive error.
@@ -52,6 +56,7 @@
     let mut sequence = 0;
     loop {
       gateway.expire_targets();
+      gateway.judge_crashes();
       sequence += 1;
       let hosts = send(&gateway, &mut sender, sequence).await;
       let min_pause = member::min_heartbeat_interval(hosts);
@@ -84,6 +89,7 @@
 /// Builds the next heartbeat; returns it with the hosts to send it to.
 fn build(gateway: &Gateway, sequence: u64) -> (Heartbeat, Vec<Recipient>) {
   let phase = gateway.phase();
+  let clock_now = gateway.clock.now();
   let now = gateway.clock.since_boot();
   let loads = gateway.scheduler.lock().local_loads();
   let mut state = gateway.lock();
@@ -100,9 +106,11 @@
     } else {
       Vec::new()
     },
+    bans: state.ledger.bans().map(|ban| member::Ban::new(ban, clock_now)).collect(),
     callers: state.settings.callers.to_string(),
     catalog_age_ms: age.map(|age| milliseconds(age) + 1),
     catalog_version: state.catalog_version(),
+    crashes: crashes(&state.ledger, clock_now),
     echo: None,
     era: state.era.number(),
     evacuated: state.roster.evacuated().map(str::to_owned).collect(),
@@ -125,6 +133,7 @@
     restore_age_ms: state.era.restore_age(now).map(milliseconds),
     sender: state.settings.peers.to_string(),
     sequence,
+    sounds: sounds(&state.ledger, clock_now),
     targets_digest: reads_targets.then(|| state.roster.digest(gateway.clock.now())),
     weight: state.settings.weight,
   };
@@ -145,6 +154,21 @@
   changed.into_iter().map(member::Announcement::from).collect()
 }
 
+/// Returns the newest crashes that this host announces.
+fn crashes(ledger: &Ledger, now: Instant) -> Vec<member::Crash> {
+  let crashes = ledger.announced_crashes(now).take(MAX_CRASHES);
+  crashes.map(|crash| member::Crash::new(crash, now)).collect()
+}
+
+/// Returns the sound answers that this host announces, or a random part of them if there are many.
+fn sounds(ledger: &Ledger, now: Instant) -> Vec<member::Sound> {
+  let mut sounds: Vec<_> = ledger.announced_sounds(now).collect();
+  while sounds.len() > MAX_SOUNDS {
+    sounds.swap_remove(rand::random_range(0..sounds.len()));
+  }
+  sounds.into_iter().map(|sound| member::Sound::new(sound, now)).collect()
+}
+
 /// Returns `count` randomly chosen hosts, or all if there are fewer.
 fn random_subset(hosts: impl Iterator<Item = SocketAddr>, count: usize) -> Vec<String> {
   let mut hosts: Vec<SocketAddr> = hosts.collect();
@@ -199,6 +223,7 @@
     gateway.announce_departures(&departing, HOST_SOURCE);
   }
   record_loads(gateway, heartbeat, received.sender);
+  gateway.merge_crashes(heartbeat, received_at);
   if heartbeat.catalog_version > version
     && gateway.lock().catalog_transfer.try_start(received.sender)
   {
--- a/yuccarudder/src/gateway/instruments.rs
+++ b/yuccarudder/src/gateway/instruments.rs
@@ -1,8 +1,8 @@
 use {
   crate::metrics::VALID_NAMES,
   prometheus::{
-    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder, core::Collector,
+    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder, core::Collector,
   },
 };
 
@@ -29,6 +29,10 @@
   pub target_departures: IntCounterVec,
   /// Steps in migrating runs between engines, by step.
   pub migration_steps: IntCounterVec,
+  /// Prompt parts that are kept away from the targets.
+  pub banned_parts: IntGauge,
+  /// Targets that crashed while requests of this host ran there.
+  pub target_crashes: IntCounter,
   /// Longest pause between two events of a stream, in seconds, by kind of route.
   pub longest_pause: HistogramVec,
   /// Seconds that requests waited for capacity at a target, by kind of route.
@@ -77,6 +81,16 @@
         "Moves of runs between engines",
         "step",
       ),
+      banned_parts: IntGauge::new(
+        "yuccarudder_banned_parts",
+        "Prompt parts kept away from targets",
+      )
+      .expect(VALID_NAMES),
+      target_crashes: IntCounter::new(
+        "yuccarudder_target_crashes_total",
+        "Targets that crashed under requests",
+      )
+      .expect(VALID_NAMES),
       longest_pause: histogram(
         "yuccarudder_longest_pause_seconds",
         "Longest pause of a stream",
@@ -101,6 +115,8 @@
       Box::new(self.live_hosts.clone()),
       Box::new(self.target_departures.clone()),
       Box::new(self.migration_steps.clone()),
+      Box::new(self.banned_parts.clone()),
+      Box::new(self.target_crashes.clone()),
       Box::new(self.longest_pause.clone()),
       Box::new(self.queue_wait.clone()),
       Box::new(self.active_requests.clone()),
--- a/yuccarudder/src/gateway/sending.rs
+++ b/yuccarudder/src/gateway/sending.rs
@@ -1,5 +1,5 @@
 use {
-  super::{assignment::Assignment, call::Call},
+  super::{assignment::Assignment, breaks::Cause, call::Call},
   crate::{
     attempt::Outcome,
     dialect::{ForwardingMetadata, Resume},
@@ -66,7 +66,7 @@
       Ok(Ok(response)) => self.validate(assignment, response),
       Ok(Err(Error::Denied(_) | Error::NotSent { .. })) => Err(Outcome::NotSent.into()),
       Ok(Err(Error::Sent(_))) => {
-        self.report_break(assignment, None);
+        self.report_break(assignment, None, Cause::ConnectionLost);
         Err(Outcome::Lost.into())
       }
       Err(_) => Err(Outcome::Lost.into()),
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -1,6 +1,7 @@
 use {
   super::{
     assignment::Assignment,
+    breaks::{Cause, SILENCE},
     call::Call,
     migration::{self, Migration, Step},
     timing::Timing,
@@ -8,8 +9,9 @@
   crate::{
     attempt::{History, Outcome},
     dialect::Resume,
-    http::{Body, BodyError},
+    http::{self, Body, BodyError},
     placement::Load,
+    quarantine::SOUND_AFTER,
     refusal::{Reason, Refusal},
     relay::Cursor,
     relocation::{Copied, Failure, Run},
@@ -19,7 +21,10 @@
   bytes::Bytes,
   futures::{future, stream},
   http_body_util::{BodyExt, StreamBody},
-  hyper::body::{Frame, Incoming},
+  hyper::{
+    Response,
+    body::{Frame, Incoming},
+  },
   std::time::{Duration, Instant},
   tokio::{sync::mpsc, time},
 };
@@ -65,6 +70,11 @@
   call: Call,
   chunk_sender: mpsc::Sender<Result<Bytes, BodyError>>,
   cursor: Cursor,
+  /// Whether the current response has a length or chunks, so that its end is told from a broken
+  /// connection.
+  is_framed: bool,
+  /// Whether the current target has been answering long enough to count as sound.
+  is_sound: bool,
   /// The response body of the current target; `None` while the connection is lost and a
   /// copy of the run is pending.
   target_body: Option<Incoming>,
@@ -82,6 +92,7 @@
     history: History,
     assignment: Assignment,
     target_body: Incoming,
+    is_framed: bool,
   ) -> Body {
     let (chunk_sender, mut chunk_receiver) = mpsc::channel(BODY_CHUNK_CAPACITY);
     let session = Self {
@@ -89,6 +100,8 @@
       cursor: Cursor::new(call.metadata.last_event_id),
       call,
       chunk_sender,
+      is_framed,
+      is_sound: false,
       target_body: Some(target_body),
       migration: Migration::default(),
       migrations: 0,
@@ -115,6 +128,9 @@
       "A stream ended."
     );
     self.record_metrics(end);
+    if matches!(end, End::CallerDisconnected | End::DeadlinePassed) && self.is_silent() {
+      self.call.report_break(&self.assignment, Some(self.answered_at), Cause::Silent);
+    }
     self.migration.cancel(&self.call, &self.assignment);
     let reason = match end {
       End::Complete => {
@@ -134,6 +150,14 @@
     let _ = self.chunk_sender.send(Err(refusal.into())).await;
   }
 
+  /// Returns whether the target has sent nothing for some time although it had just begun.
+  fn is_silent(&self) -> bool {
+    let last_sign =
+      self.timing.last_event().map_or(self.answered_at, |at| at.max(self.answered_at));
+    let silence = self.call.gateway.clock.now().saturating_duration_since(last_sign);
+    !self.is_sound && silence >= SILENCE
+  }
+
   fn record_metrics(&self, end: End) {
     let instruments = &self.call.gateway.instruments;
     let route_kind = [self.call.route().kind.name()];
@@ -193,7 +217,19 @@
         Ok(bytes) => self.forward(&bytes).await,
         Err(_) => None,
       },
-      None if !self.cursor.has_partial_event() => Some(End::Complete),
+      None if self.is_whole() => {
+        if self.is_framed {
+          self.call.report_sound(self.answered_at);
+        } else {
+          // The end of such a response may also be that of its target.
+          self.call.report_break(
+            &self.assignment,
+            Some(self.answered_at),
+            Cause::ConnectionLost,
+          );
+        }
+        Some(End::Complete)
+      }
       // The copy in progress may still complete: the destination may already hold all of the
       // run's KV cache.
       _ if self.migration.is_copying() => {
@@ -201,12 +237,23 @@
         None
       }
       _ => {
-        self.call.report_break(&self.assignment, Some(self.answered_at));
+        self.call.report_break(
+          &self.assignment,
+          Some(self.answered_at),
+          Cause::ConnectionLost,
+        );
         self.recover().await
       }
     }
   }
 
+  /// Returns whether the response may be whole, now that its connection ended it.
+  ///
+  /// A response that is not framed ends in the same way if its target crashes.
+  fn is_whole(&self) -> bool {
+    !self.cursor.has_partial_event() && (self.is_framed || self.cursor.event_count() > 0)
+  }
+
   /// Sends the complete events in a chunk of the response body to the caller.
   async fn forward(&mut self, bytes: &[u8]) -> Option<End> {
     let previous_count = self.cursor.event_count();
@@ -224,7 +271,12 @@
     if previous_count == 0 || previous_count / LOAD_UPDATE_EVENTS != count / LOAD_UPDATE_EVENTS {
       self.assignment.reservation.update(self.load());
     }
-    self.timing.record_event(self.call.gateway.clock.now());
+    let now = self.call.gateway.clock.now();
+    self.timing.record_event(now);
+    if !self.is_sound && now.saturating_duration_since(self.answered_at) >= SOUND_AFTER {
+      self.is_sound = true;
+      self.call.report_sound(self.answered_at);
+    }
     let send_result = time::timeout_at(
       self.call.deadline.into(),
       self.chunk_sender.send(Ok(events)),
@@ -366,7 +418,7 @@
       Ok(response) if response.status().is_success() => {
         self.migrations += 1;
         self.count_migration_step("continued");
-        self.relay_from(destination, response.into_body());
+        self.relay_from(destination, response);
         None
       }
       Ok(_) | Err(_) => {
@@ -377,10 +429,12 @@
   }
 
   /// Continues the stream with the response of another run.
-  fn relay_from(&mut self, assignment: Assignment, target_body: Incoming) {
+  fn relay_from(&mut self, assignment: Assignment, response: Response<Incoming>) {
+    self.is_framed = http::is_framed(response.headers());
+    self.is_sound = false;
     self.answered_at = self.call.gateway.clock.now();
     self.cursor.discard_partial_event();
-    self.target_body = Some(target_body);
+    self.target_body = Some(response.into_body());
     self.assignment = assignment;
     self.assignment.reservation.update(self.load());
     self.migrate_if_leaving();
@@ -403,7 +457,7 @@
     };
     match self.call.send(&assignment, Some(&resume), self.call.time_left()).await {
       Ok(response) if response.status().is_success() => {
-        self.relay_from(assignment, response.into_body());
+        self.relay_from(assignment, response);
         None
       }
       Ok(_) | Err(_) => Some(End::TargetLost),
--- a/yuccarudder/src/gateway/stream.rs
+++ b/yuccarudder/src/gateway/stream.rs
@@ -35,10 +35,11 @@
   assignment: Assignment,
   response: Response<Incoming>,
 ) -> Response<Body> {
+  let is_framed = http::is_framed(response.headers());
   let (mut head, target_body) = response.into_parts();
   plain::strip_response(&mut head.headers);
   let body = if head.status == StatusCode::OK {
-    Session::start(call, attempts.history, assignment, target_body)
+    Session::start(call, attempts.history, assignment, target_body, is_framed)
   } else {
     http::incoming(target_body)
   };
--- a/yuccarudder/src/gateway/timing.rs
+++ b/yuccarudder/src/gateway/timing.rs
@@ -11,6 +11,11 @@
 }
 
 impl Timing {
+  /// Returns when the last event arrived.
+  pub fn last_event(&self) -> Option<Instant> {
+    self.last_event
+  }
+
   /// Records the arrival of one or more events.
   pub fn record_event(&mut self, now: Instant) {
     self.first_event = self.first_event.or(Some(now));
--- a/yuccarudder/src/http/mod.rs
+++ b/yuccarudder/src/http/mod.rs
@@ -11,7 +11,7 @@
   hyper::{
     HeaderMap, Request, Response, StatusCode,
     body::Incoming,
-    header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+    header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING},
   },
   std::time::Duration,
 };
@@ -54,6 +54,12 @@
   body.map_err(Into::into).boxed_unsync()
 }
 
+/// Returns whether the headers of a response state where its body ends; otherwise the body ends with
+/// its connection.
+pub fn is_framed(headers: &HeaderMap) -> bool {
+  headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Returns a JSON response.
 pub fn json(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
   let mut response = Response::new(full(text));
--- a/yuccarudder/src/lib.rs
+++ b/yuccarudder/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod placement;
 pub mod plain;
 pub mod platform;
+pub mod quarantine;
 pub mod reader;
 pub mod refusal;
 pub mod relay;
--- a/yuccarudder/src/member/heartbeat.rs
+++ b/yuccarudder/src/member/heartbeat.rs
@@ -1,8 +1,11 @@
 use {
-  crate::{placement, reader, roster},
-  std::time::Duration,
+  crate::{placement, quarantine, reader, roster},
+  std::time::{Duration, Instant},
 };
 
+/// Largest age in a message; a larger one counts as this.
+const MAX_AGE: Duration = Duration::from_secs(24 * 3600);
+
 /// The newest heartbeat of the recipient that the sender has received.
 #[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
 pub struct Echo {
@@ -180,6 +183,121 @@
   }
 }
 
+/// A target that crashed, as the host that noticed it tells the others.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct Crash {
+  /// Time since it was noticed, in milliseconds.
+  #[prost(uint64, tag = "1")]
+  pub age_ms: u64,
+  /// Shared prompt parts of a request that the target had just begun to answer; empty if there was
+  /// none.
+  #[prost(fixed64, repeated, tag = "2")]
+  pub parts: Vec<u64>,
+  /// Fingerprint of the target, which identifies its process.
+  #[prost(fixed64, tag = "3")]
+  pub target: u64,
+}
+
+impl Crash {
+  /// Builds the message for a crash.
+  pub fn new(crash: &quarantine::Crash, now: Instant) -> Self {
+    Self {
+      age_ms: age_ms(crash.at, now),
+      parts: crash.parts.clone(),
+      target: crash.target,
+    }
+  }
+
+  /// Returns the crash, with its time on this host's clock.
+  pub fn crash(&self, now: Instant) -> quarantine::Crash {
+    quarantine::Crash {
+      at: time_before(self.age_ms, now),
+      parts: self.parts.clone(),
+      target: self.target,
+    }
+  }
+}
+
+/// Prompt parts that are kept away from the targets.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct Ban {
+  /// Number of targets that crashed.
+  #[prost(uint32, tag = "1")]
+  pub crashes: u32,
+  /// Time since the first crash, in milliseconds.
+  #[prost(uint64, tag = "2")]
+  pub first_crash_age_ms: u64,
+  /// Time since the last crash, in milliseconds.
+  #[prost(uint64, tag = "3")]
+  pub last_crash_age_ms: u64,
+  /// The banned parts; a request is refused if it has all of them.
+  #[prost(fixed64, repeated, tag = "4")]
+  pub parts: Vec<u64>,
+}
+
+impl Ban {
+  /// Builds the message for a ban.
+  pub fn new(ban: &quarantine::Ban, now: Instant) -> Self {
+    Self {
+      crashes: ban.crashes,
+      first_crash_age_ms: age_ms(ban.first_crash, now),
+      last_crash_age_ms: age_ms(ban.last_crash, now),
+      parts: ban.parts.clone(),
+    }
+  }
+
+  /// Returns the ban, with its times on this host's clock.
+  pub fn ban(&self, now: Instant) -> quarantine::Ban {
+    quarantine::Ban {
+      crashes: self.crashes,
+      first_crash: time_before(self.first_crash_age_ms, now),
+      last_crash: time_before(self.last_crash_age_ms, now),
+      parts: self.parts.clone(),
+    }
+  }
+}
+
+/// The last sound answer of the sender to a request with a prompt part that is suspected of
+/// crashing targets.
+#[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
+pub struct Sound {
+  /// Time since the answer began, in milliseconds.
+  #[prost(uint64, tag = "1")]
+  pub age_ms: u64,
+  /// The prompt part.
+  #[prost(fixed64, tag = "2")]
+  pub part: u64,
+}
+
+impl Sound {
+  /// Builds the message for a sound answer.
+  pub fn new(sound: quarantine::Sound, now: Instant) -> Self {
+    Self {
+      age_ms: age_ms(sound.began_at, now),
+      part: sound.part,
+    }
+  }
+
+  /// Returns the sound answer, with its time on this host's clock.
+  pub fn sound(&self, now: Instant) -> quarantine::Sound {
+    quarantine::Sound {
+      began_at: time_before(self.age_ms, now),
+      part: self.part,
+    }
+  }
+}
+
+/// Returns the time since `at` in whole milliseconds, rounded up.
+fn age_ms(at: Instant, now: Instant) -> u64 {
+  let age = now.saturating_duration_since(at);
+  u64::try_from(age.as_micros().div_ceil(1000)).unwrap_or(u64::MAX)
+}
+
+/// Returns the time `age_ms` before `now`.
+fn time_before(age_ms: u64, now: Instant) -> Instant {
+  now.checked_sub(Duration::from_millis(age_ms).min(MAX_AGE)).unwrap_or(now)
+}
+
 /// State that a host sends to each other host at short intervals.
 #[derive(Clone, Eq, PartialEq, prost::Message)]
 pub struct Heartbeat {
@@ -187,9 +305,18 @@
   /// others.
   #[prost(message, repeated, tag = "21")]
   pub announcements: Vec<Announcement>,
+  /// Prompt parts that are kept away from the targets.
+  #[prost(message, repeated, tag = "22")]
+  pub bans: Vec<Ban>,
   /// Address at which callers reach the sender.
   #[prost(string, tag = "1")]
   pub callers: String,
+  /// Crashes of targets that the sender noticed recently.
+  #[prost(message, repeated, tag = "23")]
+  pub crashes: Vec<Crash>,
+  /// Recent sound answers to requests with suspected prompt parts.
+  #[prost(message, repeated, tag = "24")]
+  pub sounds: Vec<Sound>,
   /// Newest era of the platform's store that the sender knows, if it has read the store.
   #[prost(uint64, optional, tag = "16")]
   pub era: Option<u64>,
--- a/yuccarudder/src/member/mod.rs
+++ b/yuccarudder/src/member/mod.rs
@@ -3,7 +3,7 @@
 //! Every host sends each other host a heartbeat up to several times a second. This small
 //! datagram holds the sender's phase, the version and age of its catalog, the load that it
 //! has placed on targets, the targets that it knows to be leaving, and some of the hosts
-//! that it knows.
+//! that it knows. It also tells of targets that crash under requests (see `quarantine`).
 
 mod catalog_source;
 mod codec;
@@ -15,7 +15,7 @@
 
 pub use catalog_source::CatalogSource;
 pub use codec::Codec;
-pub use heartbeat::{Announcement, Echo, Heartbeat, Leaving, Load};
+pub use heartbeat::{Announcement, Ban, Crash, Echo, Heartbeat, Leaving, Load, Sound};
 pub use phase::Phase;
 pub use table::{Member, Received, Recipient, Sent, Table};
 pub use timing::{failure_timeout, heartbeat_interval, min_heartbeat_interval};
--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -18,9 +18,11 @@
 fn heartbeat(host: u8, sequence: u64) -> Heartbeat {
   Heartbeat {
     announcements: Vec::new(),
+    bans: Vec::new(),
     callers: address(host).to_string(),
     catalog_age_ms: Some(100),
     catalog_version: 1,
+    crashes: Vec::new(),
     echo: None,
     era: None,
     evacuated: Vec::new(),
@@ -36,6 +38,7 @@
     reads: true,
     sender: address(host).to_string(),
     sequence,
+    sounds: Vec::new(),
     targets_digest: None,
     weight: 250,
   }
--- a/yuccarudder/src/refusal/reason.rs
+++ b/yuccarudder/src/refusal/reason.rs
@@ -91,6 +91,9 @@
   /// The host has reached its limit of stored idempotency keys.
   OutcomesFull, "outcomes_full", SERVICE_UNAVAILABLE,
     "This host can remember no more keys now; use another one with a new key.";
+  /// Targets crash when they begin to answer a prompt with a part that this one has.
+  PromptQuarantined, "prompt_quarantined", BAD_REQUEST,
+    "Targets crash when they begin to answer prompts like this one; change the prompt before sending it again.";
   /// The reattach token is invalid or has expired.
   ReattachExpired, "reattach_expired", GONE,
     "The time to reattach has passed; ask again for a new generation.";
