--- a/yuccarudder/src/dialect.rs
+++ b/yuccarudder/src/dialect.rs
@@ -64,7 +64,7 @@
 }
 
 /// Metadata in the head of a target's response.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseMetadata {
   /// Whether the target states that it is leaving service.
   pub leaving: bool,
@@ -72,6 +72,8 @@
   pub not_run: bool,
   /// The request that the response belongs to.
   pub request_id: Option<String>,
+  /// Requests per second that the target takes from all hosts together, if it names a limit.
+  pub request_limit: Option<f64>,
   /// How long the target wants no further request from this host; only in a response by which it
   /// turns a request away.
   pub retry_after: Option<Duration>,
--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -286,6 +286,12 @@
         log::info!(target: PREFIX, target:% = target.id, pause_ms = pause.as_millis() as u64; "A target asked for a pause.");
       }
     }
+    if let Some(limit) = metadata.request_limit {
+      let state = self.lock();
+      if let Some(target) = state.roster.get(key) {
+        log::info!(target: PREFIX, target:% = target.id, limit; "A target named a request limit.");
+      }
+    }
     if metadata.leaving && self.lock().roster.record_own_statement(key, now) {
       self.announce_departures(&[key], "response");
     }
