Share the request limits that targets name among the hosts

Callers saw nothing yet, but targets in need got 42 requests in 4 s where a limit of 3.3 a second allows 25, and so lost what time the limit was to give them.

Cause: the header was not read. Reading it alone would not do: each host would take the whole limit for itself, or, told last, make up for the others.

Evidence: the parts of all hosts and their sum stayed the same after the targets named limits, and the decoder of response headers knows no such name.

Now what a target says goes into heartbeats, the newest statement counts, and each host takes its share: a number of hosts that grows with the limit may each send one request and their part of the rate, so that any period has a bound that does not depend on luck. Polls, copies and resumed runs count against it. Where all targets are limited, callers are refused at once, each with a time of its own.

--- a/yuccarudder/src/gateway/assignment.rs
+++ b/yuccarudder/src/gateway/assignment.rs
@@ -82,10 +82,10 @@
       let is_hopeless = refusal.reason == Reason::TargetsPaused
         && refusal.retry_after.is_some_and(|pause| now + pause >= rank.give_up_at);
       if is_hopeless {
-        return Err(refusal);
+        return Err(self.promise_return(refusal));
       }
       if now >= rank.give_up_at {
-        return self.try_assign(tried_targets, true).map_err(|_| refusal);
+        return self.try_assign(tried_targets, true).map_err(|_| self.promise_return(refusal));
       }
       let recheck_at = (now + RECHECK_INTERVAL).min(rank.give_up_at);
       // Freed capacity and the timeout both lead to another check.
@@ -133,13 +133,36 @@
     }
   }
 
-  /// Returns the refusal for when every target of the service has asked for a pause.
+  /// Returns the refusal for when no target of the service takes a request now, because of the
+  /// pauses and limits that they asked for.
   pub fn all_paused(&self) -> Option<Refusal> {
+    let (_, until) = self.first_room()?;
+    Some(targets_paused(until, self.gateway.clock.now()))
+  }
+
+  /// Returns the target that is the first to take a request again, and when; `None` if one takes it
+  /// now or there is none.
+  fn first_room(&self) -> Option<(Key, Instant)> {
     let now = self.gateway.clock.now();
+    let since_boot = self.gateway.clock.since_boot();
     let state = self.gateway.lock();
     let accepting = state.roster.accepting(&self.service_name);
-    let ends: Option<Vec<Instant>> = accepting.map(|(key, _)| state.pauses.end(key, now)).collect();
-    ends?.into_iter().min().map(|until| targets_paused(until, now))
+    let ends: Option<Vec<(Key, Instant)>> =
+      accepting.map(|(key, _)| Some((key, state.paused_until(key, now, since_boot)?))).collect();
+    ends?.into_iter().min_by_key(|(_, until)| *until)
+  }
+
+  /// Replaces the retry-after time of a refusal because of pauses and limits by one at which there
+  /// is room for this caller, after those that were refused before it.
+  fn promise_return(&self, refusal: Refusal) -> Refusal {
+    let Some((key, _)) = self.first_room().filter(|_| refusal.reason == Reason::TargetsPaused)
+    else {
+      return refusal;
+    };
+    let now = self.gateway.clock.now();
+    let since_boot = self.gateway.clock.since_boot();
+    let room_at = self.gateway.lock().promise_room(key, now, since_boot);
+    room_at.map_or(refusal, |room_at| targets_paused(room_at, now))
   }
 
   /// Plans where and when a run on a leaving engine is copied; returns `None` when no engine has
@@ -152,11 +175,12 @@
   ) -> Option<Plan> {
     let engine = self.service()?.engine.as_ref()?;
     let now = self.gateway.clock.now();
+    let since_boot = self.gateway.clock.since_boot();
     let state = self.gateway.lock();
     let load_table = self.gateway.scheduler.lock();
     let accepting_targets = state.roster.accepting(&self.service_name);
     let mut available: Vec<_> =
-      accepting_targets.filter(|(key, _)| state.is_usable(*key, now)).collect();
+      accepting_targets.filter(|(key, _)| state.is_usable(*key, now, since_boot)).collect();
     // All hosts use the same order, so that their plans agree.
     available.sort_by_key(|(_, target)| target.fingerprint);
     let candidates = available.into_iter().map(|(key, target)| relocation::Candidate {
@@ -171,12 +195,10 @@
   /// may be sent there.
   pub fn reserve_planned(&self, destination: Key, run: Run) -> Option<Assignment> {
     self.check_parts().ok()?;
-    let now = self.gateway.clock.now();
-    let state = self.gateway.lock();
-    if !state.roster.is_accepting(destination) || state.pauses.end(destination, now).is_some() {
+    let is_accepting = self.gateway.lock().roster.is_accepting(destination);
+    if !is_accepting || self.gateway.is_paused(destination) {
       return None;
     }
-    drop(state);
     let load = Load {
       transfer_tokens: run.cached_tokens,
       used_tokens: run.cached_tokens,
@@ -194,6 +216,7 @@
     own_data_centre: &str,
     now: Instant,
   ) -> Choice {
+    let since_boot = self.gateway.clock.since_boot();
     let state = self.gateway.lock();
     let load_table = self.gateway.scheduler.lock();
     let hosts = state.members.fleet_size();
@@ -210,7 +233,7 @@
         key,
         load: load_table.total_load(target.fingerprint),
         local: target.listing.data_centre == own_data_centre,
-        paused_until: state.pauses.end(key, now),
+        paused_until: state.paused_until(key, now, since_boot),
         slots: target.listing.slots,
         tried: tried_targets.contains(&key),
       }
@@ -261,7 +284,9 @@
 
   fn reserve(&self, key: Key, load: Load) -> Assignment {
     let mut state = self.gateway.lock();
-    state.throttle.record(key, self.gateway.clock.now());
+    let now = self.gateway.clock.now();
+    state.throttle.record(key, now);
+    state.take_request(key, 1.0, now, self.gateway.clock.since_boot());
     let target = state.roster.get(key).expect("a chosen target is in the roster").clone();
     drop(state);
     let load_before = self.gateway.scheduler.lock().total_load(target.fingerprint);
--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -6,7 +6,7 @@
     limit::{Memory, RetryQuota},
     member::{self, Phase},
     metrics::Metrics,
-    placement::{Health, LengthModel, Outcome, Pauses, Scheduler, Throttle},
+    placement::{Health, LengthModel, Outcome, Pauses, RateLimits, Scheduler, Throttle},
     quarantine::Ledger,
     reader::{Era, Relation, Role, Version},
     roster::{Key, Roster},
@@ -65,6 +65,8 @@
   pub(super) operator_version: Version,
   /// Targets that asked this host to pause.
   pub(super) pauses: Pauses,
+  /// Limits that targets named for all hosts together.
+  pub(super) rate_limits: RateLimits,
   /// Recent requests to targets, which limit the request rate of cold targets.
   pub(super) throttle: Throttle,
   /// The transfer of a newer catalog from another host.
@@ -214,6 +216,7 @@
       era: Era::default(),
       operator_version: Version::default(),
       pauses: Pauses::default(),
+      rate_limits: RateLimits::default(),
       throttle: Throttle::default(),
       catalog_transfer: member::CatalogSource::default(),
       encoded_catalog: Bytes::new(),
@@ -286,12 +289,7 @@
         log::info!(target: PREFIX, target:% = target.id, pause_ms = pause.as_millis() as u64; "A target asked for a pause.");
       }
     }
-    if let Some(limit) = metadata.request_limit {
-      let state = self.lock();
-      if let Some(target) = state.roster.get(key) {
-        log::info!(target: PREFIX, target:% = target.id, limit; "A target named a request limit.");
-      }
-    }
+    self.record_limit(key, metadata.request_limit);
     if metadata.leaving && self.lock().roster.record_own_statement(key, now) {
       self.announce_departures(&[key], "response");
     }
@@ -299,7 +297,8 @@
 
   /// Returns whether a target wants no request from this host now.
   pub(super) fn is_paused(&self, key: Key) -> bool {
-    self.lock().pauses.end(key, self.clock.now()).is_some()
+    let now = self.clock.now();
+    self.lock().paused_until(key, now, self.clock.since_boot()).is_some()
   }
 
   /// Applies changed settings.
@@ -357,9 +356,10 @@
     self.failing_areas.is_empty() && self.targets_listed_at.is_some()
   }
 
-  /// Returns whether a target is neither ejected nor paused.
-  pub(super) fn is_usable(&self, key: Key, now: Instant) -> bool {
-    !self.health.is_ejected(key, now) && self.pauses.end(key, now).is_none()
+  /// Returns whether a target is neither ejected nor paused, and takes another request within its
+  /// limit.
+  pub(super) fn is_usable(&self, key: Key, now: Instant, since_boot: Duration) -> bool {
+    !self.health.is_ejected(key, now) && self.paused_until(key, now, since_boot).is_none()
   }
 
   /// Returns whether an outage of the platform ended recently.
--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -29,6 +29,8 @@
 /// Maximum numbers of crashes and of sound answers in a heartbeat, so that it fits into one packet.
 const MAX_CRASHES: usize = 8;
 const MAX_SOUNDS: usize = 16;
+/// Maximum number of limits of targets in a heartbeat.
+const MAX_LIMITS: usize = 16;
 /// Pause after a failed transfer before the next host is asked for its catalog.
 const FETCH_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Pause after a receive error.
@@ -123,6 +125,7 @@
       .departures(relay_time, gateway.clock.now())
       .map(member::Leaving::from)
       .collect(),
+    limits: limits(&state, clock_now),
     loads: loads.into_iter().map(|(target, load)| member::Load::new(target, load)).collect(),
     members: random_subset(
       state.members.live(now).map(|(address, _)| address),
@@ -160,6 +163,16 @@
   crashes.map(|crash| member::Crash::new(crash, now)).collect()
 }
 
+/// Returns the limits that targets named to this host.
+fn limits(state: &State, now: Instant) -> Vec<member::Limit> {
+  let statements = state.rate_limits.own_statements(now);
+  let limits = statements.filter_map(|(key, statement)| {
+    let target = state.roster.get(key)?;
+    Some(member::Limit::new(target.fingerprint, statement, now))
+  });
+  limits.take(MAX_LIMITS).collect()
+}
+
 /// Returns the sound answers that this host announces, or a random part of them if there are many.
 fn sounds(ledger: &Ledger, now: Instant) -> Vec<member::Sound> {
   let mut sounds: Vec<_> = ledger.announced_sounds(now).collect();
@@ -224,6 +237,7 @@
   }
   record_loads(gateway, heartbeat, received.sender);
   gateway.merge_crashes(heartbeat, received_at);
+  gateway.merge_limits(heartbeat, received_at);
   if heartbeat.catalog_version > version
     && gateway.lock().catalog_transfer.try_start(received.sender)
   {
--- /dev/null
+++ b/yuccarudder/src/gateway/limits.rs
@@ -0,0 +1,116 @@
+//! Limits that targets name for the requests of all hosts together.
+
+use {
+  super::{Gateway, gateway::State},
+  crate::{
+    member::Heartbeat,
+    placement::{LimitShare, LimitStatement},
+    roster::Key,
+  },
+  std::time::{Duration, Instant},
+};
+
+const PREFIX: &str = "limits";
+
+impl Gateway {
+  /// Records the limit that a response of a target names, or that it names none.
+  pub(super) fn record_limit(&self, key: Key, rate: Option<f64>) {
+    let now = self.clock.now();
+    let statement = LimitStatement { at: now, rate };
+    let mut state = self.lock();
+    if !state.rate_limits.record(key, statement, true, now) {
+      return;
+    }
+    let Some(target) = state.roster.get(key) else {
+      return;
+    };
+    match rate {
+      Some(limit) => {
+        log::info!(target: PREFIX, target:% = target.id, limit; "A target named a request limit.");
+      }
+      None => {
+        log::info!(target: PREFIX, target:% = target.id; "A target named no request limit any more.");
+      }
+    }
+    self.heartbeat_trigger.notify_one();
+  }
+
+  /// Merges the limits that targets named to another host.
+  pub(super) fn merge_limits(&self, heartbeat: &Heartbeat, now: Instant) {
+    if heartbeat.limits.is_empty() {
+      return;
+    }
+    let mut state = self.lock();
+    for limit in &heartbeat.limits {
+      let targets = state.roster.all();
+      let key =
+        targets.filter(|(_, target)| target.fingerprint == limit.target).map(|(key, _)| key);
+      let keys: Vec<Key> = key.collect();
+      for key in keys {
+        state.rate_limits.record(key, limit.statement(now), false, now);
+      }
+    }
+  }
+
+  /// Counts calls to a target that are not requests of callers against its limit, if it takes them
+  /// now; returns whether it does.
+  pub(super) fn try_take_calls(&self, key: Key, count: f64) -> bool {
+    let now = self.clock.now();
+    let since_boot = self.clock.since_boot();
+    let mut state = self.lock();
+    if state.limited_until(key, now, since_boot).is_some() {
+      return false;
+    }
+    state.take_request(key, count, now, since_boot);
+    true
+  }
+}
+
+impl State {
+  /// Returns this host's share of the limit of a target.
+  fn limit_share(&self, key: Key, since_boot: Duration) -> LimitShare {
+    let seed = self.roster.get(key).map_or(0, |target| target.fingerprint);
+    LimitShare {
+      hosts: self.members.fleet_size(),
+      position: self.members.position(seed, since_boot),
+    }
+  }
+
+  /// Returns until when this host may send no request to a target because of the target's limit.
+  fn limited_until(&self, key: Key, now: Instant, since_boot: Duration) -> Option<Instant> {
+    self.rate_limits.limit(key)?;
+    self.rate_limits.next_at(key, &self.limit_share(key, since_boot), now)
+  }
+
+  /// Returns until when a target wants no request from this host, because it asked for a pause or
+  /// named a limit.
+  pub(super) fn paused_until(
+    &self,
+    key: Key,
+    now: Instant,
+    since_boot: Duration,
+  ) -> Option<Instant> {
+    self.pauses.end(key, now).max(self.limited_until(key, now, since_boot))
+  }
+
+  /// Records that requests are sent to a target.
+  pub(super) fn take_request(&mut self, key: Key, count: f64, now: Instant, since_boot: Duration) {
+    if self.rate_limits.limit(key).is_some() {
+      let share = self.limit_share(key, since_boot);
+      self.rate_limits.take(key, count, &share, now);
+    }
+  }
+
+  /// Returns when a target has room for a caller that is told to come back, and keeps the room for
+  /// it, unless the target asked for a pause until later.
+  pub(super) fn promise_room(
+    &mut self,
+    key: Key,
+    now: Instant,
+    since_boot: Duration,
+  ) -> Option<Instant> {
+    let share = self.limit_share(key, since_boot);
+    let room_at = self.rate_limits.promise(key, &share, now);
+    self.pauses.end(key, now).max(room_at)
+  }
+}
--- a/yuccarudder/src/gateway/migration.rs
+++ b/yuccarudder/src/gateway/migration.rs
@@ -21,6 +21,9 @@
 /// Engines whose departures are noticed within this time of each other are planned as one
 /// group.
 const DEPARTURE_GROUP_WINDOW: Duration = Duration::from_millis(1500);
+/// Calls that a copy takes at the engine which the run leaves: the copy, and later one that stops the
+/// run and one that frees the copy.
+const CALLS_PER_COPY: f64 = 3.0;
 /// Delay before a run that cannot be copied within the notice period is considered again; it may
 /// finish before its engine is gone.
 const TOO_SHORT_NOTICE_DELAY: Duration = Duration::from_secs(1);
@@ -106,6 +109,7 @@
         self.delay_until(now + TOO_SHORT_NOTICE_DELAY);
       }
       Some(due) if due > now => self.delay_until(due),
+      Some(_) if !call.gateway.try_take_calls(source.key, CALLS_PER_COPY) => self.retry(call),
       Some(_) => match call.reserve_planned(plan.destination, run) {
         Some(destination) => self.request_copy(call, source, destination),
         None => self.retry(call),
--- a/yuccarudder/src/gateway/mod.rs
+++ b/yuccarudder/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod heartbeats;
 mod ingress;
 mod instruments;
+mod limits;
 mod migration;
 mod response;
 mod retrying;
--- a/yuccarudder/src/gateway/updates.rs
+++ b/yuccarudder/src/gateway/updates.rs
@@ -84,6 +84,9 @@
     }
     let report = (self.dialect.inspect)(target.listing.address);
     drop(state);
+    if !self.try_take_calls(key, 1.0) {
+      return;
+    }
     let gateway = self.clone();
     tokio::spawn(async move {
       time::sleep(relocation::REPORT_LAG).await;
@@ -220,12 +223,15 @@
     if !role.polls_engines(is_failing, silence) {
       return Vec::new();
     }
+    let since_boot = self.clock.since_boot();
     let engines = state.roster.all().filter(|(key, target)| {
       state.roster.is_accepting(*key)
-        && state.pauses.end(*key, now).is_none()
+        && state.paused_until(*key, now, since_boot).is_none()
         && catalog.can_relocate(&target.listing.service)
     });
-    engines.map(|(key, target)| (key, target.listing.address)).collect()
+    let engines: Vec<_> = engines.map(|(key, target)| (key, target.listing.address)).collect();
+    drop(state);
+    engines.into_iter().filter(|(key, _)| self.try_take_calls(*key, 1.0)).collect()
   }
 
   /// Returns this host's part in reading the platform.
--- a/yuccarudder/src/member/heartbeat.rs
+++ b/yuccarudder/src/member/heartbeat.rs
@@ -257,6 +257,40 @@
   }
 }
 
+/// What a target said to the sender about the requests per second that it takes from all hosts
+/// together.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Limit {
+  /// Time since the target said it, in milliseconds.
+  #[prost(uint64, tag = "1")]
+  pub age_ms: u64,
+  /// Requests per second; absent if the target names no limit any more.
+  #[prost(double, optional, tag = "2")]
+  pub rate: Option<f64>,
+  /// Fingerprint of the target, which identifies its process.
+  #[prost(fixed64, tag = "3")]
+  pub target: u64,
+}
+
+impl Limit {
+  /// Builds the message for a statement of a target.
+  pub fn new(target: u64, statement: placement::LimitStatement, now: Instant) -> Self {
+    Self {
+      age_ms: age_ms(statement.at, now),
+      rate: statement.rate,
+      target,
+    }
+  }
+
+  /// Returns the statement, with its time on this host's clock.
+  pub fn statement(&self, now: Instant) -> placement::LimitStatement {
+    placement::LimitStatement {
+      at: time_before(self.age_ms, now),
+      rate: self.rate.filter(|rate| rate.is_finite() && *rate >= 0.0),
+    }
+  }
+}
+
 /// The last sound answer of the sender to a request with a prompt part that is suspected of
 /// crashing targets.
 #[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
@@ -299,7 +333,7 @@
 }
 
 /// State that a host sends to each other host at short intervals.
-#[derive(Clone, Eq, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq, prost::Message)]
 pub struct Heartbeat {
   /// Targets that came into service or changed recently; only from hosts that read them for the
   /// others.
@@ -353,6 +387,9 @@
   /// Targets that were removed recently or announced that they will stop.
   #[prost(message, repeated, tag = "6")]
   pub leaving: Vec<Leaving>,
+  /// Limits that targets named to the sender.
+  #[prost(message, repeated, tag = "25")]
+  pub limits: Vec<Limit>,
   /// Load that the sender has placed on each target.
   #[prost(message, repeated, tag = "7")]
   pub loads: Vec<Load>,
--- a/yuccarudder/src/member/table.rs
+++ b/yuccarudder/src/member/table.rs
@@ -1,8 +1,10 @@
 use {
   super::{Echo, Heartbeat, Phase, timing},
+  siphasher::sip::SipHasher13,
   std::{
     cmp::Reverse,
     collections::{HashMap, VecDeque},
+    hash::{Hash, Hasher},
     net::SocketAddr,
     time::Duration,
   },
@@ -265,6 +267,23 @@
     self.preceding(weight, now).count()
   }
 
+  /// Returns the position of this host in an order of all known hosts that depends on `seed`; `None`
+  /// for a process that has yet to hear from the others.
+  ///
+  /// Hosts that failed recently keep their place, as in `fleet_size`.
+  pub fn position(&self, seed: u64, now: Duration) -> Option<usize> {
+    if self.is_joining(now) {
+      return None;
+    }
+    let hash = |address: SocketAddr| {
+      let mut hasher = SipHasher13::new();
+      (seed, address).hash(&mut hasher);
+      hasher.finish()
+    };
+    let own_hash = hash(self.own_address);
+    Some(self.members.keys().filter(|address| hash(**address) < own_hash).count())
+  }
+
   /// Returns the live hosts with more capacity, or as much and a lower address.
   fn preceding(&self, weight: u32, now: Duration) -> impl Iterator<Item = &Member> {
     let own_key = (Reverse(weight), self.own_address);
--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -32,6 +32,7 @@
     restore_age_ms: None,
     incarnation: u64::from(host),
     leaving: Vec::new(),
+    limits: Vec::new(),
     loads: Vec::new(),
     members: Vec::new(),
     phase: Phase::Ready.number(),
--- a/yuccarudder/src/placement/mod.rs
+++ b/yuccarudder/src/placement/mod.rs
@@ -7,6 +7,7 @@
 mod load_table;
 mod pauses;
 mod queue;
+mod rate_limits;
 mod scheduler;
 mod throttle;
 
@@ -17,8 +18,11 @@
 pub use load_table::{Assignment, AssignmentKey, LoadTable};
 pub use pauses::Pauses;
 pub use queue::{Entry, Queue, Rank};
+pub use rate_limits::{LimitShare, LimitStatement, RateLimits};
 pub use scheduler::{Reservation, Scheduler, Waiter};
 pub use throttle::{ColdLimit, Throttle};
 
+#[cfg(test)]
+mod rate_limit_tests;
 #[cfg(test)]
 mod tests;
--- a/yuccarudder/src/refusal/reason.rs
+++ b/yuccarudder/src/refusal/reason.rs
@@ -113,9 +113,10 @@
   /// Every target has reached its limit of concurrent requests.
   TargetsBusy, "targets_busy", TOO_MANY_REQUESTS,
     "Every target of this service is busy.";
-  /// Every target of the service asked this host to send it nothing for some time.
+  /// Every target of the service asked this host to send it nothing for some time, or named a limit
+  /// that is reached.
   TargetsPaused, "targets_paused", SERVICE_UNAVAILABLE,
-    "Every target of this service asked for a pause; try again after it.";
+    "Every target of this service asked for a pause or for fewer requests; try again after it.";
   /// No target could be reached: connections to them failed lately, or none of those that were
   /// tried took the request.
   TargetsUnreachable, "targets_unreachable", SERVICE_UNAVAILABLE,
