End streams that send comments without end

A target that sends bytes without an event, such as comments, kept its caller and a connection until the deadline. The bytes up to the next numbered event are now bounded like an event.

--- a/yuccarudder/src/relay/cursor.rs
+++ b/yuccarudder/src/relay/cursor.rs
@@ -4,8 +4,9 @@
   std::fmt,
 };
 
-/// Maximum size of an incomplete event in the buffer, which is larger than any event that targets
-/// send. A stream without event ends therefore fails instead of filling the memory.
+/// Maximum number of bytes up to the next event with an id, which is larger than any event that
+/// targets send. A stream without event ends therefore fails instead of filling the memory, and
+/// one of comments without end fails, too.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// The reason why a stream cannot be relayed any further.
@@ -18,7 +19,8 @@
     /// The id that was received.
     found: u64,
   },
-  /// An incomplete event exceeds the maximum size, so it is none that a target would send.
+  /// The bytes since the last event with an id exceed the maximum size, so they are none that a
+  /// target would send.
   TooLarge,
 }
 
@@ -28,7 +30,7 @@
       Self::OutOfOrder { expected, found } => {
         write!(f, "received event {found} instead of event {expected}")
       }
-      Self::TooLarge => f.write_str("an event exceeds the maximum size"),
+      Self::TooLarge => f.write_str("an event, or what precedes it, exceeds the maximum size"),
     }
   }
 }
@@ -42,6 +44,8 @@
 pub struct Cursor {
   last_event_id: Option<u64>,
   buffer: BytesMut,
+  /// Number of bytes since the last event with an id.
+  bytes_since_event: usize,
   event_count: u64,
 }
 
@@ -58,6 +62,7 @@
   /// Returns an error if an event is missing, repeated or too large.
   pub fn feed(&mut self, bytes: &[u8]) -> Result<Bytes, Error> {
     self.buffer.extend_from_slice(bytes);
+    self.bytes_since_event += bytes.len();
     let mut complete_len = 0;
     while let Some(length) = memmem::find(&self.buffer[complete_len..], b"\n\n") {
       let event = &self.buffer[complete_len..complete_len + length];
@@ -72,10 +77,11 @@
         }
         self.last_event_id = Some(id);
         self.event_count += 1;
+        self.bytes_since_event = self.buffer.len() - complete_len - length - 2;
       }
       complete_len += length + 2;
     }
-    if self.buffer.len() - complete_len > MAX_EVENT_BYTES {
+    if self.bytes_since_event > MAX_EVENT_BYTES {
       return Err(Error::TooLarge);
     }
     Ok(self.buffer.split_to(complete_len).freeze())
@@ -104,11 +110,13 @@
 
   /// Discards an incomplete event before the bytes of another response are fed.
   pub fn discard_partial_event(&mut self) {
+    self.bytes_since_event = 0;
     self.buffer.clear();
   }
 
   /// Removes and returns an incomplete event.
   pub fn take_partial_event(&mut self) -> Bytes {
+    self.bytes_since_event = 0;
     self.buffer.split().freeze()
   }
 }
