Read the failures of engines within bounds before they are relayed

A response of an engine with another status than 200 was relayed as it came, with no bound and no deadline: one without end kept its caller waiting until the caller left.

--- a/yuccarudder/src/gateway/buffered.rs
+++ b/yuccarudder/src/gateway/buffered.rs
@@ -141,7 +141,10 @@
 }
 
 /// Reads a response to its end; returns `None` when it is cut off, is too large or takes too long.
-async fn read_body(response: Response<Incoming>, timeout: Duration) -> Option<Response<Body>> {
+pub(super) async fn read_body(
+  response: Response<Incoming>,
+  timeout: Duration,
+) -> Option<Response<Body>> {
   let (mut head, body) = response.into_parts();
   let bytes =
     tokio::time::timeout(timeout, http::collect(body, MAX_RESPONSE_BYTES)).await.ok()??;
--- a/yuccarudder/src/gateway/stream.rs
+++ b/yuccarudder/src/gateway/stream.rs
@@ -1,9 +1,9 @@
 use {
-  super::{assignment::Assignment, call::Call, retrying::Attempts, session::Session},
+  super::{assignment::Assignment, buffered, call::Call, retrying::Attempts, session::Session},
   crate::{
     http::{self, Body},
     plain,
-    refusal::Refusal,
+    refusal::{Reason, Refusal},
     routing::Kind,
   },
   hyper::{Response, StatusCode, body::Incoming},
@@ -20,7 +20,13 @@
   loop {
     let assignment = attempts.assign_next(&call).await?;
     let failure = match call.send(&assignment, None, call.time_left()).await {
-      Ok(response) => return Ok(build_response(call, attempts, assignment, response)),
+      Ok(response) if response.status() == StatusCode::OK => {
+        return Ok(build_response(call, attempts, assignment, response));
+      }
+      Ok(response) => {
+        let response = buffered::read_body(response, call.time_left()).await;
+        return response.ok_or_else(|| Refusal::unknown(Reason::TargetLost));
+      }
       Err(failure) => failure,
     };
     if !attempts.record_failure(&call, failure.outcome) {
@@ -38,10 +44,6 @@
   let is_framed = http::is_framed(response.headers());
   let (mut head, target_body) = response.into_parts();
   plain::strip_response(&mut head.headers);
-  let body = if head.status == StatusCode::OK {
-    Session::start(call, attempts.history, assignment, target_body, is_framed)
-  } else {
-    http::incoming(target_body)
-  };
+  let body = Session::start(call, attempts.history, assignment, target_body, is_framed);
   Response::from_parts(head, body)
 }
