Bound the bytes that may precede the head of a response

Interim responses without end kept a request until its deadline and a core busy: 36 MB were read in three seconds. More than 1 MiB before the head now ends the connection, and the buffer of a connection holds 64 KiB.

--- a/yuccarudder/src/upstream/pool.rs
+++ b/yuccarudder/src/upstream/pool.rs
@@ -27,6 +27,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 const LOAD_PATH: &str = "/v1/load";
 const MAX_IDLE_PER_ADDRESS: usize = 32;
+/// Size of the read buffer of a connection, and so the largest head of a response.
+const MAX_HEADER_BYTES: usize = 64 << 10;
 const MAX_REPORT_BYTES: u64 = 64 << 10;
 /// How long a report that the target is warm stays valid.
 const WARM_REPORT_LIFETIME: Duration = Duration::from_secs(1);
@@ -59,7 +61,8 @@
     socket::configure(&stream).map_err(|error| error.to_string())?;
     let send_guard = SendGuard::default();
     let io = TokioIo::new(GuardedStream::new(stream, send_guard.clone()));
-    let (sender, driver) = http1::handshake(io).await.map_err(|error| error.to_string())?;
+    let handshake = http1::Builder::new().max_buf_size(MAX_HEADER_BYTES).handshake(io);
+    let (sender, driver) = handshake.await.map_err(|error| error.to_string())?;
     tokio::spawn(driver);
     Ok(Connection {
       send_guard,
@@ -154,6 +157,7 @@
     let send_guard = connection.send_guard.clone();
     match response {
       Ok(response) => {
+        send_guard.record_head();
         if call.reusable {
           self.return_idle(call.address, connection);
         }
@@ -200,6 +204,7 @@
   connection.send_guard.arm(Box::new(|| Ok(())));
   let request = Request::get(LOAD_PATH).body(http::empty()).ok()?;
   let response = connection.sender.send_request(with_host_header(request, address)).await.ok()?;
+  connection.send_guard.record_head();
   let body = http::collect(response.into_body(), MAX_REPORT_BYTES).await?;
   connection.sender.ready().await.ok()?;
   serde_json::from_slice(&body).ok()
--- a/yuccarudder/src/upstream/send_guard.rs
+++ b/yuccarudder/src/upstream/send_guard.rs
@@ -5,19 +5,26 @@
     io,
     pin::Pin,
     sync::{Arc, Mutex, PoisonError},
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
   },
   tokio::io::{AsyncRead, AsyncWrite, ReadBuf},
 };
 
+/// Most bytes that may arrive before the head of a response, or before what follows it is read: far
+/// more than interim responses, a head and the buffer of the client take.
+const MAX_BYTES_BEFORE_HEAD: usize = 1 << 20;
+
 #[derive(Default)]
 struct State {
+  /// Bytes that may still arrive before the head of the response; `None` once it is there.
+  head_allowance: Option<usize>,
   refusal: Option<Refusal>,
   send_check: Option<SendCheck>,
   may_have_sent: bool,
 }
 
-/// A guard that runs the check of each request on one connection before its first write.
+/// A guard that runs the check of each request on one connection before its first write, and bounds
+/// the bytes before the head of its response.
 #[derive(Clone, Default)]
 pub struct SendGuard {
   state: Arc<Mutex<State>>,
@@ -27,12 +34,34 @@
   /// Sets the check for the next request.
   pub fn arm(&self, send_check: SendCheck) {
     *self.lock() = State {
+      head_allowance: Some(MAX_BYTES_BEFORE_HEAD),
       refusal: None,
       send_check: Some(send_check),
       may_have_sent: false,
     };
   }
 
+  /// Records that the head of the response has arrived.
+  pub fn record_head(&self) {
+    self.lock().head_allowance = None;
+  }
+
+  /// Records that bytes have arrived; fails when there are too many without a head.
+  fn record_read(&self, count: usize) -> io::Result<()> {
+    let mut state = self.lock();
+    let Some(allowance) = state.head_allowance else {
+      return Ok(());
+    };
+    let Some(left) = allowance.checked_sub(count) else {
+      return Err(io::Error::new(
+        io::ErrorKind::InvalidData,
+        "too many bytes without the head of a response",
+      ));
+    };
+    state.head_allowance = Some(left);
+    Ok(())
+  }
+
   /// Takes the refusal of the check, if it refused the request.
   pub fn take_refusal(&self) -> Option<Refusal> {
     self.lock().refusal.take()
@@ -69,7 +98,7 @@
   }
 }
 
-/// A stream that writes only what its guard permits.
+/// A stream that writes only what its guard permits, and ends if a response has no end of its head.
 pub struct GuardedStream<S> {
   send_guard: SendGuard,
   stream: S,
@@ -88,7 +117,9 @@
     cx: &mut Context<'_>,
     buffer: &mut ReadBuf<'_>,
   ) -> Poll<io::Result<()>> {
-    Pin::new(&mut self.stream).poll_read(cx, buffer)
+    let filled = buffer.filled().len();
+    ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+    Poll::Ready(self.send_guard.record_read(buffer.filled().len() - filled))
   }
 }
 
