Bound the events of engines of the own interface

An event without an end filled the memory of the host: the parser of events keeps what it has until the event ends. Test: event_without_end_loses_the_connection; with the bound taken out it did not end within 12 s.

--- a/yuccarudder/src/generation/engine.rs
+++ b/yuccarudder/src/generation/engine.rs
@@ -15,6 +15,9 @@
   tokio::time,
 };
 
+/// Maximum size of an event, which is larger than any that engines send. A stream without event ends
+/// therefore fails instead of filling the memory.
+const MAX_EVENT_BYTES: usize = 1 << 20;
 /// Timeout of each cancel request.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 const CANCEL_ATTEMPTS: u32 = 3;
@@ -24,11 +27,43 @@
   events: BoxStream<'static, Input>,
 }
 
+/// The position in a stream of server-sent events.
+#[derive(Default)]
+struct EventPosition {
+  /// Size of the event that has not ended yet.
+  event_bytes: usize,
+  /// Whether nothing has followed the last line end.
+  at_line_start: bool,
+}
+
+impl EventPosition {
+  /// Advances past bytes of the stream. A blank line ends an event.
+  fn advance(&mut self, bytes: &[u8]) {
+    for byte in bytes {
+      self.event_bytes += 1;
+      match byte {
+        b'\n' if self.at_line_start => self.event_bytes = 0,
+        b'\n' => self.at_line_start = true,
+        b'\r' => {}
+        _ => self.at_line_start = false,
+      }
+    }
+  }
+}
+
 impl EventStream {
-  fn new(body: Incoming) -> Self {
+  pub(super) fn new(body: Incoming) -> Self {
+    let mut position = EventPosition::default();
     let events = body
       .into_data_stream()
-      .map(|chunk| chunk.map_err(|error| Box::new(error) as BodyError))
+      .map(move |chunk| {
+        let chunk = chunk.map_err(|error| Box::new(error) as BodyError)?;
+        position.advance(&chunk);
+        if position.event_bytes > MAX_EVENT_BYTES {
+          return Err("an event exceeds the maximum size".into());
+        }
+        Ok::<_, BodyError>(chunk)
+      })
       .eventsource()
       .map(|event| match event {
         Ok(event) => {
--- a/yuccarudder/src/generation/tests.rs
+++ b/yuccarudder/src/generation/tests.rs
@@ -1,11 +1,18 @@
 use {
   super::*,
   crate::{
+    clock::Clock,
+    http,
     refusal::{Execution, Reason},
     tree::Tree,
+    upstream,
   },
   proptest::prelude::*,
   std::time::Duration,
+  tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+  },
   yare::parameterized,
 };
 
@@ -271,3 +278,30 @@
   let tampered = token.replacen('.', ".A", 1);
   assert_eq!(ReattachClaims::verify(&secrets, &tampered), None);
 }
+
+/// Guards against engines that fill the memory with an event that has no end.
+#[parameterized(
+  one_line = { "data" },
+  many_lines = { "data: x\n" },
+  carriage_returns = { "data: x\r\n" },
+)]
+#[test_macro(tokio::test)]
+async fn event_without_end_loses_the_connection(repeat: &'static str) {
+  let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+  let address = listener.local_addr().unwrap();
+  let sending = tokio::spawn(async move {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    assert!(stream.read(&mut [0; 4096]).await.unwrap() > 0);
+    let mut bytes = b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n".to_vec();
+    while stream.write_all(&bytes).await.is_ok() {
+      bytes = repeat.repeat(1_000).into_bytes();
+    }
+  });
+  let request = hyper::Request::get("/").body(http::empty()).unwrap();
+  let call = upstream::Call::new(address, Duration::from_secs(5), request);
+  let response = upstream::Pool::new(Clock::system()).send(call).await.unwrap();
+  let mut events = EventStream::new(response.into_body());
+  assert!(matches!(events.next().await, Input::ConnectionLost));
+  drop(events);
+  sending.await.unwrap();
+}
