--- a/yuccarudder/src/gateway/breaks.rs
+++ b/yuccarudder/src/gateway/breaks.rs
@@ -5,6 +5,7 @@
   super::{Gateway, assignment::Assignment, call::Call},
   crate::{
     member::{self, Heartbeat},
+    placement::Outcome,
     quarantine::{Ban, Crash, SOUND_AFTER, Verdict},
     refusal::{Reason, Refusal},
     roster::{Key, Status},
@@ -204,13 +205,17 @@
       },
       target: run.fingerprint,
     };
-    let is_known = self.lock().ledger.has_crashed(run.fingerprint);
-    let is_new = self.lock().ledger.record_crash(crash, true, now);
+    let (is_known, is_new) = {
+      let mut state = self.lock();
+      let is_known = state.ledger.has_crashed(run.fingerprint);
+      (is_known, state.ledger.record_crash(crash, true, now))
+    };
     if !is_known {
       self.instruments.target_crashes.inc();
       log::warn!(target: PREFIX, target:% = run.target; "A target crashed.");
     }
     if is_new {
+      self.record_outcome(run.key, Outcome::Crashed);
       self.judge_crashes();
       self.heartbeat_trigger.notify_one();
     }
@@ -241,15 +246,21 @@
     let bans: Vec<Ban> = heartbeat.bans.iter().map(|ban| ban.ban(now)).collect();
     let new_bans: Vec<Ban> =
       bans.into_iter().filter(|ban| state.ledger.merge_ban(ban.clone(), now)).collect();
-    let mut is_new = false;
+    let mut crashed = Vec::new();
     for crash in &heartbeat.crashes {
-      is_new |= state.ledger.record_crash(crash.crash(now), false, now);
+      if state.ledger.record_crash(crash.crash(now), false, now) {
+        let target = state.roster.all().find(|(_, target)| target.fingerprint == crash.target);
+        crashed.push(target.map(|(key, _)| key));
+      }
     }
     drop(state);
+    for key in crashed.iter().flatten() {
+      self.record_outcome(*key, Outcome::Crashed);
+    }
     for ban in &new_bans {
       log_ban(ban, "host", now);
     }
-    if is_new {
+    if !crashed.is_empty() {
       self.judge_crashes();
     }
   }
--- a/yuccarudder/src/placement/health.rs
+++ b/yuccarudder/src/placement/health.rs
@@ -19,6 +19,8 @@
 pub enum Outcome {
   /// The target responded, possibly by declining to run the request.
   Answered,
+  /// The process of the target ended, as this host or another one found.
+  Crashed,
   /// The target responded with an error, or no valid response arrived.
   Failed,
   /// The target could not be reached.
@@ -30,6 +32,7 @@
   pub fn name(self) -> &'static str {
     match self {
       Self::Answered => "answered",
+      Self::Crashed => "crashed",
       Self::Failed => "failed",
       Self::Unreachable => "unreachable",
     }
@@ -62,7 +65,8 @@
   /// Records a result; returns the duration of the ejection that it causes.
   ///
   /// An unreachable target is ejected at once, a failing one when its failure rate is too
-  /// high. Each ejection is twice as long as the one before, up to `MAX_EJECTION`.
+  /// high. Each ejection is twice as long as the one before, up to `MAX_EJECTION`, which is also
+  /// that of a crashed target: its entry lapses by then.
   pub fn record(&mut self, key: Key, outcome: Outcome, now: Instant) -> Option<Duration> {
     let record = self.records.entry(key)?.or_default();
     let is_failure = outcome != Outcome::Answered;
@@ -76,6 +80,10 @@
       }
       return None;
     }
+    if outcome == Outcome::Crashed {
+      record.ejected_until = Some(now + MAX_EJECTION);
+      return Some(MAX_EJECTION);
+    }
     if outcome != Outcome::Unreachable && record.failure_rate <= MAX_FAILURE_RATE {
       return None;
     }
--- a/yuccarudder/src/placement/tests.rs
+++ b/yuccarudder/src/placement/tests.rs
@@ -184,6 +184,19 @@
   assert!(!health.is_ejected(key, now + ejection));
 }
 
+/// Guards against hosts that each find out by themselves that a target crashed.
+#[test]
+fn crashed_target_is_ejected_until_its_entry_lapses() {
+  let key = keys(1)[0];
+  let now = Instant::now();
+  let mut health = Health::default();
+  health.record(key, Outcome::Answered, now);
+  let ejection = health.record(key, Outcome::Crashed, now).unwrap();
+  assert_eq!(ejection, Duration::from_secs(4));
+  assert!(health.is_ejected(key, now + ejection - Duration::from_millis(1)));
+  assert!(!health.is_ejected(key, now + ejection));
+}
+
 #[test]
 fn unreachable_target_is_ejected_at_once_and_longer_each_time() {
   let mut now = Instant::now();
