Do not take back the request that a copied run needs at its destination

A run that was to move to an engine with a request limit never did: the request set aside for it used up the host's share, the destination then counted as paused, and the copy was released and made again. Only a pause that the destination asked for cancels the move now.

--- a/yuccarudder/src/gateway/assignment.rs
+++ b/yuccarudder/src/gateway/assignment.rs
@@ -195,10 +195,15 @@
   /// may be sent there.
   pub fn reserve_planned(&self, destination: Key, run: Run) -> Option<Assignment> {
     self.check_parts().ok()?;
-    let is_accepting = self.gateway.lock().roster.is_accepting(destination);
-    if !is_accepting || self.gateway.is_paused(destination) {
+    let now = self.gateway.clock.now();
+    let since_boot = self.gateway.clock.since_boot();
+    let state = self.gateway.lock();
+    if !state.roster.is_accepting(destination)
+      || state.paused_until(destination, now, since_boot).is_some()
+    {
       return None;
     }
+    drop(state);
     let load = Load {
       transfer_tokens: run.cached_tokens,
       used_tokens: run.cached_tokens,
--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -295,10 +295,9 @@
     }
   }
 
-  /// Returns whether a target wants no request from this host now.
+  /// Returns whether a target has asked this host for a pause that has not ended.
   pub(super) fn is_paused(&self, key: Key) -> bool {
-    let now = self.clock.now();
-    self.lock().paused_until(key, now, self.clock.since_boot()).is_some()
+    self.lock().pauses.end(key, self.clock.now()).is_some()
   }
 
   /// Applies changed settings.
