Take unframed answers as sound once their target proves to be alive

An answer without length or chunks ends like one whose target crashes, so it did not clear the parts of its prompt, and was logged as broken off. The probe that follows it now decides. Also bounds the bans in a heartbeat, and skips the checks of requests while there is no ban.

--- a/yuccarudder/src/gateway/breaks.rs
+++ b/yuccarudder/src/gateway/breaks.rs
@@ -38,6 +38,9 @@
   ConnectionLost,
   /// The target sent nothing for some time.
   Silent,
+  /// The response ended with its connection, as it has neither a length nor chunks. That is its
+  /// whole if the target still runs.
+  UnframedEnd,
 }
 
 /// A run that ended without its whole response.
@@ -45,6 +48,7 @@
   address: SocketAddr,
   /// How long the target had been responding; `None` if it had not begun.
   answering: Option<Duration>,
+  answered_at: Option<Instant>,
   at: Instant,
   cause: Cause,
   fingerprint: u64,
@@ -72,6 +76,7 @@
     let now = self.gateway.clock.now();
     let run = Break {
       address: assignment.target.listing.address,
+      answered_at,
       answering: answered_at.map(|at| now.saturating_duration_since(at)),
       at: now,
       cause,
@@ -83,10 +88,17 @@
     };
     let gateway = self.gateway.clone();
     tokio::spawn(async move {
-      let crashed = gateway.has_crashed(&run).await;
-      run.log(crashed);
-      if crashed {
-        gateway.record_crash(run);
+      match (gateway.has_crashed(&run).await, run.cause, run.answered_at) {
+        (Some(false), Cause::UnframedEnd, Some(answered_at)) => {
+          let now = gateway.clock.now();
+          gateway.lock().ledger.record_sound(&run.parts, answered_at, now);
+        }
+        (crashed, ..) => {
+          run.log(crashed);
+          if crashed == Some(true) {
+            gateway.record_crash(run);
+          }
+        }
       }
     });
   }
@@ -114,6 +126,9 @@
     let now = self.gateway.clock.now();
     let since_boot = self.gateway.clock.since_boot();
     let mut state = self.gateway.lock();
+    if state.ledger.bans().next().is_none() {
+      return Ok(false);
+    }
     let conducts_trials = state.members.order(state.settings.weight, since_boot) == 0;
     match state.ledger.check(parts, conducts_trials, now) {
       Verdict::Allowed => Ok(false),
@@ -136,7 +151,7 @@
 }
 
 impl Break {
-  fn log(&self, crashed: bool) {
+  fn log(&self, crashed: Option<bool>) {
     log::info!(
       target: PREFIX, id = self.request_id.as_str(), target:% = self.target, parts:% = format_parts(&self.parts),
       answering_ms = self.answering.map(|time| time.as_millis() as u64), cause:? = self.cause, crashed;
@@ -152,22 +167,22 @@
 
 impl Gateway {
   /// Finds out whether the target of a run crashed: it was not leaving, and it refuses connections
-  /// or another process has taken its place.
-  async fn has_crashed(&self, run: &Break) -> bool {
+  /// or another process has taken its place. Returns `None` if that cannot be told.
+  async fn has_crashed(&self, run: &Break) -> Option<bool> {
     let is_leaving = {
       let state = self.lock();
       if state.ledger.has_crashed(run.fingerprint) {
-        return true;
+        return Some(true);
       }
       let status = state.roster.get(run.key).map(|target| target.status);
       matches!(status, Some(Status::Leaving | Status::Removed(_)))
     };
-    if is_leaving && run.cause == Cause::ConnectionLost {
-      return false;
+    if is_leaving && run.cause != Cause::Silent {
+      return None;
     }
     let listening = self.pool.is_listening(run.address, PROBE_TIMEOUT).await;
     if listening == Some(false) && !is_leaving {
-      return true;
+      return Some(true);
     }
     let polls = if listening.is_none() {
       REPLACEMENT_POLLS
@@ -176,11 +191,14 @@
     };
     for _ in 0..polls {
       if self.is_replaced(run) {
-        return true;
+        return Some(true);
       }
       time::sleep(REPLACEMENT_POLL).await;
     }
-    self.is_replaced(run)
+    if self.is_replaced(run) {
+      return Some(true);
+    }
+    listening.map(|_| false)
   }
 
   /// Returns whether another process serves at the address of a target that did not say it leaves.
--- a/yuccarudder/src/gateway/buffered.rs
+++ b/yuccarudder/src/gateway/buffered.rs
@@ -122,13 +122,12 @@
     Ok(response) => {
       let is_framed = http::is_framed(response.headers());
       let whole = read_body(response, remaining).await;
-      if whole.is_some() && is_framed {
-        call.report_sound(answered_at);
+      match whole {
+        Some(_) if is_framed => call.report_sound(answered_at),
+        Some(_) => call.report_break(assignment, Some(answered_at), Cause::UnframedEnd),
+        None => call.report_break(assignment, Some(answered_at), Cause::ConnectionLost),
       }
-      whole.ok_or_else(|| {
-        call.report_break(assignment, Some(answered_at), Cause::ConnectionLost);
-        Outcome::Lost.into()
-      })
+      whole.ok_or_else(|| Outcome::Lost.into())
     }
     Err(sending::Failure { outcome, response }) => {
       let response = match response {
--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -26,7 +26,8 @@
 const ANNOUNCEMENT_PERIOD: Duration = Duration::from_millis(2500);
 /// Maximum number of targets that a heartbeat announces, so that it fits into one packet.
 const MAX_ANNOUNCEMENTS: usize = 12;
-/// Maximum numbers of crashes and of sound answers in a heartbeat, so that it fits into one packet.
+/// Maximum numbers of bans, crashes and sound answers in a heartbeat, so that it fits into one packet.
+const MAX_BANS: usize = 12;
 const MAX_CRASHES: usize = 8;
 const MAX_SOUNDS: usize = 16;
 /// Maximum number of limits of targets in a heartbeat.
@@ -108,7 +109,7 @@
     } else {
       Vec::new()
     },
-    bans: state.ledger.bans().map(|ban| member::Ban::new(ban, clock_now)).collect(),
+    bans: bans(&state.ledger, clock_now),
     callers: state.settings.callers.to_string(),
     catalog_age_ms: age.map(|age| milliseconds(age) + 1),
     catalog_version: state.catalog_version(),
@@ -157,6 +158,15 @@
   changed.into_iter().map(member::Announcement::from).collect()
 }
 
+/// Returns the bans, or a random part of them if there are many.
+fn bans(ledger: &Ledger, now: Instant) -> Vec<member::Ban> {
+  let mut bans: Vec<_> = ledger.bans().collect();
+  while bans.len() > MAX_BANS {
+    bans.swap_remove(rand::random_range(0..bans.len()));
+  }
+  bans.into_iter().map(|ban| member::Ban::new(ban, now)).collect()
+}
+
 /// Returns the newest crashes that this host announces.
 fn crashes(ledger: &Ledger, now: Instant) -> Vec<member::Crash> {
   let crashes = ledger.announced_crashes(now).take(MAX_CRASHES);
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -221,12 +221,7 @@
         if self.is_framed {
           self.call.report_sound(self.answered_at);
         } else {
-          // The end of such a response may also be that of its target.
-          self.call.report_break(
-            &self.assignment,
-            Some(self.answered_at),
-            Cause::ConnectionLost,
-          );
+          self.call.report_break(&self.assignment, Some(self.answered_at), Cause::UnframedEnd);
         }
         Some(End::Complete)
       }
