Judge crashes five times a second, two heartbeats after the first

In a fleet of hundreds of hosts a ban could come four seconds after the first crash: three heartbeats of a second, judged with the next one. Requests with the part went on for that time.

--- a/yuccarudder/src/gateway/breaks.rs
+++ b/yuccarudder/src/gateway/breaks.rs
@@ -23,8 +23,11 @@
 /// packet delays a connection by a second.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Heartbeats after which the other hosts have reported the sound answers of a suspected part: they
-/// first learn of the crash, then answer; one of either may be lost.
-const NEWS_HEARTBEATS: u32 = 3;
+/// first learn of the crash, then answer.
+const NEWS_HEARTBEATS: u32 = 2;
+/// Interval at which known crashes are judged again, as parts become suspicious by the time without
+/// a sound answer.
+const JUDGE_INTERVAL: Duration = Duration::from_millis(200);
 /// Time without progress after which a target counts as silent; longer than a sound pause.
 pub(super) const SILENCE: Duration = Duration::from_secs(2);
 /// Interval and number of checks whether a silent target was replaced by another process.
@@ -239,6 +242,14 @@
     }
   }
 
+  /// Judges the known crashes at intervals until the task is dropped.
+  pub(super) async fn keep_judging_crashes(&self) {
+    loop {
+      time::sleep(JUDGE_INTERVAL).await;
+      self.judge_crashes();
+    }
+  }
+
   /// Bans the prompt parts that crash targets.
   pub(super) fn judge_crashes(&self) {
     let now = self.clock.now();
--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -39,7 +39,8 @@
 
 type Sender = SplitSink<UdpFramed<Codec>, (Bytes, SocketAddr)>;
 
-/// Exchanges heartbeats with the other hosts until the task is dropped.
+/// Exchanges heartbeats with the other hosts, and judges what they tell of crashes, until the task is
+/// dropped.
 pub async fn run(gateway: Gateway, socket: UdpSocket) {
   let (mut sender, mut receiver) = UdpFramed::new(socket, Codec).split();
   let receiving = async {
@@ -59,7 +60,6 @@
     let mut sequence = 0;
     loop {
       gateway.expire_targets();
-      gateway.judge_crashes();
       sequence += 1;
       let hosts = send(&gateway, &mut sender, sequence).await;
       let min_pause = member::min_heartbeat_interval(hosts);
@@ -69,7 +69,7 @@
       let _ = time::timeout(max_pause, gateway.heartbeat_trigger.notified()).await;
     }
   };
-  tokio::join!(receiving, sending);
+  tokio::join!(receiving, sending, gateway.keep_judging_crashes());
 }
 
 /// Sends a heartbeat to every known host; returns the number of hosts.
--- a/yuccarudder/src/quarantine/ledger.rs
+++ b/yuccarudder/src/quarantine/ledger.rs
@@ -194,6 +194,9 @@
     self.crashes.retain(|record| is_kept(record.crash.at, CRASH_RETENTION));
     self.bans.retain(|record| is_kept(record.ban.last_crash, BAN_RETENTION));
     let mut new_bans = Vec::new();
+    if self.crashes.is_empty() {
+      return new_bans;
+    }
     while let Some(ban) = self.find_culprit(news_delay, now) {
       if !self.insert_ban(ban.clone()) {
         break;
--- a/yuccarudder/src/quarantine/tests.rs
+++ b/yuccarudder/src/quarantine/tests.rs
@@ -18,6 +18,8 @@
 const STEP: Duration = Duration::from_millis(10);
 /// Time from the arrival of a request at a target until the target begins to answer.
 const PREFILL: Duration = Duration::from_millis(300);
+/// Steps from one judgement of the crashes to the next.
+const JUDGE_STEPS: usize = 20;
 /// Requests with a fatal part in a second, over all hosts.
 const BAD_RATE: f64 = 3.0;
 const DOWN: Duration = Duration::from_secs(3);
@@ -450,10 +452,12 @@
     let steps = (interval.as_millis() / STEP.as_millis()) as usize;
     let step = (self.elapsed().as_millis() / STEP.as_millis()) as usize;
     for host in 0..self.hosts.len() {
+      if (step + host).is_multiple_of(JUDGE_STEPS) {
+        self.hosts[host].judge(interval * 2, now);
+      }
       if !(step + host).is_multiple_of(steps) {
         continue;
       }
-      self.hosts[host].judge(interval * 3, now);
       let ledger = &self.hosts[host];
       let crashes = ledger.announced_crashes(now).take(8).cloned().map(News::Crash);
       let mut sounds: Vec<Sound> = ledger.announced_sounds(now).collect();
