Do not take a resumed stream for whole before it has an event of its own

A stream that was resumed at an engine whose response has neither a length nor chunks, and that ended before any event, was taken as whole because of the events of the earlier run: an engine that crashes there cut its caller's stream unseen.

--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -70,6 +70,8 @@
   call: Call,
   chunk_sender: mpsc::Sender<Result<Bytes, BodyError>>,
   cursor: Cursor,
+  /// Number of events of the runs before the current one.
+  earlier_events: u64,
   /// Whether the current response has a length or chunks, so that its end is told from a broken
   /// connection.
   is_framed: bool,
@@ -100,6 +102,7 @@
       cursor: Cursor::new(call.metadata.last_event_id),
       call,
       chunk_sender,
+      earlier_events: 0,
       is_framed,
       is_sound: false,
       target_body: Some(target_body),
@@ -246,7 +249,8 @@
   ///
   /// A response that is not framed ends in the same way if its target crashes.
   fn is_whole(&self) -> bool {
-    !self.cursor.has_partial_event() && (self.is_framed || self.cursor.event_count() > 0)
+    let has_events = self.cursor.event_count() > self.earlier_events;
+    !self.cursor.has_partial_event() && (self.is_framed || has_events)
   }
 
   /// Sends the complete events in a chunk of the response body to the caller.
@@ -425,6 +429,7 @@
 
   /// Continues the stream with the response of another run.
   fn relay_from(&mut self, assignment: Assignment, response: Response<Incoming>) {
+    self.earlier_events = self.cursor.event_count();
     self.is_framed = http::is_framed(response.headers());
     self.is_sound = false;
     self.answered_at = self.call.gateway.clock.now();
