Resume a stream only from a response that is an event stream

Cause: a resumed run was relayed after any 2xx, while a first run is only after 200, so an engine that answered the resume with 202 and no body made a stream look complete that had been cut. One function now answers the question for all three.

--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -4,6 +4,7 @@
     breaks::{Cause, SILENCE},
     call::Call,
     migration::{self, Migration, Step},
+    stream,
     timing::Timing,
   },
   crate::{
@@ -19,7 +20,7 @@
     routing::Engine,
   },
   bytes::Bytes,
-  futures::{future, stream},
+  futures::future,
   http_body_util::{BodyExt, StreamBody},
   hyper::{
     Response,
@@ -113,7 +114,7 @@
       history,
     };
     tokio::spawn(session.run());
-    let chunks = stream::poll_fn(move |cx| chunk_receiver.poll_recv(cx));
+    let chunks = futures::stream::poll_fn(move |cx| chunk_receiver.poll_recv(cx));
     StreamBody::new(futures::StreamExt::map(chunks, |chunk| {
       chunk.map(Frame::data)
     }))
@@ -414,7 +415,7 @@
     };
     let timeout = RESUME_TIMEOUT.min(self.call.time_left());
     match self.call.send(&destination, Some(&resume), timeout).await {
-      Ok(response) if response.status().is_success() => {
+      Ok(response) if stream::has_events(&response) => {
         self.migrations += 1;
         self.count_migration_step("continued");
         self.relay_from(destination, response);
@@ -456,7 +457,7 @@
       last_event_id: self.cursor.last_event_id(),
     };
     match self.call.send(&assignment, Some(&resume), self.call.time_left()).await {
-      Ok(response) if response.status().is_success() => {
+      Ok(response) if stream::has_events(&response) => {
         self.relay_from(assignment, response);
         None
       }
--- a/yuccarudder/src/gateway/stream.rs
+++ b/yuccarudder/src/gateway/stream.rs
@@ -20,7 +20,7 @@
   loop {
     let assignment = attempts.assign_next(&call).await?;
     let failure = match call.send(&assignment, None, call.time_left()).await {
-      Ok(response) if response.status() == StatusCode::OK => {
+      Ok(response) if has_events(&response) => {
         return Ok(build_response(call, attempts, assignment, response));
       }
       Ok(response) => {
@@ -35,6 +35,11 @@
   }
 }
 
+/// Returns whether the body of a response is the event stream that was asked for.
+pub(super) fn has_events(response: &Response<Incoming>) -> bool {
+  response.status() == StatusCode::OK
+}
+
 fn build_response(
   call: Call,
   attempts: Attempts,
