Handle copies that are not used in one branch

A copy that failed and a copy at a destination that wants no requests led to the same two answers, written twice; the reservation at the destination is now given back before another target is looked for.

--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -379,23 +379,21 @@
       Err(Failure::NoRoom(_)) => "no_room",
       Err(_) => "failed",
     });
-    match result {
-      Ok(copied) if self.call.gateway.is_paused(destination.key) => {
-        self.release_copy(copied);
-        if broken {
-          return self.recover().await;
-        }
-        self.migration.retry(&self.call);
-        None
-      }
-      Ok(copied) => self.resume_from_copy(copied, destination).await,
-      Err(_) if broken => self.recover().await,
-      Err(_) => {
-        drop(destination);
-        self.migration.retry(&self.call);
-        None
+    let unused_copy = match result {
+      Ok(copied) if !self.call.gateway.is_paused(destination.key) => {
+        return self.resume_from_copy(copied, destination).await;
       }
+      result => result.ok(),
+    };
+    drop(destination);
+    if let Some(copied) = unused_copy {
+      self.release_copy(copied);
+    }
+    if broken {
+      return self.recover().await;
     }
+    self.migration.retry(&self.call);
+    None
   }
 
   /// Resumes the run at the destination, which holds the copy.
