--- a/yuccarudder/src/gateway/updates.rs
+++ b/yuccarudder/src/gateway/updates.rs
@@ -223,10 +223,9 @@
     if !role.polls_engines(is_failing, silence) {
       return Vec::new();
     }
-    let since_boot = self.clock.since_boot();
     let engines = state.roster.all().filter(|(key, target)| {
       state.roster.is_accepting(*key)
-        && state.paused_until(*key, now, since_boot).is_none()
+        && state.pauses.end(*key, now).is_none()
         && catalog.can_relocate(&target.listing.service)
     });
     let engines: Vec<_> = engines.map(|(key, target)| (key, target.listing.address)).collect();
