Find the entries of a process by one method of the roster

Crashes and limits that other hosts report each searched the roster. The first took the first match only: of a process whose entry was removed and came back that may be the removed one, so that this host went on to send to it until it noticed by itself. Roster, quarantine and gateway tests pass, one is new.

--- a/yuccarudder/src/gateway/breaks.rs
+++ b/yuccarudder/src/gateway/breaks.rs
@@ -275,21 +275,22 @@
     let bans: Vec<Ban> = heartbeat.bans.iter().map(|ban| ban.ban(now)).collect();
     let new_bans: Vec<Ban> =
       bans.into_iter().filter(|ban| state.ledger.merge_ban(ban.clone(), now)).collect();
+    let mut has_news = false;
     let mut crashed = Vec::new();
     for crash in &heartbeat.crashes {
       if state.ledger.record_crash(crash.crash(now), false, now) {
-        let target = state.roster.all().find(|(_, target)| target.fingerprint == crash.target);
-        crashed.push(target.map(|(key, _)| key));
+        has_news = true;
+        crashed.extend(state.roster.keys_of(crash.target));
       }
     }
     drop(state);
-    for key in crashed.iter().flatten() {
-      self.record_outcome(*key, Outcome::Crashed);
+    for key in crashed {
+      self.record_outcome(key, Outcome::Crashed);
     }
     for ban in &new_bans {
       log_ban(ban, "host", now);
     }
-    if !crashed.is_empty() {
+    if has_news {
       self.judge_crashes();
     }
   }
--- a/yuccarudder/src/gateway/limits.rs
+++ b/yuccarudder/src/gateway/limits.rs
@@ -42,10 +42,7 @@
     }
     let mut state = self.lock();
     for limit in &heartbeat.limits {
-      let targets = state.roster.all();
-      let key =
-        targets.filter(|(_, target)| target.fingerprint == limit.target).map(|(key, _)| key);
-      let keys: Vec<Key> = key.collect();
+      let keys: Vec<Key> = state.roster.keys_of(limit.target).collect();
       for key in keys {
         state.rate_limits.record(key, limit.statement(now), false, now);
       }
--- a/yuccarudder/src/roster/roster.rs
+++ b/yuccarudder/src/roster/roster.rs
@@ -249,6 +249,12 @@
     self.targets.get(key).is_some_and(|target| self.accepts_requests(target))
   }
 
+  /// Returns the keys of a process; a process whose entry was removed and came back has several.
+  pub fn keys_of(&self, fingerprint: u64) -> impl Iterator<Item = Key> {
+    let targets = self.targets.iter();
+    targets.filter(move |(_, target)| target.fingerprint == fingerprint).map(|(key, _)| key)
+  }
+
   /// Records that another host reports a leaving process; returns its key if that is
   /// new.
   pub fn merge_departure(&mut self, departure: &Departure, now: Instant) -> Option<Key> {
--- a/yuccarudder/src/roster/tests.rs
+++ b/yuccarudder/src/roster/tests.rs
@@ -513,3 +513,18 @@
   };
   assert_eq!((changed(2_000), changed(2_001)), (1, 0));
 }
+
+#[test]
+fn process_that_was_removed_and_came_back_has_all_its_keys() {
+  let mut fixture = Fixture::new();
+  let fingerprint = fixture.roster.get(fixture.key()).unwrap().fingerprint;
+  fixture.roster.expire("a", version(2), false, fixture.now);
+  let key = fixture.put(3, available(7));
+  assert_eq!(key, None);
+  let keys: Vec<Key> = fixture.roster.keys_of(fingerprint).collect();
+  assert_eq!(keys.len(), 2);
+  assert_eq!(
+    keys.iter().filter(|key| fixture.roster.is_accepting(**key)).count(),
+    1
+  );
+}
