--- a/yuccarudder/src/quarantine/ledger.rs
+++ b/yuccarudder/src/quarantine/ledger.rs
@@ -1,5 +1,9 @@
 use {
-  super::{Ban, Crash, Sound, ban},
+  super::{
+    Ban, Crash, Sound, ban,
+    evidence::Evidence,
+    suspect::{MIN_CRASHES_OF_NEW_PART, Suspect},
+  },
   std::{
     collections::{BTreeMap, HashMap, HashSet, VecDeque},
     time::{Duration, Instant},
@@ -11,8 +15,6 @@
 pub const SOUND_AFTER: Duration = Duration::from_millis(300);
 /// Crashes closer to each other than this may have one cause, such as the loss of a rack.
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(150);
-/// Crashes after which a part is banned that no target has ever answered soundly.
-const MIN_CRASHES_OF_NEW_PART: usize = 3;
 /// Crashes after which a part is banned that was answered soundly before.
 const MIN_CRASHES: usize = 5;
 /// Minimum time without a sound answer for a part that was answered soundly before; sound answers
@@ -79,59 +81,6 @@
   own: bool,
 }
 
-/// The crashes under one part.
-#[derive(Clone, Debug, Default)]
-struct Evidence {
-  /// When each target crashed.
-  targets: BTreeMap<u64, Instant>,
-  /// Targets whose crash no ban covers.
-  uncovered: HashSet<u64>,
-}
-
-impl Evidence {
-  /// Returns the number of crashes that the part explains, of those that are `counted`.
-  ///
-  /// Crashes at the same time count once if one of them was not under the part, since that one had
-  /// a cause that the others may share.
-  fn count(&self, groups: &[Vec<u64>], counted: impl Fn(u64) -> bool) -> usize {
-    let count_group = |group: &Vec<u64>| {
-      let under_part = group.iter().filter(|target| self.targets.contains_key(target));
-      let all = under_part.clone().count() == group.len();
-      let counted = under_part.filter(|target| counted(**target)).count();
-      if all { counted } else { counted.min(1) }
-    };
-    groups.iter().map(count_group).sum()
-  }
-
-  fn first(&self) -> Option<Instant> {
-    self.targets.values().min().copied()
-  }
-}
-
-/// A part that may be to blame for crashes.
-struct Suspect<'a> {
-  /// Number of crashes that it explains.
-  crashes: usize,
-  evidence: &'a Evidence,
-  groups: &'a [Vec<u64>],
-  /// Whether no target is known to have answered it soundly.
-  is_new: bool,
-  part: u64,
-}
-
-impl Suspect<'_> {
-  /// Returns whether this part is the likelier cause of the crashes that both explain: it is under
-  /// more of them, or occurs only together with the other one, which many sound requests have.
-  fn explains_better(&self, other: &Self) -> bool {
-    let targets = &self.evidence.targets;
-    let is_narrower = targets.len() < other.evidence.targets.len()
-      && targets.keys().all(|target| other.evidence.targets.contains_key(target));
-    self.crashes >= MIN_CRASHES_OF_NEW_PART
-      && (self.is_new || !other.is_new)
-      && (self.crashes > other.crashes || is_narrower)
-  }
-}
-
 /// The crashes, sound answers and bans that a host knows.
 #[derive(Clone, Debug)]
 pub struct Ledger {
--- a/yuccarudder/src/quarantine/mod.rs
+++ b/yuccarudder/src/quarantine/mod.rs
@@ -8,8 +8,10 @@
 
 mod ban;
 mod crash;
+mod evidence;
 mod ledger;
 mod sound;
+mod suspect;
 
 pub use ban::Ban;
 pub use crash::Crash;
