Spread the lists of the targets over the fleet

Hosts whose targets match those of a reader listed them every ten seconds, all together, as hosts often start together: 28 lists a second at 295 hosts. They now take turns, about 3 a second whatever the size. Digests still show missed news within 1.5 s.

The cases that held hosts of a fleet of 300 to ten seconds encoded the old interval; in their place stand tests of whole fleets of 6 to 1,000 hosts, with bounds on the rate, on one second and on the gap of each host.

--- a/yuccarudder/src/reader/role.rs
+++ b/yuccarudder/src/reader/role.rs
@@ -29,8 +29,12 @@
 /// Time within which the readers have told the other hosts of a changed target, unless their
 /// heartbeats were lost.
 const NEWS_DELAY: Duration = Duration::from_millis(1500);
-/// Age at which another host lists the targets again although they match those of a reader.
-const MAX_LIST_AGE: Duration = Duration::from_secs(10);
+/// Mean age at which another host of a small fleet lists the targets again although they match
+/// those of a reader.
+const LIST_AGE: Duration = Duration::from_secs(10);
+/// Mean time between two such lists of all hosts together, so that their number does not grow with
+/// the fleet.
+const FLEET_LIST_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Position of a host among those that may read the platform for the others.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -116,6 +120,16 @@
     self.rank < TARGET_READER_PAUSES.len()
   }
 
+  /// Returns the age at which a host lists the targets again although they match those of a reader.
+  ///
+  /// It differs between the hosts, so that those that started together do not list them together.
+  fn max_list_age(&self) -> Duration {
+    let hosts = u32::try_from(self.hosts.max(1)).unwrap_or(u32::MAX);
+    let mean = LIST_AGE.max(FLEET_LIST_INTERVAL.saturating_mul(hosts));
+    let position = self.order.min(self.hosts) as f64 / f64::from(hosts);
+    mean.mul_f64(0.5 + position)
+  }
+
   /// Returns how a host with the given copies of the documents reads an area.
   pub fn mode(&self, area: Area, copies: &Copies) -> Mode {
     match area {
@@ -128,7 +142,9 @@
         Some(pause) => Mode::Watch(*pause),
         None => match copies.targets_age {
           None => Mode::Watch(POLL_PAUSE),
-          Some(age) if age < MAX_LIST_AGE && !copies.have_missed_news() => Mode::Idle(IDLE_PAUSE),
+          Some(age) if age < self.max_list_age() && !copies.have_missed_news() => {
+            Mode::Idle(IDLE_PAUSE)
+          }
           Some(_) => Mode::Poll(POLL_PAUSE),
         },
       },
--- a/yuccarudder/src/reader/tests.rs
+++ b/yuccarudder/src/reader/tests.rs
@@ -211,10 +211,10 @@
   };
 }
 
-lists_targets!(matching_targets_are_not_listed, 9_999, None, Mode::Idle(_));
+lists_targets!(matching_targets_are_not_listed, 45_000, None, Mode::Idle(_));
 lists_targets!(
   matching_targets_are_listed_from_time_to_time,
-  10_000,
+  135_000,
   None,
   Mode::Poll(_)
 );
@@ -240,3 +240,79 @@
     (0..300).map(|order| 1.0 / failing(order).max_backoff().as_secs_f64()).sum();
   assert!(calls_per_s < 25.0, "{calls_per_s}");
 }
+
+/// Lists of the targets in a fleet whose hosts started together and whose targets match those of
+/// the readers.
+struct SettledFleet {
+  /// Number of lists by all hosts in each second.
+  per_second: Vec<usize>,
+  /// Longest time between two lists of one host.
+  longest_gap: Duration,
+}
+
+impl SettledFleet {
+  fn simulate(hosts: usize) -> Self {
+    let duration = ms(300_000);
+    let mut per_second = vec![0; 300];
+    let mut longest_gap = Duration::ZERO;
+    for order in 2..hosts {
+      let role = Role {
+        hosts,
+        order,
+        rank: order,
+      };
+      let mut listed_at = Duration::ZERO;
+      let mut now = Duration::ZERO;
+      while now < duration {
+        let copies = Copies {
+          catalog_age: Some(Duration::ZERO),
+          targets_age: Some(now - listed_at),
+          targets_differ_for: None,
+        };
+        match role.mode(Area::Targets, &copies) {
+          Mode::Poll(_) => {
+            per_second[now.as_secs() as usize] += 1;
+            longest_gap = longest_gap.max(now - listed_at);
+            listed_at = now;
+          }
+          Mode::Idle(pause) => now += pause,
+          Mode::Watch(_) => panic!("host {order} of {hosts} watches the targets"),
+        }
+      }
+    }
+    Self {
+      per_second,
+      longest_gap,
+    }
+  }
+}
+
+/// Largest number of lists of the targets by all hosts of a settled fleet in one second, and on the
+/// mean.
+const MAX_LISTS: usize = 8;
+const MAX_MEAN_LISTS: f64 = 4.0;
+
+/// Tests the lists of the targets in a settled fleet of a size, given the longest time in seconds
+/// without one on a host.
+macro_rules! settled_fleets {
+  ($name:ident, $hosts:expr, $gap:expr) => {
+    #[test]
+    fn $name() {
+      let fleet = SettledFleet::simulate($hosts);
+      let mean = fleet.per_second.iter().sum::<usize>() as f64 / 300.0;
+      let most = *fleet.per_second.iter().max().unwrap();
+      assert!(mean <= MAX_MEAN_LISTS, "{mean} a second");
+      assert!(most <= MAX_LISTS, "{most} in one second");
+      assert!(
+        fleet.longest_gap <= ms($gap * 1_000),
+        "{:?}",
+        fleet.longest_gap
+      );
+    }
+  };
+}
+
+settled_fleets!(lists_of_six_hosts, 6, 15);
+settled_fleets!(lists_of_75_hosts, 75, 35);
+settled_fleets!(lists_of_295_hosts, 295, 135);
+settled_fleets!(lists_of_1000_hosts, 1000, 451);
