--- a/yuccarudder/src/member/table.rs
+++ b/yuccarudder/src/member/table.rs
@@ -16,6 +16,9 @@
 /// Time after its first heartbeat within which a process hears from the other hosts, if there
 /// are any: several heartbeat intervals of a small fleet.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time after its first heartbeat within which a process of a large fleet hears from most of the
+/// other hosts.
+const DISCOVERY_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Members listed in a heartbeat while the fleet changes.
 const MEMBERS_WHILE_CHANGING: usize = 8;
 /// Members listed in a heartbeat of a stable fleet.
@@ -248,9 +251,10 @@
   ///
   /// Hosts that read the platform without failures precede this one if they have more capacity;
   /// a tie goes to the lower address. While no other host reads it, all live hosts are
-  /// considered. A process that has yet to hear from the others comes last.
+  /// considered. A process that has just started comes last, as it knows few of the others yet and
+  /// would take itself for one of the first.
   pub fn rank(&self, weight: u32, now: Duration) -> usize {
-    if self.is_joining(now) {
+    if self.knows_few(now) {
       return usize::MAX;
     }
     let none_reads = !self.live(now).any(|(_, member)| member.reads_platform);
@@ -300,9 +304,21 @@
 
   /// Returns whether the process has just started and heard from no other host yet.
   fn is_joining(&self, now: Duration) -> bool {
+    self.members.is_empty() && self.has_started_within(JOIN_TIMEOUT, now)
+  }
+
+  /// Returns whether the process has just started and may have heard from few of the other hosts.
+  fn knows_few(&self, now: Duration) -> bool {
+    let awaits_others = !self.candidates.is_empty();
+    self.has_started_within(JOIN_TIMEOUT, now)
+      || (awaits_others && self.has_started_within(DISCOVERY_TIMEOUT, now))
+  }
+
+  /// Returns whether there are other hosts to hear from and the first heartbeat was sent less than
+  /// `time` ago.
+  fn has_started_within(&self, time: Duration, now: Duration) -> bool {
     let has_seeds = self.seeds.iter().any(|seed| *seed != self.own_address);
-    let is_starting = self.first_sent.is_none_or(|at| now.saturating_sub(at) < JOIN_TIMEOUT);
-    self.members.is_empty() && has_seeds && is_starting
+    has_seeds && self.first_sent.is_none_or(|at| now.saturating_sub(at) < time)
   }
 
   /// Records that a round of heartbeats was sent.
