Repeat calls at the hosts that are listed by then

Cause of the known red graceful_shutdowns_under_load_refuse_and_interrupt_nothing: the client took the list of hosts once for all sends of a call, and went on with it after it had expired.

--- a/yuccarudder/src/caller/client.rs
+++ b/yuccarudder/src/caller/client.rs
@@ -89,17 +89,28 @@
         "no host gave a ticket",
       ));
     }
-    let attempts = answer.entries.iter().cycle().take(MAX_SENDS);
+    let mut entries = answer.entries;
     let mut last_failure = no_entry();
     let mut ran = Execution::NotRun;
-    for entry in attempts {
+    for attempt in 0..MAX_SENDS {
+      // The ticket stays, as it identifies the key; the hosts may have changed since.
+      if attempt > 0
+        && let Ok(current) = self.entries().await
+      {
+        entries = current.entries;
+      }
+      let Some(entry) = entries.get(attempt % entries.len().max(1)) else {
+        break;
+      };
       let result = self.send_call(*entry, call, answer.ticket.as_deref()).await;
       let failure = match result {
         Ok(reply) => return Ok(reply),
         Err(failure) => failure,
       };
       // An unreachable host says nothing about whether an earlier send of the call ran.
-      if failure.code != UNREACHABLE {
+      if failure.code == UNREACHABLE {
+        self.invalidate_entries();
+      } else {
         ran = failure.ran;
       }
       let retry = match failure.ran {
