--- a/yuccarudder/src/quarantine/evidence.rs
+++ b/yuccarudder/src/quarantine/evidence.rs
@@ -27,6 +27,7 @@
     groups.iter().map(count_group).sum()
   }
 
+  /// Returns when the first target crashed.
   pub fn first(&self) -> Option<Instant> {
     self.targets.values().min().copied()
   }
