Draw random parts of a heartbeat by one function

Announcements, bans, sound answers and members each had the loop of random_subset; it is generic now. The heartbeat is built for one time instead of reading the clock four times.

--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -105,7 +105,7 @@
   let age = state.freshness.age(now);
   let heartbeat = Heartbeat {
     announcements: if reads_targets {
-      announcements(&state.roster, gateway.clock.now())
+      announcements(&state.roster, clock_now)
     } else {
       Vec::new()
     },
@@ -121,24 +121,20 @@
     operator_era: state.operator_version.era,
     operator_revision: state.operator_version.revision,
     incarnation: state.members.incarnation(),
-    leaving: state
-      .roster
-      .departures(relay_time, gateway.clock.now())
-      .map(member::Leaving::from)
-      .collect(),
+    leaving: state.roster.departures(relay_time, clock_now).map(member::Leaving::from).collect(),
     limits: limits(&state, clock_now),
     loads: loads.into_iter().map(|(target, load)| member::Load::new(target, load)).collect(),
-    members: random_subset(
-      state.members.live(now).map(|(address, _)| address),
-      max_members,
-    ),
+    members: random_subset(state.members.live(now), max_members)
+      .into_iter()
+      .map(|(address, _)| address.to_string())
+      .collect(),
     phase: phase.number(),
     reads: state.reads_platform(),
     restore_age_ms: state.era.restore_age(now).map(milliseconds),
     sender: state.settings.peers.to_string(),
     sequence,
     sounds: sounds(&state.ledger, clock_now),
-    targets_digest: reads_targets.then(|| state.roster.digest(gateway.clock.now())),
+    targets_digest: reads_targets.then(|| state.roster.digest(clock_now)),
     weight: state.settings.weight,
   };
   drop(state);
@@ -151,19 +147,13 @@
 
 /// Returns the recently changed targets, or a random part of them if there are many.
 fn announcements(roster: &Roster, now: Instant) -> Vec<member::Announcement> {
-  let mut changed: Vec<_> = roster.changed(ANNOUNCEMENT_PERIOD, now).collect();
-  while changed.len() > MAX_ANNOUNCEMENTS {
-    changed.swap_remove(rand::random_range(0..changed.len()));
-  }
+  let changed = random_subset(roster.changed(ANNOUNCEMENT_PERIOD, now), MAX_ANNOUNCEMENTS);
   changed.into_iter().map(member::Announcement::from).collect()
 }
 
 /// Returns the bans, or a random part of them if there are many.
 fn bans(ledger: &Ledger, now: Instant) -> Vec<member::Ban> {
-  let mut bans: Vec<_> = ledger.bans().collect();
-  while bans.len() > MAX_BANS {
-    bans.swap_remove(rand::random_range(0..bans.len()));
-  }
+  let bans = random_subset(ledger.bans(), MAX_BANS);
   bans.into_iter().map(|ban| member::Ban::new(ban, now)).collect()
 }
 
@@ -185,20 +175,17 @@
 
 /// Returns the sound answers that this host announces, or a random part of them if there are many.
 fn sounds(ledger: &Ledger, now: Instant) -> Vec<member::Sound> {
-  let mut sounds: Vec<_> = ledger.announced_sounds(now).collect();
-  while sounds.len() > MAX_SOUNDS {
-    sounds.swap_remove(rand::random_range(0..sounds.len()));
-  }
+  let sounds = random_subset(ledger.announced_sounds(now), MAX_SOUNDS);
   sounds.into_iter().map(|sound| member::Sound::new(sound, now)).collect()
 }
 
-/// Returns `count` randomly chosen hosts, or all if there are fewer.
-fn random_subset(hosts: impl Iterator<Item = SocketAddr>, count: usize) -> Vec<String> {
-  let mut hosts: Vec<SocketAddr> = hosts.collect();
-  while hosts.len() > count {
-    hosts.swap_remove(rand::random_range(0..hosts.len()));
+/// Returns `count` randomly chosen items, or all if there are fewer.
+fn random_subset<T>(items: impl Iterator<Item = T>, count: usize) -> Vec<T> {
+  let mut items: Vec<T> = items.collect();
+  while items.len() > count {
+    items.swap_remove(rand::random_range(0..items.len()));
   }
-  hosts.into_iter().map(|host| host.to_string()).collect()
+  items
 }
 
 /// Applies the heartbeat of another host.
