--- a/yuccarudder/src/gateway/breaks.rs
+++ b/yuccarudder/src/gateway/breaks.rs
@@ -49,9 +49,9 @@
 /// A run that ended without its whole response.
 struct Break {
   address: SocketAddr,
-  /// How long the target had been responding; `None` if it had not begun.
-  answering: Option<Duration>,
+  /// When the head of the response arrived; `None` if it did not.
   answered_at: Option<Instant>,
+  /// When it ended.
   at: Instant,
   cause: Cause,
   fingerprint: u64,
@@ -76,12 +76,10 @@
     if self.metadata.prompt_parts.is_empty() {
       return;
     }
-    let now = self.gateway.clock.now();
     let run = Break {
       address: assignment.target.listing.address,
       answered_at,
-      answering: answered_at.map(|at| now.saturating_duration_since(at)),
-      at: now,
+      at: self.gateway.clock.now(),
       cause,
       fingerprint: assignment.target.fingerprint,
       key: assignment.key,
@@ -154,17 +152,22 @@
 }
 
 impl Break {
+  /// Returns how long the target had been responding; `None` if it had not begun.
+  fn answering(&self) -> Option<Duration> {
+    self.answered_at.map(|answered_at| self.at.saturating_duration_since(answered_at))
+  }
+
   fn log(&self, crashed: Option<bool>) {
     log::info!(
       target: PREFIX, id = self.request_id.as_str(), target:% = self.target, parts:% = format_parts(&self.parts),
-      answering_ms = self.answering.map(|time| time.as_millis() as u64), cause:? = self.cause, crashed;
+      answering_ms = self.answering().map(|time| time.as_millis() as u64), cause:? = self.cause, crashed;
       "A run broke off."
     );
   }
 
   /// Returns whether the target had not proved yet that it can answer the request.
   fn is_suspect(&self) -> bool {
-    self.answering.is_none_or(|time| time < SOUND_AFTER)
+    self.answering().is_none_or(|time| time < SOUND_AFTER)
   }
 }
 
