--- a/yuccarudder/src/caller/tests.rs
+++ b/yuccarudder/src/caller/tests.rs
@@ -31,7 +31,7 @@
   assert_eq!(Failure::parse(b"{\"error\": \"no\"}"), None);
 }
 
-/// A simulated host that names only itself, and nothing for longer than the response takes.
+/// A simulated host that lists only itself, in a list that expires at once.
 struct Host {
   address: SocketAddr,
   /// Heads of the requests other than those for the list of hosts.
