Log runs that break off for all requests, with a hash of their content

Each break is now logged with a hash of path, client account and body, and with the result of the connection attempt. What hosts do about crashes is unchanged.

--- a/yuccarudder/src/gateway/breaks.rs
+++ b/yuccarudder/src/gateway/breaks.rs
@@ -54,6 +54,8 @@
   /// When it ended.
   at: Instant,
   cause: Cause,
+  /// Hash of what the request asks for, which its repeats have in common.
+  content: u64,
   fingerprint: u64,
   key: Key,
   /// Prompt parts that the request shares with others.
@@ -65,22 +67,18 @@
 impl Call {
   /// Reports that a run ended without its whole response. `answered_at` is when the head of the
   /// response arrived.
-  ///
-  /// Requests without a prompt are not reported.
   pub(super) fn report_break(
     &self,
     assignment: &Assignment,
     answered_at: Option<Instant>,
     cause: Cause,
   ) {
-    if self.metadata.prompt_parts.is_empty() {
-      return;
-    }
     let run = Break {
       address: assignment.target.listing.address,
       answered_at,
       at: self.gateway.clock.now(),
       cause,
+      content: self.content,
       fingerprint: assignment.target.fingerprint,
       key: assignment.key,
       parts: self.metadata.shared_parts().to_vec(),
@@ -96,7 +94,7 @@
         }
         (crashed, ..) => {
           run.log(crashed);
-          if crashed == Some(true) {
+          if crashed == Some(true) && !run.parts.is_empty() {
             gateway.record_crash(run);
           }
         }
@@ -159,7 +157,7 @@
 
   fn log(&self, crashed: Option<bool>) {
     log::info!(
-      target: PREFIX, id = self.request_id.as_str(), target:% = self.target, parts:% = format_parts(&self.parts),
+      target: PREFIX, id = self.request_id.as_str(), target:% = self.target, content:% = format_args!("{:x}", self.content), parts:% = format_parts(&self.parts),
       answering_ms = self.answering().map(|time| time.as_millis() as u64), cause:? = self.cause, crashed;
       "A run broke off."
     );
--- a/yuccarudder/src/gateway/call.rs
+++ b/yuccarudder/src/gateway/call.rs
@@ -31,6 +31,8 @@
   pub metadata: RequestMetadata,
   pub body: BufferedBody,
   pub catalog: Arc<Catalog>,
+  /// Hash of the path, the client account and the body, which repeats of a request have in common.
+  pub content: u64,
   pub deadline: Instant,
   pub gateway: Gateway,
   pub headers: HeaderMap,
--- a/yuccarudder/src/gateway/ingress.rs
+++ b/yuccarudder/src/gateway/ingress.rs
@@ -6,9 +6,12 @@
     refusal::{Reason, Refusal},
     routing::{self, Attributes, Kind},
   },
-  hyper::{Request, Response, body::Incoming, header::HOST, http::request::Parts},
+  hyper::{Request, Response, Uri, body::Incoming, header::HOST, http::request::Parts},
   siphasher::sip::SipHasher13,
-  std::{hash::Hasher, time::Duration},
+  std::{
+    hash::{Hash, Hasher},
+    time::Duration,
+  },
   tokio::time,
 };
 
@@ -98,11 +101,14 @@
   let buffered_body = gateway.memory.read_body(&parts.headers, body, catalog.limits.max_body_bytes);
   let body = time::timeout(timeout, buffered_body).await;
   let body = body.map_err(|_| Refusal::not_run(Reason::DeadlinePassed))??;
+  let account = admission.account.map(|key| catalog.accounts[key].name.as_str());
+  let content = hash_content(&parts.uri, account, &body.bytes);
   let since_first_attempt = gateway.time_since_first_attempt(&route.name, metadata.timeout);
   Ok(Call {
     account_key: admission.account,
     since_first_attempt,
     arrived,
+    content,
     metadata,
     body,
     deadline: arrived + timeout,
@@ -116,6 +122,13 @@
   })
 }
 
+/// Hashes what a request asks for and for whom; equal for all repeats of a request, at any host.
+fn hash_content(uri: &Uri, account: Option<&str>, body: &[u8]) -> u64 {
+  let mut hasher = SipHasher13::new();
+  (uri.path(), uri.query(), account, body).hash(&mut hasher);
+  hasher.finish()
+}
+
 /// Hashes the request id, so that attempts with the same id go to the same service.
 fn hash(text: &str) -> u64 {
   let mut hasher = SipHasher13::new();
