--- a/yuccarudder/src/gateway/assignment.rs
+++ b/yuccarudder/src/gateway/assignment.rs
@@ -38,6 +38,8 @@
 
 /// A target and the capacity that is reserved there for a request.
 pub struct Assignment {
+  /// When the target was chosen, just before the request is sent.
+  pub assigned_at: Instant,
   pub key: Key,
   pub reservation: Reservation,
   pub target: Target,
@@ -56,10 +58,10 @@
   /// # Errors
   ///
   /// Fails when all targets are still full after the wait, when there is no target, or at once
-  /// when all targets asked for a pause that ends after the wait or when the prompt has a part
-  /// that crashes targets.
+  /// when all targets asked for a pause that ends after the wait or when targets crash under the
+  /// request.
   pub async fn assign(&self, tried_targets: &[Key]) -> Result<Assignment, Refusal> {
-    let is_trial = self.check_parts()?;
+    let is_trial = self.check_features()?;
     let rank = self.queue_rank();
     let waiter = self.gateway.scheduler.enqueue(&self.service_name, rank);
     loop {
@@ -91,7 +93,7 @@
       // Freed capacity and the timeout both lead to another check.
       let _ = time::timeout_at(recheck_at.into(), capacity_freed).await;
       if !is_trial {
-        self.check_parts()?;
+        self.check_features()?;
       }
     }
   }
@@ -194,7 +196,7 @@
   /// Reserves capacity for a migrated run, if the destination still accepts requests and the run
   /// may be sent there.
   pub fn reserve_planned(&self, destination: Key, run: Run) -> Option<Assignment> {
-    self.check_parts().ok()?;
+    self.check_features().ok()?;
     let now = self.gateway.clock.now();
     let since_boot = self.gateway.clock.since_boot();
     let state = self.gateway.lock();
@@ -310,6 +312,7 @@
       self.gateway.heartbeat_trigger.notify_one();
     }
     Assignment {
+      assigned_at: now,
       key,
       reservation,
       target,
--- a/yuccarudder/src/gateway/breaks.rs
+++ b/yuccarudder/src/gateway/breaks.rs
@@ -1,12 +1,12 @@
-//! Runs that break off: finds out whether the target crashed, and keeps requests with the prompt
-//! part that causes it away from the others.
+//! Runs that break off: finds out whether the target crashed, and keeps requests under which targets
+//! crash away from the others.
 
 use {
-  super::{Gateway, assignment::Assignment, call::Call},
+  super::{Gateway, assignment::Assignment, call::Call, ingress},
   crate::{
     member::{self, Heartbeat},
     placement::Outcome,
-    quarantine::{Ban, Crash, SOUND_AFTER, Verdict},
+    quarantine::{Ban, Crash, Feature, SOUND_AFTER, Verdict},
     refusal::{Reason, Refusal},
     roster::{Key, Status},
   },
@@ -22,10 +22,13 @@
 /// Time for a target to accept or refuse the connection that shows whether it still runs; a lost
 /// packet delays a connection by a second.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Heartbeats after which the other hosts have reported the sound answers of a suspected part: they
+/// Longest wait for the result of the connection attempt before a request is sent again; a target that
+/// crashed refuses the connection at once.
+const MAX_VERDICT_WAIT: Duration = Duration::from_millis(50);
+/// Heartbeats after which the other hosts have reported the sound answers of a suspected feature: they
 /// first learn of the crash, then answer.
 const NEWS_HEARTBEATS: u32 = 2;
-/// Interval at which known crashes are judged again, as parts become suspicious by the time without
+/// Interval at which known crashes are judged again, as features become suspicious by the time without
 /// a sound answer.
 const JUDGE_INTERVAL: Duration = Duration::from_millis(200);
 /// Time without progress after which a target counts as silent; longer than a sound pause.
@@ -54,74 +57,56 @@
   /// When it ended.
   at: Instant,
   cause: Cause,
-  /// Hash of what the request asks for, which its repeats have in common.
-  content: u64,
+  features: Vec<Feature>,
   fingerprint: u64,
   key: Key,
-  /// Prompt parts that the request shares with others.
-  parts: Vec<u64>,
   request_id: String,
+  sent_at: Instant,
+  service: u64,
   target: Arc<str>,
 }
 
 impl Call {
-  /// Reports that a run ended without its whole response. `answered_at` is when the head of the
-  /// response arrived.
-  pub(super) fn report_break(
+  /// Reports that a run ended without its whole response, and waits for a short time until it is
+  /// known whether the target crashed. `answered_at` is when the head of the response arrived.
+  pub(super) async fn report_break(
     &self,
     assignment: &Assignment,
     answered_at: Option<Instant>,
     cause: Cause,
   ) {
-    let run = Break {
+    let verdict = tokio::spawn(self.gateway.clone().inspect_break(Break {
       address: assignment.target.listing.address,
       answered_at,
       at: self.gateway.clock.now(),
       cause,
-      content: self.content,
+      features: self.features.clone(),
       fingerprint: assignment.target.fingerprint,
       key: assignment.key,
-      parts: self.metadata.shared_parts().to_vec(),
       request_id: self.id().to_owned(),
+      sent_at: assignment.assigned_at,
+      service: ingress::hash(&self.service_name),
       target: Arc::clone(&assignment.target.id),
-    };
-    let gateway = self.gateway.clone();
-    tokio::spawn(async move {
-      match (gateway.has_crashed(&run).await, run.cause, run.answered_at) {
-        (Some(false), Cause::UnframedEnd, Some(answered_at)) => {
-          let now = gateway.clock.now();
-          gateway.lock().ledger.record_sound(&run.parts, answered_at, now);
-        }
-        (crashed, ..) => {
-          run.log(crashed);
-          if crashed == Some(true) && !run.parts.is_empty() {
-            gateway.record_crash(run);
-          }
-        }
-      }
-    });
+    }));
+    if cause == Cause::ConnectionLost {
+      // The inspection continues after the timeout.
+      let _ = time::timeout(MAX_VERDICT_WAIT, verdict).await;
+    }
   }
 
   /// Records that a target answers the request soundly, `answered_at` being when it began.
   pub(super) fn report_sound(&self, answered_at: Instant) {
-    let parts = self.metadata.shared_parts();
-    if !parts.is_empty() {
-      let now = self.gateway.clock.now();
-      self.gateway.lock().ledger.record_sound(parts, answered_at, now);
-    }
+    let service = ingress::hash(&self.service_name);
+    self.gateway.record_sound(&self.features, service, answered_at);
   }
 
-  /// Checks that the request has no prompt part that crashes targets; returns whether it is sent
-  /// only to find out whether a part still does.
+  /// Checks that targets do not crash under the request, as far as is known; returns whether it is
+  /// sent only to find out whether they still do.
   ///
   /// # Errors
   ///
-  /// Refuses the request if it has.
-  pub(super) fn check_parts(&self) -> Result<bool, Refusal> {
-    let parts = self.metadata.shared_parts();
-    if parts.is_empty() {
-      return Ok(false);
-    }
+  /// Refuses the request if they do.
+  pub(super) fn check_features(&self) -> Result<bool, Refusal> {
     let now = self.gateway.clock.now();
     let since_boot = self.gateway.clock.since_boot();
     let mut state = self.gateway.lock();
@@ -129,26 +114,39 @@
       return Ok(false);
     }
     let conducts_trials = state.members.order(state.settings.weight, since_boot) == 0;
-    match state.ledger.check(parts, conducts_trials, now) {
+    match state.ledger.check(&self.features, conducts_trials, now) {
       Verdict::Allowed => Ok(false),
       Verdict::Trial => {
-        log::info!(target: PREFIX, id = self.id(), parts:% = format_parts(parts); "Sending a request with banned prompt parts, to find out whether targets still crash.");
+        log::info!(target: PREFIX, id = self.id(), features:% = format_features(&self.features); "Sending a request with banned features, to find out whether targets still crash.");
         Ok(true)
       }
       Verdict::Banned(ban) => {
         let age = now.saturating_duration_since(ban.last_crash);
         log::info!(
-          target: PREFIX, id = self.id(), parts:% = format_parts(&ban.parts), crashes = ban.crashes,
-          age_ms = age.as_millis() as u64;
-          "Refusing a request with banned prompt parts."
+          target: PREFIX, id = self.id(), features:% = format_features(&ban.features), crashes = ban.crashes,
+          uncertain = ban.is_uncertain, age_ms = age.as_millis() as u64;
+          "Refusing a request with banned features."
         );
-        let detail = format!("part {}", format_parts(&ban.parts));
-        Err(Refusal::not_run(Reason::PromptQuarantined).with_detail(detail))
+        Err(refuse(&ban, now))
       }
     }
   }
 }
 
+/// Returns the refusal of a request that a ban covers.
+fn refuse(ban: &Ban, now: Instant) -> Refusal {
+  if ban.is_uncertain {
+    let retry_after = ban.uncertain_until().saturating_duration_since(now);
+    return Refusal::not_run(Reason::RequestSuspected).with_retry_after(retry_after);
+  }
+  let reason = if ban.features.iter().any(|feature| feature.is_content()) {
+    Reason::RequestQuarantined
+  } else {
+    Reason::PromptQuarantined
+  };
+  Refusal::not_run(reason).with_detail(format_features(&ban.features))
+}
+
 impl Break {
   /// Returns how long the target had been responding; `None` if it had not begun.
   fn answering(&self) -> Option<Duration> {
@@ -157,7 +155,7 @@
 
   fn log(&self, crashed: Option<bool>) {
     log::info!(
-      target: PREFIX, id = self.request_id.as_str(), target:% = self.target, content:% = format_args!("{:x}", self.content), parts:% = format_parts(&self.parts),
+      target: PREFIX, id = self.request_id.as_str(), target:% = self.target, features:% = format_features(&self.features),
       answering_ms = self.answering().map(|time| time.as_millis() as u64), cause:? = self.cause, crashed;
       "A run broke off."
     );
@@ -170,6 +168,29 @@
 }
 
 impl Gateway {
+  fn record_sound(&self, features: &[Feature], service: u64, answered_at: Instant) {
+    let now = self.clock.now();
+    let is_first = self.lock().ledger.record_sound(features, service, answered_at, now);
+    if is_first {
+      self.judge_crashes();
+    }
+  }
+
+  /// Finds out whether the target of a run crashed, and records it.
+  async fn inspect_break(self, run: Break) {
+    match (self.has_crashed(&run).await, run.cause, run.answered_at) {
+      (Some(false), Cause::UnframedEnd, Some(answered_at)) => {
+        self.record_sound(&run.features, run.service, answered_at);
+      }
+      (crashed, ..) => {
+        run.log(crashed);
+        if crashed == Some(true) {
+          self.record_crash(run);
+        }
+      }
+    }
+  }
+
   /// Finds out whether the target of a run crashed: it was not leaving, and it refuses connections
   /// or another process has taken its place. Returns `None` if that cannot be told.
   async fn has_crashed(&self, run: &Break) -> Option<bool> {
@@ -220,11 +241,13 @@
     let now = self.clock.now();
     let crash = Crash {
       at: run.at,
-      parts: if run.is_suspect() {
-        run.parts
+      features: if run.is_suspect() {
+        run.features
       } else {
         Vec::new()
       },
+      sent_at: run.sent_at,
+      service: run.service,
       target: run.fingerprint,
     };
     let (is_known, is_new) = {
@@ -251,13 +274,13 @@
     }
   }
 
-  /// Bans the prompt parts that crash targets.
+  /// Bans the features under which targets crash.
   pub(super) fn judge_crashes(&self) {
     let now = self.clock.now();
     let mut state = self.lock();
     let interval = member::heartbeat_interval(state.members.fleet_size());
     let bans = state.ledger.judge(interval * NEWS_HEARTBEATS, now);
-    self.instruments.banned_parts.set(state.ledger.bans().count() as i64);
+    self.instruments.banned_features.set(state.ledger.bans().count() as i64);
     drop(state);
     for ban in &bans {
       log_ban(ban, "crashes", now);
@@ -299,14 +322,14 @@
 
 fn log_ban(ban: &Ban, source: &str, now: Instant) {
   log::warn!(
-    target: PREFIX, parts:% = format_parts(&ban.parts), crashes = ban.crashes, source,
+    target: PREFIX, features:% = format_features(&ban.features), crashes = ban.crashes, uncertain = ban.is_uncertain, source,
     span_ms = now.saturating_duration_since(ban.first_crash).as_millis() as u64;
-    "Banned prompt parts under which targets crash."
+    "Banned features of requests under which targets crash."
   );
 }
 
-/// Formats the IDs of prompt parts for logs.
-fn format_parts(parts: &[u64]) -> String {
-  let ids: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
-  ids.join(" ")
+/// Formats features for logs.
+fn format_features(features: &[Feature]) -> String {
+  let names: Vec<String> = features.iter().map(Feature::to_string).collect();
+  names.join(" ")
 }
--- a/yuccarudder/src/gateway/buffered.rs
+++ b/yuccarudder/src/gateway/buffered.rs
@@ -124,8 +124,8 @@
       let whole = read_body(response, remaining).await;
       match whole {
         Some(_) if is_framed => call.report_sound(answered_at),
-        Some(_) => call.report_break(assignment, Some(answered_at), Cause::UnframedEnd),
-        None => call.report_break(assignment, Some(answered_at), Cause::ConnectionLost),
+        Some(_) => call.report_break(assignment, Some(answered_at), Cause::UnframedEnd).await,
+        None => call.report_break(assignment, Some(answered_at), Cause::ConnectionLost).await,
       }
       whole.ok_or_else(|| Outcome::Lost.into())
     }
--- a/yuccarudder/src/gateway/call.rs
+++ b/yuccarudder/src/gateway/call.rs
@@ -3,6 +3,7 @@
   crate::{
     dialect::RequestMetadata,
     limit::BufferedBody,
+    quarantine::Feature,
     routing::{AccountKey, Catalog, Route, RouteKey, Service},
   },
   hyper::{HeaderMap, Method, Uri},
@@ -31,8 +32,8 @@
   pub metadata: RequestMetadata,
   pub body: BufferedBody,
   pub catalog: Arc<Catalog>,
-  /// Hash of the path, the client account and the body, which repeats of a request have in common.
-  pub content: u64,
+  /// What the request has in common with its repeats and with other requests.
+  pub features: Vec<Feature>,
   pub deadline: Instant,
   pub gateway: Gateway,
   pub headers: HeaderMap,
--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -157,10 +157,13 @@
   bans.into_iter().map(|ban| member::Ban::new(ban, now)).collect()
 }
 
-/// Returns the newest crashes that this host announces.
+/// Returns the crashes that this host announces: half of the places go to those under features that
+/// explain most crashes, the others to random ones, so that each is announced sooner or later.
 fn crashes(ledger: &Ledger, now: Instant) -> Vec<member::Crash> {
-  let crashes = ledger.announced_crashes(now).take(MAX_CRASHES);
-  crashes.map(|crash| member::Crash::new(crash, now)).collect()
+  let announced = ledger.announced_crashes(now);
+  let (first, rest) = announced.split_at(announced.len().min(MAX_CRASHES / 2));
+  let rest = random_subset(rest.iter(), MAX_CRASHES - first.len());
+  first.iter().chain(rest).map(|crash| member::Crash::new(crash, now)).collect()
 }
 
 /// Returns the limits that targets named to this host.
--- a/yuccarudder/src/gateway/ingress.rs
+++ b/yuccarudder/src/gateway/ingress.rs
@@ -3,6 +3,7 @@
   crate::{
     dialect::RequestMetadata,
     http::{Body, LingeringBody},
+    quarantine::Feature,
     refusal::{Reason, Refusal},
     routing::{self, Attributes, Kind},
   },
@@ -102,13 +103,15 @@
   let body = time::timeout(timeout, buffered_body).await;
   let body = body.map_err(|_| Refusal::not_run(Reason::DeadlinePassed))??;
   let account = admission.account.map(|key| catalog.accounts[key].name.as_str());
-  let content = hash_content(&parts.uri, account, &body.bytes);
+  let content = Feature::Content(hash_content(&parts.uri, account, &body.bytes));
+  let prompt_parts = metadata.shared_parts().iter().copied().map(Feature::PromptPart);
+  let features = [content].into_iter().chain(prompt_parts).collect();
   let since_first_attempt = gateway.time_since_first_attempt(&route.name, metadata.timeout);
   Ok(Call {
     account_key: admission.account,
     since_first_attempt,
     arrived,
-    content,
+    features,
     metadata,
     body,
     deadline: arrived + timeout,
@@ -129,8 +132,8 @@
   hasher.finish()
 }
 
-/// Hashes the request id, so that attempts with the same id go to the same service.
-fn hash(text: &str) -> u64 {
+/// Hashes a request ID or the name of a service.
+pub(super) fn hash(text: &str) -> u64 {
   let mut hasher = SipHasher13::new();
   hasher.write(text.as_bytes());
   hasher.finish()
--- a/yuccarudder/src/gateway/instruments.rs
+++ b/yuccarudder/src/gateway/instruments.rs
@@ -30,7 +30,7 @@
   /// Steps in migrating runs between engines, by step.
   pub migration_steps: IntCounterVec,
   /// Prompt parts that are kept away from the targets.
-  pub banned_parts: IntGauge,
+  pub banned_features: IntGauge,
   /// Targets that crashed while requests of this host ran there.
   pub target_crashes: IntCounter,
   /// Longest pause between two events of a stream, in seconds, by kind of route.
@@ -81,9 +81,9 @@
         "Moves of runs between engines",
         "step",
       ),
-      banned_parts: IntGauge::new(
-        "yuccarudder_banned_parts",
-        "Prompt parts kept away from targets",
+      banned_features: IntGauge::new(
+        "yuccarudder_banned_features",
+        "Bans of contents and prompt parts under which targets crash",
       )
       .expect(VALID_NAMES),
       target_crashes: IntCounter::new(
@@ -115,7 +115,7 @@
       Box::new(self.live_hosts.clone()),
       Box::new(self.target_departures.clone()),
       Box::new(self.migration_steps.clone()),
-      Box::new(self.banned_parts.clone()),
+      Box::new(self.banned_features.clone()),
       Box::new(self.target_crashes.clone()),
       Box::new(self.longest_pause.clone()),
       Box::new(self.queue_wait.clone()),
--- a/yuccarudder/src/gateway/sending.rs
+++ b/yuccarudder/src/gateway/sending.rs
@@ -66,10 +66,13 @@
       Ok(Ok(response)) => self.validate(assignment, response),
       Ok(Err(Error::Denied(_) | Error::NotSent { .. })) => Err(Outcome::NotSent.into()),
       Ok(Err(Error::Sent(_))) => {
-        self.report_break(assignment, None, Cause::ConnectionLost);
+        self.report_break(assignment, None, Cause::ConnectionLost).await;
+        Err(Outcome::Lost.into())
+      }
+      Err(_) => {
+        self.report_break(assignment, None, Cause::Silent).await;
         Err(Outcome::Lost.into())
       }
-      Err(_) => Err(Outcome::Lost.into()),
     };
     self.record_outcome(assignment, resume, &result);
     result
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -133,7 +133,7 @@
     );
     self.record_metrics(end);
     if matches!(end, End::CallerDisconnected | End::DeadlinePassed) && self.is_silent() {
-      self.call.report_break(&self.assignment, Some(self.answered_at), Cause::Silent);
+      self.call.report_break(&self.assignment, Some(self.answered_at), Cause::Silent).await;
     }
     self.migration.cancel(&self.call, &self.assignment);
     let reason = match end {
@@ -225,7 +225,8 @@
         if self.is_framed {
           self.call.report_sound(self.answered_at);
         } else {
-          self.call.report_break(&self.assignment, Some(self.answered_at), Cause::UnframedEnd);
+          let answered_at = Some(self.answered_at);
+          self.call.report_break(&self.assignment, answered_at, Cause::UnframedEnd).await;
         }
         Some(End::Complete)
       }
@@ -236,11 +237,8 @@
         None
       }
       _ => {
-        self.call.report_break(
-          &self.assignment,
-          Some(self.answered_at),
-          Cause::ConnectionLost,
-        );
+        let answered_at = Some(self.answered_at);
+        self.call.report_break(&self.assignment, answered_at, Cause::ConnectionLost).await;
         self.recover().await
       }
     }
--- a/yuccarudder/src/member/heartbeat.rs
+++ b/yuccarudder/src/member/heartbeat.rs
@@ -1,5 +1,9 @@
 use {
-  crate::{placement, quarantine, reader, roster},
+  crate::{
+    placement,
+    quarantine::{self, Feature},
+    reader, roster,
+  },
   std::time::{Duration, Instant},
 };
 
@@ -183,16 +187,24 @@
   }
 }
 
-/// A target that crashed, as the host that noticed it tells the others.
+/// A run that ended because its target crashed, as the host that noticed it tells the others.
 #[derive(Clone, Eq, PartialEq, prost::Message)]
 pub struct Crash {
   /// Time since it was noticed, in milliseconds.
   #[prost(uint64, tag = "1")]
   pub age_ms: u64,
-  /// Shared prompt parts of a request that the target had just begun to answer; empty if there was
-  /// none.
+  /// Hash of the content of the request, unless it had been answered soundly.
+  #[prost(fixed64, optional, tag = "4")]
+  pub content: Option<u64>,
+  /// Shared prompt parts of the request, unless it had been answered soundly.
   #[prost(fixed64, repeated, tag = "2")]
-  pub parts: Vec<u64>,
+  pub prompt_parts: Vec<u64>,
+  /// Time from when the request was sent until the crash was noticed, in milliseconds.
+  #[prost(uint64, tag = "5")]
+  pub run_ms: u64,
+  /// Hash of the name of the target's service.
+  #[prost(fixed64, tag = "6")]
+  pub service: u64,
   /// Fingerprint of the target, which identifies its process.
   #[prost(fixed64, tag = "3")]
   pub target: u64,
@@ -201,48 +213,64 @@
 impl Crash {
   /// Builds the message for a crash.
   pub fn new(crash: &quarantine::Crash, now: Instant) -> Self {
+    let (content, prompt_parts) = split_features(&crash.features);
     Self {
       age_ms: age_ms(crash.at, now),
-      parts: crash.parts.clone(),
+      content,
+      prompt_parts,
+      run_ms: age_ms(crash.sent_at, crash.at),
+      service: crash.service,
       target: crash.target,
     }
   }
 
-  /// Returns the crash, with its time on this host's clock.
+  /// Returns the crash, with its times on this host's clock.
   pub fn crash(&self, now: Instant) -> quarantine::Crash {
+    let at = time_before(self.age_ms, now);
     quarantine::Crash {
-      at: time_before(self.age_ms, now),
-      parts: self.parts.clone(),
+      at,
+      features: join_features(self.content, &self.prompt_parts),
+      sent_at: time_before(self.run_ms, at),
+      service: self.service,
       target: self.target,
     }
   }
 }
 
-/// Prompt parts that are kept away from the targets.
+/// Features of requests that are kept away from the targets.
 #[derive(Clone, Eq, PartialEq, prost::Message)]
 pub struct Ban {
+  /// Hash of the banned content, if there is one.
+  #[prost(fixed64, optional, tag = "5")]
+  pub content: Option<u64>,
   /// Number of targets that crashed.
   #[prost(uint32, tag = "1")]
   pub crashes: u32,
   /// Time since the first crash, in milliseconds.
   #[prost(uint64, tag = "2")]
   pub first_crash_age_ms: u64,
+  /// Whether features of other requests explain the crashes as well.
+  #[prost(bool, tag = "6")]
+  pub is_uncertain: bool,
   /// Time since the last crash, in milliseconds.
   #[prost(uint64, tag = "3")]
   pub last_crash_age_ms: u64,
-  /// The banned parts; a request is refused if it has all of them.
+  /// The banned prompt parts; a request is refused if it has all of them and the content.
   #[prost(fixed64, repeated, tag = "4")]
-  pub parts: Vec<u64>,
+  pub prompt_parts: Vec<u64>,
 }
 
 impl Ban {
   /// Builds the message for a ban.
   pub fn new(ban: &quarantine::Ban, now: Instant) -> Self {
+    let (content, prompt_parts) = split_features(&ban.features);
     Self {
+      content,
       crashes: ban.crashes,
       first_crash_age_ms: age_ms(ban.first_crash, now),
+      is_uncertain: ban.is_uncertain,
       last_crash_age_ms: age_ms(ban.last_crash, now),
-      parts: ban.parts.clone(),
+      prompt_parts,
     }
   }
 
@@ -250,13 +278,32 @@
   pub fn ban(&self, now: Instant) -> quarantine::Ban {
     quarantine::Ban {
       crashes: self.crashes,
+      features: join_features(self.content, &self.prompt_parts),
       first_crash: time_before(self.first_crash_age_ms, now),
+      is_uncertain: self.is_uncertain,
       last_crash: time_before(self.last_crash_age_ms, now),
-      parts: self.parts.clone(),
     }
   }
 }
 
+/// Splits the features of a request into its content and its prompt parts.
+fn split_features(features: &[Feature]) -> (Option<u64>, Vec<u64>) {
+  let mut content = None;
+  let mut prompt_parts = Vec::new();
+  for feature in features {
+    match feature {
+      Feature::Content(hash) => content = Some(*hash),
+      Feature::PromptPart(id) => prompt_parts.push(*id),
+    }
+  }
+  (content, prompt_parts)
+}
+
+fn join_features(content: Option<u64>, prompt_parts: &[u64]) -> Vec<Feature> {
+  let prompt_parts = prompt_parts.iter().copied().map(Feature::PromptPart);
+  content.map(Feature::Content).into_iter().chain(prompt_parts).collect()
+}
+
 /// What a target said to the sender about the requests per second that it takes from all hosts
 /// together.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
@@ -291,24 +338,29 @@
   }
 }
 
-/// The last sound answer of the sender to a request with a prompt part that is suspected of
-/// crashing targets.
+/// The last sound answer of the sender to a request with a feature that is suspected of crashing
+/// targets.
 #[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
 pub struct Sound {
   /// Time since the answer began, in milliseconds.
   #[prost(uint64, tag = "1")]
   pub age_ms: u64,
-  /// The prompt part.
+  /// The hash of the content or the ID of the prompt part.
   #[prost(fixed64, tag = "2")]
-  pub part: u64,
+  pub feature: u64,
+  /// Whether the feature is a content.
+  #[prost(bool, tag = "3")]
+  pub is_content: bool,
 }
 
 impl Sound {
   /// Builds the message for a sound answer.
   pub fn new(sound: quarantine::Sound, now: Instant) -> Self {
+    let (Feature::Content(feature) | Feature::PromptPart(feature)) = sound.feature;
     Self {
       age_ms: age_ms(sound.began_at, now),
-      part: sound.part,
+      feature,
+      is_content: sound.feature.is_content(),
     }
   }
 
@@ -316,7 +368,11 @@
   pub fn sound(&self, now: Instant) -> quarantine::Sound {
     quarantine::Sound {
       began_at: time_before(self.age_ms, now),
-      part: self.part,
+      feature: if self.is_content {
+        Feature::Content(self.feature)
+      } else {
+        Feature::PromptPart(self.feature)
+      },
     }
   }
 }
@@ -339,7 +395,7 @@
   /// others.
   #[prost(message, repeated, tag = "21")]
   pub announcements: Vec<Announcement>,
-  /// Prompt parts that are kept away from the targets.
+  /// Features of requests that are kept away from the targets.
   #[prost(message, repeated, tag = "22")]
   pub bans: Vec<Ban>,
   /// Address at which callers reach the sender.
@@ -348,7 +404,7 @@
   /// Crashes of targets that the sender noticed recently.
   #[prost(message, repeated, tag = "23")]
   pub crashes: Vec<Crash>,
-  /// Recent sound answers to requests with suspected prompt parts.
+  /// Recent sound answers to requests with suspected features.
   #[prost(message, repeated, tag = "24")]
   pub sounds: Vec<Sound>,
   /// Newest era of the platform's store that the sender knows, if it has read the store.
--- a/yuccarudder/src/quarantine/ban.rs
+++ b/yuccarudder/src/quarantine/ban.rs
@@ -1,27 +1,42 @@
-use std::time::Instant;
+use {
+  super::Feature,
+  std::time::{Duration, Instant},
+};
 
-/// Prompt parts that are kept away from the targets.
+/// How long an uncertain ban lasts after the last crash: until crashed targets usually serve again,
+/// so that the next request either is answered soundly or shows which feature is to blame.
+pub const UNCERTAIN_RETENTION: Duration = Duration::from_secs(4);
+
+/// Features that are kept away from the targets.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Ban {
   /// Number of targets that crashed.
   pub crashes: u32,
-  /// When the first of them crashed.
+  /// The banned features, in ascending order. A request is refused if it has all of them; there is
+  /// more than one while nothing tells which of them is to blame.
+  pub features: Vec<Feature>,
+  /// When the first target crashed.
   pub first_crash: Instant,
-  /// When the last of them crashed.
+  /// Whether features of other requests explain the crashes as well, so that one of the bans is
+  /// wrong.
+  pub is_uncertain: bool,
+  /// When the last target crashed.
   pub last_crash: Instant,
-  /// The banned parts, in ascending order. A request is refused if it has all of them; there is
-  /// more than one while nothing tells which of them is to blame.
-  pub parts: Vec<u64>,
 }
 
 impl Ban {
-  /// Returns whether the ban covers a request with the given shared prompt parts.
-  pub fn covers(&self, parts: &[u64]) -> bool {
-    is_subset(&self.parts, parts)
+  /// Returns whether the ban covers a request with the given features.
+  pub fn covers(&self, features: &[Feature]) -> bool {
+    is_subset(&self.features, features)
+  }
+
+  /// Returns until when an uncertain ban lasts.
+  pub fn uncertain_until(&self) -> Instant {
+    self.last_crash + UNCERTAIN_RETENTION
   }
 }
 
-/// Returns whether all of `parts` are in `others`.
-pub fn is_subset(parts: &[u64], others: &[u64]) -> bool {
-  parts.iter().all(|part| others.contains(part))
+/// Returns whether all of `features` are in `others`.
+pub fn is_subset(features: &[Feature], others: &[Feature]) -> bool {
+  features.iter().all(|feature| others.contains(feature))
 }
--- a/yuccarudder/src/quarantine/evidence.rs
+++ b/yuccarudder/src/quarantine/evidence.rs
@@ -1,34 +1,73 @@
 use std::{
   collections::{BTreeMap, HashSet},
-  time::Instant,
+  time::{Duration, Instant},
 };
 
-/// The crashes under one part.
+/// Crashes closer to each other than this may have one cause, such as the loss of a rack.
+const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(150);
+/// Shortest time in which a request that is sent again crashes the next target.
+const MIN_RUN: Duration = Duration::from_millis(5);
+/// Differences between the times that hosts report, due to delays of messages.
+const CLOCK_TOLERANCE: Duration = Duration::from_millis(20);
+
+/// The runs under one feature that ended because their target crashed.
+#[derive(Clone, Copy, Debug)]
+pub struct CrashedRun {
+  /// When the target crashed.
+  pub at: Instant,
+  /// When the first of these runs was sent to the target.
+  pub sent_at: Instant,
+}
+
+/// The crashes under one feature.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
-  /// When each target crashed.
-  pub targets: BTreeMap<u64, Instant>,
+  /// The service of the targets.
+  pub service: u64,
+  /// The crashed targets.
+  pub targets: BTreeMap<u64, CrashedRun>,
   /// Targets whose crash no ban covers.
   pub uncovered: HashSet<u64>,
 }
 
 impl Evidence {
-  /// Returns the number of crashes that the part explains, of those that are `counted`.
+  /// Adds a run that ended because a target crashed.
+  pub fn add(&mut self, target: u64, run: CrashedRun) {
+    let known = self.targets.entry(target).or_insert(run);
+    known.at = known.at.min(run.at);
+    known.sent_at = known.sent_at.min(run.sent_at);
+  }
+
+  /// Returns the times of the crashes that the feature explains, of those that are `counted`, in
+  /// ascending order.
   ///
-  /// Crashes at the same time count once if one of them was not under the part, since that one had
-  /// a cause that the others may share.
-  pub fn count(&self, groups: &[Vec<u64>], counted: impl Fn(u64) -> bool) -> usize {
-    let count_group = |group: &Vec<u64>| {
-      let under_part = group.iter().filter(|target| self.targets.contains_key(target));
-      let all = under_part.clone().count() == group.len();
-      let counted = under_part.filter(|target| counted(**target)).count();
-      if all { counted } else { counted.min(1) }
-    };
-    groups.iter().map(count_group).sum()
+  /// Of crashes at about the same time, only those of runs that were sent after the crash before
+  /// count: requests in common use run on all targets, and would explain targets that are lost
+  /// together.
+  pub fn crash_times(&self, counted: impl Fn(u64) -> bool) -> Vec<Instant> {
+    let runs = self.targets.iter().filter(|(target, _)| counted(**target));
+    let mut runs: Vec<CrashedRun> = runs.map(|(_, run)| *run).collect();
+    runs.sort_unstable_by_key(|run| run.at);
+    let mut times: Vec<Instant> = Vec::new();
+    for run in runs {
+      let is_separate = |last: &Instant| {
+        let is_sent_after = run.sent_at + CLOCK_TOLERANCE >= *last && run.at >= *last + MIN_RUN;
+        is_sent_after || run.at >= *last + COMMON_CAUSE_WINDOW
+      };
+      if times.last().is_none_or(is_separate) {
+        times.push(run.at);
+      }
+    }
+    times
   }
 
   /// Returns when the first target crashed.
   pub fn first(&self) -> Option<Instant> {
-    self.targets.values().min().copied()
+    self.targets.values().map(|run| run.at).min()
+  }
+
+  /// Returns when the last target crashed.
+  pub fn last(&self) -> Option<Instant> {
+    self.targets.values().map(|run| run.at).max()
   }
 }
--- a/yuccarudder/src/quarantine/ledger.rs
+++ b/yuccarudder/src/quarantine/ledger.rs
@@ -1,10 +1,13 @@
 use {
   super::{
-    Ban, Crash, Sound, ban,
-    evidence::Evidence,
-    suspect::{MIN_CRASHES_OF_NEW_PART, Suspect},
+    Ban, Crash, Feature, Sound,
+    activity::Activity,
+    ban,
+    evidence::{CrashedRun, Evidence},
+    suspect::{MIN_CRASHES_OF_NEW_FEATURE, Suspect},
   },
   std::{
+    cmp::Reverse,
     collections::{BTreeMap, HashMap, HashSet, VecDeque},
     time::{Duration, Instant},
   },
@@ -13,23 +16,21 @@
 /// Time for which a target must have been answering for the answer to count as sound before its
 /// end: a target that crashes under a request does so when it begins to answer.
 pub const SOUND_AFTER: Duration = Duration::from_millis(300);
-/// Crashes closer to each other than this may have one cause, such as the loss of a rack.
-const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(150);
-/// Crashes after which a part is banned that was answered soundly before.
+/// Crashes after which a feature is banned that was answered soundly before.
 const MIN_CRASHES: usize = 5;
-/// Minimum time without a sound answer for a part that was answered soundly before; sound answers
-/// of a part in common use are far more frequent.
+/// Minimum time without a sound answer for a feature that was answered soundly before; sound answers
+/// of a feature in common use are far more frequent.
 const MIN_SILENCE: Duration = Duration::from_millis(1500);
-/// Crashes at which a part of a ban occurs without the others before it is banned alone.
+/// Crashes at which a feature of a ban occurs without the others before it is banned alone.
 const MIN_CRASHES_ALONE: usize = 2;
-/// Time for which a host must have seen traffic before a part counts as never answered soundly.
+/// Time for which a host must have seen traffic before a prompt part counts as never answered soundly.
 const OBSERVATION_PERIOD: Duration = Duration::from_secs(10);
 /// How long crashes and answers are announced to the other hosts: several heartbeats of a large
 /// fleet, as some are lost.
 const ANNOUNCEMENT_PERIOD: Duration = Duration::from_secs(5);
-/// Interval at which one request is let through to find out whether a banned part is sound again.
+/// Interval at which one request is let through to find out whether a banned feature is sound again.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(600);
-/// Time until the first such request if the part was answered soundly before the crashes, since it
+/// Time until the first such request if the feature was answered soundly before the crashes, since it
 /// may be blamed wrongly.
 const FIRST_TRIAL_INTERVAL: Duration = Duration::from_secs(30);
 /// Time without a crash after which crashes that led to no ban are forgotten.
@@ -40,12 +41,13 @@
 const MESSAGE_DELAY: Duration = Duration::from_secs(1);
 /// Maximum number of crashes kept; the oldest ones are dropped.
 const MAX_CRASHES: usize = 256;
-/// Maximum number of parts kept of a crash; those never answered soundly come first.
-const MAX_PARTS: usize = 16;
-/// Maximum number of bans; further parts are banned when earlier bans end.
+/// Maximum number of features kept of a crash; those never answered soundly come first.
+const MAX_FEATURES: usize = 16;
+/// Maximum number of bans; further features are banned when earlier bans end.
 const MAX_BANS: usize = 64;
-/// Maximum number of parts whose last sound answer is kept; the oldest ones are dropped.
-const MAX_SOUND_PARTS: usize = 4096;
+/// Maximum number of features whose last sound answer is kept; the oldest ones are dropped, contents
+/// before prompt parts.
+const MAX_SOUND_FEATURES: usize = 4096;
 
 /// What the bans mean for a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -81,12 +83,18 @@
   own: bool,
 }
 
+/// Returns whether a ban has ended because it was uncertain.
+fn is_over(ban: &Ban, now: Instant) -> bool {
+  ban.is_uncertain && now >= ban.uncertain_until()
+}
+
 /// The crashes, sound answers and bans that a host knows.
 #[derive(Clone, Debug)]
 pub struct Ledger {
+  activity: Activity,
   bans: Vec<BanRecord>,
   crashes: VecDeque<CrashRecord>,
-  sounds: HashMap<u64, SoundRecord>,
+  sounds: HashMap<Feature, SoundRecord>,
   started_at: Instant,
 }
 
@@ -96,14 +104,20 @@
     self.bans.iter().map(|record| &record.ban)
   }
 
-  /// Decides whether a request with the given shared prompt parts may be sent to a target.
+  /// Decides whether a request with the given features may be sent to a target.
   ///
   /// `conducts_trials` is true on one host of the fleet.
-  pub fn check(&mut self, parts: &[u64], conducts_trials: bool, now: Instant) -> Verdict {
-    let Some(record) = self.bans.iter_mut().find(|record| record.ban.covers(parts)) else {
+  pub fn check(&mut self, features: &[Feature], conducts_trials: bool, now: Instant) -> Verdict {
+    let is_covering =
+      |record: &&mut BanRecord| record.ban.covers(features) && !is_over(&record.ban, now);
+    let covering = self.bans.iter_mut().filter(is_covering);
+    let Some(record) = covering.min_by_key(|record| record.ban.is_uncertain) else {
       return Verdict::Allowed;
     };
-    let was_sound = record.ban.parts.iter().any(|part| self.sounds.contains_key(part));
+    if record.ban.is_uncertain {
+      return Verdict::Banned(record.ban.clone());
+    }
+    let was_sound = record.ban.features.iter().any(|feature| self.sounds.contains_key(feature));
     let (last_try, interval) = match record.last_trial {
       None if was_sound => (record.ban.last_crash, FIRST_TRIAL_INTERVAL),
       None => (record.ban.last_crash, TRIAL_INTERVAL),
@@ -116,43 +130,54 @@
     Verdict::Banned(record.ban.clone())
   }
 
-  /// Returns the crashes that this host announces to the others, newest first.
-  pub fn announced_crashes(&self, now: Instant) -> impl Iterator<Item = &Crash> {
-    let is_recent = move |record: &&CrashRecord| {
+  /// Returns the crashes that this host announces to the others; first those under features that
+  /// explain most crashes, then the newest.
+  pub fn announced_crashes(&self, now: Instant) -> Vec<&Crash> {
+    let is_recent = |record: &&CrashRecord| {
       record.own && now.saturating_duration_since(record.crash.at) < ANNOUNCEMENT_PERIOD
     };
-    self.crashes.iter().rev().filter(is_recent).map(|record| &record.crash)
+    let own = self.crashes.iter().rev().filter(is_recent).map(|record| &record.crash);
+    let mut crashes: Vec<&Crash> = own.collect();
+    if crashes.len() > 1 {
+      let evidence = self.evidence();
+      let explained =
+        |feature: &Feature| evidence.get(feature).map_or(0, |evidence| evidence.targets.len());
+      crashes.sort_by_key(|crash| Reverse(crash.features.iter().map(explained).max()));
+    }
+    crashes
   }
 
   /// Returns the sound answers that this host announces to the others.
   pub fn announced_sounds(&self, now: Instant) -> impl Iterator<Item = Sound> {
-    self.sounds.iter().filter_map(move |(part, record)| {
+    self.sounds.iter().filter_map(move |(feature, record)| {
       let began_at = record.own.filter(|_| record.announced_until.is_some_and(|end| now < end))?;
       Some(Sound {
         began_at,
-        part: *part,
+        feature: *feature,
       })
     })
   }
 
-  /// Bans the parts that the crashes call for; returns the new bans.
+  /// Bans the features that the crashes call for; returns the new bans.
   ///
-  /// `news_delay` is the time in which another host that has soundly answered a part reports so.
+  /// `news_delay` is the time in which another host that has soundly answered a feature reports so.
   pub fn judge(&mut self, news_delay: Duration, now: Instant) -> Vec<Ban> {
     let is_kept = |at: Instant, retention| now.saturating_duration_since(at) < retention;
     self.crashes.retain(|record| is_kept(record.crash.at, CRASH_RETENTION));
     self.bans.retain(|record| is_kept(record.ban.last_crash, BAN_RETENTION));
+    self.bans.retain(|record| !is_over(&record.ban, now));
     let mut new_bans = Vec::new();
     if self.crashes.is_empty() {
       return new_bans;
     }
-    while let Some(ban) = self.find_culprit(news_delay, now) {
-      if !self.insert_ban(ban.clone()) {
-        break;
+    loop {
+      let mut culprits = self.find_culprits(news_delay, now);
+      culprits.retain(|ban| self.insert_ban(ban.clone()));
+      if culprits.is_empty() {
+        return new_bans;
       }
-      new_bans.push(ban);
+      new_bans.extend(culprits);
     }
-    new_bans
   }
 
   /// Adds a ban of another host; returns whether it is new here.
@@ -160,21 +185,22 @@
   /// Parts that were soundly answered since its first crash are left out.
   pub fn merge_ban(&mut self, mut ban: Ban, now: Instant) -> bool {
     let first_crash = ban.first_crash;
-    ban.parts.retain(|part| match self.sounds.get_mut(part) {
+    ban.features.retain(|feature| match self.sounds.get_mut(feature) {
       Some(record) if record.latest > first_crash => {
         record.announced_until = Some(now + ANNOUNCEMENT_PERIOD);
         false
       }
       _ => true,
     });
-    ban.parts.sort_unstable();
-    ban.parts.dedup();
-    !ban.parts.is_empty() && self.insert_ban(ban)
+    ban.features.sort_unstable();
+    ban.features.dedup();
+    !ban.features.is_empty() && !is_over(&ban, now) && self.insert_ban(ban)
   }
 
   /// Creates an empty ledger.
   pub fn new(now: Instant) -> Self {
     Self {
+      activity: Activity::default(),
       bans: Vec::new(),
       crashes: VecDeque::new(),
       sounds: HashMap::new(),
@@ -185,24 +211,23 @@
   /// Records a crash that this host noticed itself (`own`) or another one reported; returns whether
   /// it is new.
   ///
-  /// A crash without parts has a cause other than the requests that the target had just begun to
+  /// A crash without features has a cause other than the requests that the target had just begun to
   /// answer.
   pub fn record_crash(&mut self, mut crash: Crash, own: bool, now: Instant) -> bool {
-    self.limit_parts(&mut crash.parts);
-    for part in &crash.parts {
-      if let Some(record) = self.sounds.get_mut(part) {
+    self.limit_features(&mut crash.features);
+    for feature in &crash.features {
+      if let Some(record) = self.sounds.get_mut(feature) {
         record.announced_until = Some(now + ANNOUNCEMENT_PERIOD);
       }
     }
     for record in &mut self.bans {
-      if record.ban.covers(&crash.parts) {
+      if record.ban.covers(&crash.features) {
         record.ban.last_crash = record.ban.last_crash.max(crash.at);
       }
     }
-    let known = self
-      .crashes
-      .iter_mut()
-      .find(|record| record.crash.target == crash.target && record.crash.parts == crash.parts);
+    let known = self.crashes.iter_mut().find(|record| {
+      record.crash.target == crash.target && record.crash.features == crash.features
+    });
     if let Some(known) = known {
       known.crash.at = known.crash.at.min(crash.at);
       known.own |= own;
@@ -215,41 +240,56 @@
     true
   }
 
-  /// Records that a target soundly answered a request with the given shared prompt parts, as this
-  /// host saw itself.
-  pub fn record_sound(&mut self, parts: &[u64], began_at: Instant, now: Instant) {
-    for part in parts {
-      let is_suspected = self.is_suspected(*part);
-      let record = self.update_sound(*part, began_at);
+  /// Records that a target of a service soundly answered a request with the given features, as this
+  /// host saw itself. `service` is the hash of its name.
+  ///
+  /// Returns whether it is the first one of the service since the last crash, so that the crashes are
+  /// to be judged again.
+  pub fn record_sound(
+    &mut self,
+    features: &[Feature],
+    service: u64,
+    began_at: Instant,
+    now: Instant,
+  ) -> bool {
+    let last_crash = self.crashes.iter().filter(|record| record.crash.service == service);
+    let last_crash = last_crash.map(|record| record.crash.at).max();
+    let is_first = last_crash
+      .is_some_and(|at| began_at > at && self.activity.first_answer_after(service, at).is_none());
+    self.activity.record(service, began_at);
+    for feature in features {
+      let is_suspected = self.is_suspected(*feature);
+      let record = self.update_sound(*feature, began_at);
       record.own = record.own.max(Some(began_at));
       if is_suspected {
         record.announced_until = Some(now + ANNOUNCEMENT_PERIOD);
       }
     }
+    is_first
   }
 
   /// Records a sound answer that another host reported.
   pub fn merge_sound(&mut self, sound: Sound) {
-    self.update_sound(sound.part, sound.began_at);
+    self.update_sound(sound.feature, sound.began_at);
   }
 
-  fn is_suspected(&self, part: u64) -> bool {
-    self.crashes.iter().any(|record| record.crash.parts.contains(&part))
-      || self.bans().any(|ban| ban.parts.contains(&part))
+  fn is_suspected(&self, feature: Feature) -> bool {
+    self.crashes.iter().any(|record| record.crash.features.contains(&feature))
+      || self.bans().any(|ban| ban.features.contains(&feature))
   }
 
-  /// Updates the last sound answer of a part and takes the part out of the bans that it refutes.
-  fn update_sound(&mut self, part: u64, began_at: Instant) -> &mut SoundRecord {
+  /// Updates the last sound answer of a feature and takes the feature out of the bans that it refutes.
+  fn update_sound(&mut self, feature: Feature, began_at: Instant) -> &mut SoundRecord {
     for record in &mut self.bans {
       if began_at > record.ban.first_crash {
-        record.ban.parts.retain(|banned| *banned != part);
+        record.ban.features.retain(|banned| *banned != feature);
       }
     }
-    self.bans.retain(|record| !record.ban.parts.is_empty());
-    if !self.sounds.contains_key(&part) && self.sounds.len() >= MAX_SOUND_PARTS {
+    self.bans.retain(|record| !record.ban.features.is_empty());
+    if !self.sounds.contains_key(&feature) && self.sounds.len() >= MAX_SOUND_FEATURES {
       self.drop_oldest_sounds();
     }
-    let record = self.sounds.entry(part).or_insert(SoundRecord {
+    let record = self.sounds.entry(feature).or_insert(SoundRecord {
       announced_until: None,
       latest: began_at,
       own: None,
@@ -258,50 +298,61 @@
     record
   }
 
-  /// Drops the older half of the sound answers.
+  /// Drops the older half of the sound answers to contents, or to all features if few are contents.
   fn drop_oldest_sounds(&mut self) {
-    let mut times: Vec<Instant> = self.sounds.values().map(|record| record.latest).collect();
+    let contents = self.sounds.keys().filter(|feature| feature.is_content()).count();
+    let is_candidate =
+      |feature: &Feature| feature.is_content() || contents < MAX_SOUND_FEATURES / 2;
+    let candidates = self.sounds.iter().filter(|(feature, _)| is_candidate(feature));
+    let mut times: Vec<Instant> = candidates.map(|(_, record)| record.latest).collect();
     let middle = times.len() / 2;
     let (_, median, _) = times.select_nth_unstable(middle);
     let median = *median;
-    self.sounds.retain(|_, record| record.latest > median);
+    self.sounds.retain(|feature, record| !is_candidate(feature) || record.latest > median);
   }
 
-  /// Reduces the parts of a crash to those that are kept.
-  fn limit_parts(&self, parts: &mut Vec<u64>) {
-    if parts.len() > MAX_PARTS {
-      parts.sort_by_key(|part| self.sounds.contains_key(part));
-      parts.truncate(MAX_PARTS);
+  /// Reduces the features of a crash to those that are kept.
+  fn limit_features(&self, features: &mut Vec<Feature>) {
+    if features.len() > MAX_FEATURES {
+      features.sort_by_key(|feature| (self.sounds.contains_key(feature), !feature.is_content()));
+      features.truncate(MAX_FEATURES);
     }
-    parts.sort_unstable();
-    parts.dedup();
+    features.sort_unstable();
+    features.dedup();
   }
 
-  /// Returns whether a crash still speaks against a part: no sound answer began later.
-  fn speaks_against(&self, crash: &Crash, part: u64) -> bool {
-    self.sounds.get(&part).is_none_or(|sound| sound.latest <= crash.at)
+  /// Returns whether a crash still speaks against a feature: no sound answer began later.
+  fn speaks_against(&self, crash: &Crash, feature: Feature) -> bool {
+    self.sounds.get(&feature).is_none_or(|sound| sound.latest <= crash.at)
   }
 
-  /// Returns the crashes under each part that still speak against it.
+  /// Returns the crashes under each feature that still speak against it.
   ///
-  /// A crash that a ban covers speaks only against the parts of that ban.
-  fn evidence(&self) -> BTreeMap<u64, Evidence> {
+  /// A crash that a certain ban covers speaks only against the features of that ban.
+  fn evidence(&self) -> BTreeMap<Feature, Evidence> {
     let mut covering: HashMap<u64, Vec<&Ban>> = HashMap::new();
     for record in &self.crashes {
-      let bans = self.bans().filter(|ban| ban.covers(&record.crash.parts));
+      let bans = self.certain_bans().filter(|ban| ban.covers(&record.crash.features));
       covering.entry(record.crash.target).or_default().extend(bans);
     }
-    let mut evidence: BTreeMap<u64, Evidence> = BTreeMap::new();
+    let mut evidence: BTreeMap<Feature, Evidence> = BTreeMap::new();
     for CrashRecord { crash, .. } in &self.crashes {
       let bans = &covering[&crash.target];
-      for part in &crash.parts {
-        let is_explained = !bans.is_empty() && !bans.iter().any(|ban| ban.parts.contains(part));
-        if is_explained || !self.speaks_against(crash, *part) {
+      for feature in &crash.features {
+        let is_explained =
+          !bans.is_empty() && !bans.iter().any(|ban| ban.features.contains(feature));
+        if is_explained || !self.speaks_against(crash, *feature) {
           continue;
         }
-        let entry = evidence.entry(*part).or_default();
-        let at = entry.targets.entry(crash.target).or_insert(crash.at);
-        *at = crash.at.min(*at);
+        let entry = evidence.entry(*feature).or_default();
+        entry.service = crash.service;
+        entry.add(
+          crash.target,
+          CrashedRun {
+            at: crash.at,
+            sent_at: crash.sent_at,
+          },
+        );
         if bans.is_empty() {
           entry.uncovered.insert(crash.target);
         }
@@ -310,41 +361,14 @@
     evidence
   }
 
-  /// Returns whether no target is known to have answered a part soundly.
-  fn is_new(&self, part: u64, now: Instant) -> bool {
-    !self.sounds.contains_key(&part)
-      && now.saturating_duration_since(self.started_at) >= OBSERVATION_PERIOD
+  /// Returns whether no target is known to have answered a feature soundly.
+  fn is_new(&self, feature: Feature, now: Instant) -> bool {
+    let has_seen_traffic = now.saturating_duration_since(self.started_at) >= OBSERVATION_PERIOD;
+    !self.sounds.contains_key(&feature) && (feature.is_content() || has_seen_traffic)
   }
 
-  /// Returns the targets of the crashes that are `counted`, in groups that crashed at about the same
-  /// time. A target is left out if one of its crashes is.
-  fn crash_groups(&self, is_counted: impl Fn(&Crash) -> bool) -> Vec<Vec<u64>> {
-    let crashes = self.crashes.iter().map(|record| &record.crash);
-    let left_out: HashSet<u64> =
-      crashes.filter(|crash| !is_counted(crash)).map(|crash| crash.target).collect();
-    let mut times: HashMap<u64, Instant> = HashMap::new();
-    for CrashRecord { crash, .. } in &self.crashes {
-      if left_out.contains(&crash.target) {
-        continue;
-      }
-      let at = times.entry(crash.target).or_insert(crash.at);
-      *at = crash.at.min(*at);
-    }
-    let mut times: Vec<(Instant, u64)> =
-      times.into_iter().map(|(target, at)| (at, target)).collect();
-    times.sort_unstable();
-    let mut groups: Vec<Vec<u64>> = Vec::new();
-    let mut group_end = None;
-    for (at, target) in times {
-      match groups.last_mut().filter(|_| group_end.is_some_and(|end| at < end)) {
-        Some(group) => group.push(target),
-        None => {
-          groups.push(vec![target]);
-          group_end = Some(at + COMMON_CAUSE_WINDOW);
-        }
-      }
-    }
-    groups
+  fn certain_bans(&self) -> impl Iterator<Item = &Ban> {
+    self.bans().filter(|ban| !ban.is_uncertain)
   }
 
   /// Returns whether a crash of a target is known.
@@ -352,80 +376,114 @@
     self.crashes.iter().any(|record| record.crash.target == target)
   }
 
-  /// Returns the ban of the part against which most crashes speak, if they suffice.
-  fn find_culprit(&self, news_delay: Duration, now: Instant) -> Option<Ban> {
+  /// Returns the ban of the feature against which most crashes speak, if they suffice. If features of
+  /// other requests explain the same crashes, returns uncertain bans of all of them.
+  fn find_culprits(&self, news_delay: Duration, now: Instant) -> Vec<Ban> {
     if self.bans.len() >= MAX_BANS {
-      return None;
+      return Vec::new();
     }
     let evidence = self.evidence();
-    let all_groups = self.crash_groups(|_| true);
-    let uncovered_groups =
-      self.crash_groups(|crash| !self.bans().any(|ban| ban.covers(&crash.parts)));
-    let groups_of = |part: &u64| {
-      let is_banned = self.bans().any(|ban| ban.parts.contains(part));
-      if is_banned {
-        &all_groups
-      } else {
-        &uncovered_groups
-      }
-    };
     let suspects: Vec<Suspect<'_>> = evidence
       .iter()
-      .map(|(part, evidence)| Suspect {
-        crashes: evidence.count(groups_of(part), |_| true),
+      .map(|(feature, evidence)| Suspect {
+        crash_times: evidence.crash_times(|_| true),
         evidence,
-        groups: groups_of(part),
-        is_new: self.is_new(*part, now),
-        part: *part,
+        feature: *feature,
+        is_new: self.is_new(*feature, now),
       })
       .collect();
-    let suffices = |suspect: &Suspect<'_>| {
-      let evidence = suspect.evidence;
-      let silence = evidence.first().map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-      let (min_crashes, min_silence) = if suspect.is_new {
-        (MIN_CRASHES_OF_NEW_PART, news_delay)
-      } else {
-        (MIN_CRASHES, news_delay.max(MIN_SILENCE))
-      };
-      if suspect.crashes < min_crashes || silence < min_silence {
-        return false;
+    let suffices = |suspect: &&Suspect<'_>| self.suffices(suspect, &suspects, news_delay, now);
+    let mut culprits: Vec<&Suspect<'_>> = suspects.iter().filter(suffices).collect();
+    culprits.sort_by_key(|culprit| Reverse((culprit.crash_times.len(), culprit.feature)));
+    for culprit in &culprits {
+      let companions = self.companions(culprit.feature, culprit.evidence);
+      let rivals = culprits.iter().filter(|other| {
+        !companions.contains(&other.feature)
+          && other.crash_times.len() >= culprit.crash_times.len()
+          && other.covers(culprit)
+      });
+      let rivals: Vec<&Suspect<'_>> = rivals.copied().collect();
+      if rivals.is_empty() {
+        return vec![self.ban(culprit, false)];
       }
-      if self.bans().any(|ban| ban.parts.contains(&suspect.part)) {
-        let is_uncovered = |target| evidence.uncovered.contains(&target);
-        return evidence.count(suspect.groups, is_uncovered) >= MIN_CRASHES_ALONE;
+      let bans: Vec<Ban> =
+        rivals.into_iter().chain([*culprit]).map(|rival| self.ban(rival, true)).collect();
+      if bans.iter().all(|ban| !is_over(ban, now) && !self.is_banned(ban)) {
+        return bans;
       }
-      let rivals: Vec<&Suspect<'_>> =
-        suspects.iter().filter(|other| other.explains_better(suspect)).collect();
-      let is_left =
-        |target| !rivals.iter().any(|rival| rival.evidence.targets.contains_key(&target));
-      evidence.count(suspect.groups, is_left) >= min_crashes
+    }
+    Vec::new()
+  }
+
+  /// Returns whether the crashes under a feature suffice to ban it.
+  fn suffices(
+    &self,
+    suspect: &Suspect<'_>,
+    suspects: &[Suspect<'_>],
+    news_delay: Duration,
+    now: Instant,
+  ) -> bool {
+    let evidence = suspect.evidence;
+    let since = |at: Instant| now.saturating_duration_since(at);
+    let silence = evidence.first().map_or(Duration::ZERO, since);
+    let (min_crashes, min_silence) = if suspect.is_new {
+      (MIN_CRASHES_OF_NEW_FEATURE, news_delay)
+    } else {
+      (MIN_CRASHES, news_delay.max(MIN_SILENCE))
+    };
+    let Some(decisive_crash) = suspect.crash_times.get(min_crashes - 1) else {
+      return false;
     };
-    let culprit = suspects.iter().filter(|suspect| suffices(suspect));
-    let culprit = culprit.max_by_key(|suspect| (suspect.crashes, suspect.part))?;
-    let found = culprit.evidence;
-    let first_crash = found.first()?;
-    Some(Ban {
-      crashes: u32::try_from(found.targets.len()).unwrap_or(u32::MAX),
+    if silence < min_silence {
+      return false;
+    }
+    // The silence of a feature in use means nothing while no request can be answered.
+    let others_answered = self.activity.first_answer_after(evidence.service, *decisive_crash);
+    if !suspect.is_new && others_answered.is_none() {
+      return false;
+    }
+    if self.certain_bans().any(|ban| ban.features.contains(&suspect.feature)) {
+      let is_uncovered = |target| evidence.uncovered.contains(&target);
+      return evidence.crash_times(is_uncovered).len() >= MIN_CRASHES_ALONE;
+    }
+    let rivals: Vec<&Suspect<'_>> =
+      suspects.iter().filter(|other| other.explains_better(suspect)).collect();
+    let is_left = |target| !rivals.iter().any(|rival| rival.evidence.targets.contains_key(&target));
+    evidence.crash_times(is_left).len() >= min_crashes
+  }
+
+  fn ban(&self, culprit: &Suspect<'_>, is_uncertain: bool) -> Ban {
+    let evidence = culprit.evidence;
+    let first_crash = evidence.first().expect("a culprit has crashes");
+    Ban {
+      crashes: u32::try_from(evidence.targets.len()).unwrap_or(u32::MAX),
+      features: self.companions(culprit.feature, evidence),
       first_crash,
-      last_crash: found.targets.values().max().copied().unwrap_or(first_crash),
-      parts: self.companions(culprit.part, found),
-    })
+      is_uncertain,
+      last_crash: evidence.last().unwrap_or(first_crash),
+    }
   }
 
-  /// Returns the parts that all crashes under a part have in common, among them the part itself.
-  fn companions(&self, part: u64, evidence: &Evidence) -> Vec<u64> {
-    let mut common: Option<Vec<u64>> = None;
+  /// Returns whether a ban of the same features stands.
+  fn is_banned(&self, ban: &Ban) -> bool {
+    self.bans().any(|known| known.features == ban.features)
+  }
+
+  /// Returns the features that all crashes under a feature have in common, among them the feature itself.
+  fn companions(&self, feature: Feature, evidence: &Evidence) -> Vec<Feature> {
+    let mut common: Option<Vec<Feature>> = None;
     for target in evidence.targets.keys() {
       let crashes = self.crashes.iter().map(|record| &record.crash);
-      let crashes = crashes.filter(|crash| crash.target == *target && crash.parts.contains(&part));
-      let parts: HashSet<u64> = crashes
+      let crashes =
+        crashes.filter(|crash| crash.target == *target && crash.features.contains(&feature));
+      let features: HashSet<Feature> = crashes
         .flat_map(|crash| {
-          crash.parts.iter().copied().filter(|other| self.speaks_against(crash, *other))
+          crash.features.iter().copied().filter(|other| self.speaks_against(crash, *other))
         })
         .collect();
       match &mut common {
-        Some(common) => common.retain(|other| parts.contains(other)),
-        None => common = Some(parts.into_iter().collect()),
+        Some(common) => common.retain(|other| features.contains(other)),
+        None => common = Some(features.into_iter().collect()),
       }
     }
     let mut common = common.unwrap_or_default();
@@ -433,10 +491,12 @@
     common
   }
 
-  /// Adds a ban, unless there is one of the same or of fewer parts; returns whether it was added.
+  /// Adds a ban, unless there is one of the same or of fewer features; returns whether it was added.
   fn insert_ban(&mut self, ban: Ban) -> bool {
-    let narrower =
-      self.bans.iter_mut().find(|record| ban::is_subset(&record.ban.parts, &ban.parts));
+    let narrower = self.bans.iter_mut().find(|record| {
+      (ban.is_uncertain || !record.ban.is_uncertain)
+        && ban::is_subset(&record.ban.features, &ban.features)
+    });
     if let Some(record) = narrower {
       if ban.last_crash > record.ban.last_crash + MESSAGE_DELAY {
         record.ban.last_crash = ban.last_crash;
@@ -444,7 +504,11 @@
       record.ban.crashes = record.ban.crashes.max(ban.crashes);
       return false;
     }
-    self.bans.retain(|record| !ban::is_subset(&ban.parts, &record.ban.parts));
+    // Uncertain bans are derived again if they explain crashes that a certain one does not.
+    self.bans.retain(|record| {
+      (ban.is_uncertain || !record.ban.is_uncertain)
+        && !ban::is_subset(&ban.features, &record.ban.features)
+    });
     if self.bans.len() >= MAX_BANS {
       return false;
     }
--- a/yuccarudder/src/quarantine/tests.rs
+++ b/yuccarudder/src/quarantine/tests.rs
@@ -11,6 +11,9 @@
 
 const FIRST_PART: u64 = 1;
 const FATAL_PARTS: [u64; 2] = [100, 101];
+const FATAL_CONTENT: Feature = Feature::Content(100);
+/// Time from the arrival of a plain request at a target until it is answered.
+const PLAIN_DURATION: Duration = Duration::from_millis(40);
 /// Time in which all hosts are to know what five crashes show.
 const CONTACT: Duration = Duration::from_secs(3);
 /// Requests with a fatal part that may reach targets after that.
@@ -23,15 +26,33 @@
 /// Requests with a fatal part in a second, over all hosts.
 const BAD_RATE: f64 = 3.0;
 const DOWN: Duration = Duration::from_secs(3);
+const SERVICE: u64 = 7;
 
 fn ms(milliseconds: u64) -> Duration {
   Duration::from_millis(milliseconds)
 }
 
+fn prompt_parts(ids: &[u64]) -> Vec<Feature> {
+  ids.iter().copied().map(Feature::PromptPart).collect()
+}
+
 fn crash(target: u64, parts: &[u64], at: Instant) -> Crash {
   Crash {
     at,
-    parts: parts.to_vec(),
+    features: prompt_parts(parts),
+    sent_at: at - PREFILL,
+    service: SERVICE,
+    target,
+  }
+}
+
+/// Returns the crash of a target under a request that was sent at a time.
+fn crash_under(target: u64, content: u64, sent_at: Instant, at: Instant) -> Crash {
+  Crash {
+    at,
+    features: vec![Feature::Content(content)],
+    sent_at,
+    service: SERVICE,
     target,
   }
 }
@@ -46,7 +67,13 @@
 }
 
 fn banned(ledger: &Ledger) -> Vec<Vec<u64>> {
-  ledger.bans().map(|ban| ban.parts.clone()).collect()
+  let ids = |ban: &Ban| ban.features.iter().copied().map(id).collect();
+  ledger.bans().map(ids).collect()
+}
+
+fn id(feature: Feature) -> u64 {
+  let (Feature::Content(id) | Feature::PromptPart(id)) = feature;
+  id
 }
 
 /// Defines a test of the bans that crashes lead to: the parts with a sound answer and when it began,
@@ -59,7 +86,7 @@
       let sounds: Vec<(u64, i64)> = vec![$(($sound, $sound_at)),*];
       for (part, at) in sounds {
         let at = if at < 0 { start - ms(at.unsigned_abs()) } else { start + ms(at.unsigned_abs()) };
-        ledger.record_sound(&[part], at, at + ms(500));
+        ledger.record_sound(&prompt_parts(&[part]), SERVICE, at, at + ms(500));
       }
       let crashes: Vec<(u64, Vec<u64>)> = vec![$(($at, $parts.to_vec())),*];
       for (target, (at, parts)) in (0..).zip(crashes) {
@@ -148,6 +175,99 @@
   []
 );
 
+/// Defines a test of the bans that crashed runs lead to: each with the content of its request, its
+/// target and when it was sent and ended; the expected banned contents, and whether the bans are
+/// uncertain.
+macro_rules! content_bans {
+  ($name:ident, [$(($content:expr, $target:expr, $sent:expr, $at:expr)),*], $expected:expr, $uncertain:expr) => {
+    #[test]
+    fn $name() {
+      let (mut ledger, start) = ledger();
+      let runs: Vec<(u64, u64, u64, u64)> = vec![$(($content, $target, $sent, $at)),*];
+      for (content, target, sent, at) in runs {
+        let at = start + ms(at);
+        ledger.record_crash(crash_under(target, content, start + ms(sent), at), true, at);
+      }
+      ledger.judge(ms(600), start + ms(1_000));
+      let mut contents = banned(&ledger).concat();
+      contents.sort_unstable();
+      let expected: &[u64] = &$expected;
+      assert_eq!(contents, expected);
+      assert!(ledger.bans().all(|ban| ban.is_uncertain == $uncertain));
+    }
+  };
+}
+
+content_bans!(
+  request_sent_again_after_each_of_three_crashes,
+  [(1, 1, 0, 40), (1, 2, 42, 80), (1, 3, 85, 120)],
+  [1],
+  false
+);
+content_bans!(
+  request_that_shared_two_of_three_targets_with_a_fatal_one,
+  [
+    (1, 1, 0, 40),
+    (2, 1, 10, 40),
+    (1, 2, 42, 80),
+    (2, 2, 42, 80),
+    (1, 3, 85, 120)
+  ],
+  [1],
+  false
+);
+content_bans!(
+  requests_that_shared_all_three_targets,
+  [
+    (1, 1, 0, 40),
+    (2, 1, 10, 40),
+    (1, 2, 42, 80),
+    (2, 2, 42, 80),
+    (1, 3, 85, 120),
+    (2, 3, 85, 120)
+  ],
+  [1, 2],
+  true
+);
+content_bans!(
+  request_on_targets_that_are_lost_together,
+  [(1, 1, 0, 40), (1, 2, 5, 42), (1, 3, 10, 45), (1, 4, 15, 48)],
+  [],
+  false
+);
+
+/// Guards against a fatal request that is let through again because another one ran beside it at its
+/// first three crashes.
+#[test]
+fn next_crash_decides_between_requests_that_shared_all_targets() {
+  let (mut ledger, start) = ledger();
+  for (target, sent, at) in [(1, 0, 40), (2, 42, 80), (3, 85, 120)] {
+    for content in [1, 2] {
+      let crash = crash_under(target, content, start + ms(sent), start + ms(at));
+      ledger.record_crash(crash, true, start + ms(at));
+    }
+  }
+  ledger.judge(ms(600), start + ms(1_000));
+  let verdict = |ledger: &mut Ledger, content, at| match ledger.check(
+    &[Feature::Content(content)],
+    false,
+    start + ms(at),
+  ) {
+    Verdict::Allowed => "allowed",
+    Verdict::Banned(ban) if ban.is_uncertain => "suspected",
+    _ => "banned",
+  };
+  assert_eq!(verdict(&mut ledger, 1, 1_000), "suspected");
+  assert_eq!(verdict(&mut ledger, 2, 1_000), "suspected");
+  assert_eq!(verdict(&mut ledger, 1, 4_200), "allowed");
+  ledger.judge(ms(600), start + ms(4_200));
+  let crash = crash_under(4, 1, start + ms(4_300), start + ms(4_340));
+  ledger.record_crash(crash, true, start + ms(4_340));
+  ledger.judge(ms(600), start + ms(4_341));
+  assert_eq!(verdict(&mut ledger, 1, 4_342), "banned");
+  assert_eq!(verdict(&mut ledger, 2, 4_342), "allowed");
+}
+
 #[test]
 fn crash_of_one_target_counts_once_whoever_reports_it() {
   let (mut ledger, start) = ledger();
@@ -165,12 +285,19 @@
     crashes: 3,
     first_crash: start,
     last_crash: start,
-    parts: vec![8, 9],
+    is_uncertain: false,
+    features: prompt_parts(&[8, 9]),
   };
   assert!(ledger.merge_ban(ban.clone(), start));
   assert!(!ledger.merge_ban(ban.clone(), start));
-  assert_eq!(ledger.check(&[7, 9, 8], false, start), Verdict::Banned(ban));
-  assert_eq!(ledger.check(&[7, 9], false, start), Verdict::Allowed);
+  assert_eq!(
+    ledger.check(&prompt_parts(&[7, 9, 8]), false, start),
+    Verdict::Banned(ban)
+  );
+  assert_eq!(
+    ledger.check(&prompt_parts(&[7, 9]), false, start),
+    Verdict::Allowed
+  );
   assert_eq!(ledger.check(&[], false, start), Verdict::Allowed);
 }
 
@@ -181,20 +308,26 @@
     crashes: 3,
     first_crash: start,
     last_crash: start + ms(800),
-    parts: vec![8, 9],
+    is_uncertain: false,
+    features: prompt_parts(&[8, 9]),
   };
   ledger.merge_ban(ban.clone(), start + ms(900));
-  ledger.record_sound(&[8], start + ms(500), start + ms(1_000));
+  ledger.record_sound(
+    &prompt_parts(&[8]),
+    SERVICE,
+    start + ms(500),
+    start + ms(1_000),
+  );
   assert_eq!(banned(&ledger), [[9]]);
   assert!(!ledger.merge_ban(ban, start + ms(1_100)));
   assert_eq!(banned(&ledger), [[9]]);
   // The other hosts are told, as one of them still had the part in its ban.
   let announced: Vec<u64> =
-    ledger.announced_sounds(start + ms(1_200)).map(|sound| sound.part).collect();
+    ledger.announced_sounds(start + ms(1_200)).map(|sound| id(sound.feature)).collect();
   assert_eq!(announced, [8]);
   ledger.merge_sound(Sound {
     began_at: start + ms(900),
-    part: 9,
+    feature: Feature::PromptPart(9),
   });
   assert_eq!(banned(&ledger), Vec::<Vec<u64>>::new());
 }
@@ -223,25 +356,37 @@
     crashes: 3,
     first_crash: start,
     last_crash: start,
-    parts: vec![9],
+    is_uncertain: false,
+    features: prompt_parts(&[9]),
   };
   ledger.merge_ban(ban.clone(), start);
   let later = start + Duration::from_secs(601);
   assert_eq!(
-    ledger.check(&[9], true, start + ms(1_000)),
+    ledger.check(&prompt_parts(&[9]), true, start + ms(1_000)),
     Verdict::Banned(ban.clone())
   );
   assert_eq!(
-    ledger.check(&[9], false, later),
+    ledger.check(&prompt_parts(&[9]), false, later),
     Verdict::Banned(ban.clone())
   );
-  assert_eq!(ledger.check(&[9], true, later), Verdict::Trial);
   assert_eq!(
-    ledger.check(&[9], true, later + ms(10)),
+    ledger.check(&prompt_parts(&[9]), true, later),
+    Verdict::Trial
+  );
+  assert_eq!(
+    ledger.check(&prompt_parts(&[9]), true, later + ms(10)),
     Verdict::Banned(ban)
   );
-  ledger.record_sound(&[9], later + ms(400), later + ms(900));
-  assert_eq!(ledger.check(&[9], false, later + ms(900)), Verdict::Allowed);
+  ledger.record_sound(
+    &prompt_parts(&[9]),
+    SERVICE,
+    later + ms(400),
+    later + ms(900),
+  );
+  assert_eq!(
+    ledger.check(&prompt_parts(&[9]), false, later + ms(900)),
+    Verdict::Allowed
+  );
 }
 
 #[test]
@@ -250,29 +395,34 @@
   for index in 0..2_000 {
     let at = start + ms(index * 10);
     let parts: Vec<u64> = (0..40).map(|part| index * 40 + part).collect();
-    ledger.record_sound(&parts, at, at);
+    ledger.record_sound(&prompt_parts(&parts), SERVICE, at, at);
     ledger.record_crash(crash(index, &parts, at), true, at);
     ledger.merge_ban(
       Ban {
         crashes: 3,
         first_crash: at,
         last_crash: at,
-        parts: vec![1 << 40 | index],
+        is_uncertain: false,
+        features: prompt_parts(&[1 << 40 | index]),
       },
       at,
     );
   }
   assert!(ledger.bans().count() <= 64);
-  assert!(ledger.announced_crashes(start + ms(20_000)).count() <= 256);
+  assert!(ledger.announced_crashes(start + ms(20_000)).len() <= 256);
   assert!(ledger.announced_sounds(start + ms(20_000)).count() <= 4096);
 }
 
 /// A request that runs at a target.
+#[derive(Clone)]
 struct Run {
   begins_at: Instant,
+  features: Vec<Feature>,
   host: usize,
-  parts: Vec<u64>,
   reported: bool,
+  /// How often the host and the caller may send the request again.
+  retries: usize,
+  sent_at: Instant,
   target: usize,
 }
 
@@ -284,9 +434,13 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Scenario {
+  /// Times in a second that callers send the one fatal request.
+  fatal_request_rate: f64,
   /// Number of fatal parts.
   fatal_parts: usize,
   hosts: usize,
+  /// Whether the targets serve plain requests, which have no prompt parts.
+  is_plain: bool,
   /// Fraction of the messages between hosts that are lost.
   loss: f64,
   /// Number of targets that are lost at the same moment, for another reason.
@@ -294,22 +448,41 @@
   /// Whether hosts restart, and some are cut off from the others for a time.
   restarts: bool,
   seed: u64,
+  targets: usize,
   /// Whether the fatal parts were sound at first.
   turns_bad: bool,
 }
 
+/// A fleet without trouble.
+const CALM: Scenario = Scenario {
+  fatal_parts: 0,
+  fatal_request_rate: 0.0,
+  hosts: 6,
+  is_plain: false,
+  loss: 0.0,
+  rack: 0,
+  restarts: false,
+  seed: 0,
+  targets: 18,
+  turns_bad: false,
+};
+
 /// A simulated fleet and its targets.
 struct Fleet {
-  crashes: Vec<(Instant, Vec<u64>)>,
+  crashes: Vec<(Instant, Vec<Feature>)>,
   hosts: Vec<Ledger>,
   /// When each target runs again, and the number of its process.
   targets: Vec<(Instant, u64)>,
   in_flight: Vec<(Instant, usize, News)>,
   late_arrivals: [usize; 2],
+  /// Arrivals of the fatal request later than `CONTACT` after its third crash.
+  late_fatal_requests: usize,
   now: Instant,
   random: StdRng,
   runs: Vec<Run>,
   scenario: Scenario,
+  /// Sound requests that were refused for good.
+  sound_denied: usize,
   sound_refused: usize,
   sound_sent: usize,
   start: Instant,
@@ -321,13 +494,15 @@
     Self {
       crashes: Vec::new(),
       hosts: vec![Ledger::new(start); scenario.hosts],
-      targets: vec![(start, 0); 18],
+      targets: vec![(start, 0); scenario.targets],
       in_flight: Vec::new(),
       late_arrivals: [0; 2],
+      late_fatal_requests: 0,
       now: start,
       random: StdRng::seed_from_u64(scenario.seed),
       runs: Vec::new(),
       scenario,
+      sound_denied: 0,
       sound_refused: 0,
       sound_sent: 0,
       start,
@@ -342,20 +517,53 @@
     self.random.random_range(0.0..1.0) < per_second * STEP.as_secs_f64()
   }
 
-  fn is_fatal(&self, parts: &[u64]) -> bool {
+  fn prefill(&self) -> Duration {
+    if self.scenario.is_plain {
+      PLAIN_DURATION
+    } else {
+      PREFILL
+    }
+  }
+
+  fn is_fatal(&self, features: &[Feature]) -> bool {
     let fatal = &FATAL_PARTS[..self.scenario.fatal_parts];
     let is_bad_now = !self.scenario.turns_bad || self.elapsed() >= Duration::from_secs(20);
-    is_bad_now && parts.iter().any(|part| fatal.contains(part))
+    features.contains(&FATAL_CONTENT)
+      || (is_bad_now && fatal.iter().any(|part| features.contains(&Feature::PromptPart(*part))))
+  }
+
+  /// Sends a request with these prompt parts and others to a random host. Every third request is one
+  /// of three that all callers send; the others are sent by one caller each.
+  fn send(&mut self, parts: &[u64]) {
+    let content = match self.random.random_range(0..9) {
+      popular @ 0..3 => popular,
+      _ => self.random.random_range(1 << 20..1 << 50),
+    };
+    self.send_content(Feature::Content(content), parts);
+  }
+
+  fn send_content(&mut self, content: Feature, parts: &[u64]) {
+    let mut features = vec![content];
+    if !self.scenario.is_plain {
+      features.extend(prompt_parts(parts));
+      features.push(Feature::PromptPart(self.random.random_range(0..20) + 10));
+    }
+    self.sound_sent += usize::from(!self.is_fatal(&features));
+    // The host retries once, the caller repeats the request once, and its host retries once.
+    self.send_to_host(features, 3);
   }
 
   /// Sends a request to a random host, and from there to a target unless it is refused.
-  fn send(&mut self, mut parts: Vec<u64>) {
-    parts.push(self.random.random_range(0..20) + 10);
+  fn send_to_host(&mut self, features: Vec<Feature>, retries: usize) {
     let host = self.random.random_range(0..self.hosts.len());
-    let is_sound = !self.is_fatal(&parts);
-    self.sound_sent += usize::from(is_sound);
-    if self.hosts[host].check(&parts, host == 0, self.now) != Verdict::Allowed {
+    self.send_from(host, features, retries);
+  }
+
+  fn send_from(&mut self, host: usize, features: Vec<Feature>, retries: usize) {
+    let is_sound = !self.is_fatal(&features);
+    if let Verdict::Banned(ban) = self.hosts[host].check(&features, host == 0, self.now) {
       self.sound_refused += usize::from(is_sound);
+      self.sound_denied += usize::from(is_sound && !ban.is_uncertain);
       return;
     }
     let up: Vec<usize> =
@@ -363,31 +571,60 @@
     if up.is_empty() {
       return;
     }
+    let is_late = |crashes: &[(Instant, Vec<Feature>)], feature: Feature, count: usize| {
+      let under_feature =
+        crashes.iter().filter(|(_, features)| features.contains(&feature)).map(|(at, _)| *at);
+      under_feature.skip(count - 1).take(1).any(|last| self.now >= last + CONTACT)
+    };
     for (index, part) in FATAL_PARTS.iter().enumerate() {
-      let under_part: Vec<Instant> =
-        self.crashes.iter().filter(|(_, parts)| parts.contains(part)).map(|(at, _)| *at).collect();
-      let is_late = under_part.get(4).is_some_and(|fifth| self.now >= *fifth + CONTACT);
-      self.late_arrivals[index] += usize::from(is_late && parts.contains(part));
+      let part = Feature::PromptPart(*part);
+      let is_counted = features.contains(&part) && is_late(&self.crashes, part, 5);
+      self.late_arrivals[index] += usize::from(is_counted);
     }
+    let is_counted = features.contains(&FATAL_CONTENT) && is_late(&self.crashes, FATAL_CONTENT, 3);
+    self.late_fatal_requests += usize::from(is_counted);
     self.runs.push(Run {
-      begins_at: self.now + PREFILL,
+      begins_at: self.now + self.prefill(),
+      features,
       host,
-      parts,
       reported: false,
+      retries,
+      sent_at: self.now,
       target: up[self.random.random_range(0..up.len())],
     });
   }
 
-  /// Ends a process; every host with a run there reports the crash.
-  fn crash(&mut self, target: usize, parts: &[u64]) {
+  /// Ends a process; every host with a run there reports the crash, and sends the request again.
+  fn crash(&mut self, target: usize, features: &[Feature]) {
     let process = self.targets[target].1 * 1_000 + target as u64;
     self.targets[target] = (self.now + DOWN, self.targets[target].1 + 1);
-    self.crashes.push((self.now, parts.to_vec()));
+    self.crashes.push((self.now, features.to_vec()));
     let now = self.now;
-    for run in self.runs.extract_if(.., |run| run.target == target) {
+    let lost: Vec<Run> = self.runs.extract_if(.., |run| run.target == target).collect();
+    for run in &lost {
       let is_suspect = now < run.begins_at + SOUND_AFTER;
-      let parts = if is_suspect { run.parts } else { Vec::new() };
-      self.hosts[run.host].record_crash(crash(process, &parts, now), true, now);
+      let crash = Crash {
+        at: now,
+        features: if is_suspect {
+          run.features.clone()
+        } else {
+          Vec::new()
+        },
+        sent_at: run.sent_at,
+        service: SERVICE,
+        target: process,
+      };
+      self.hosts[run.host].record_crash(crash, true, now);
+    }
+    if !self.scenario.is_plain {
+      return;
+    }
+    for run in lost {
+      match run.retries {
+        0 => {}
+        2 => self.send_to_host(run.features, 1),
+        retries => self.send_from(run.host, run.features, retries - 1),
+      }
     }
   }
 
@@ -396,7 +633,7 @@
     let second = self.elapsed().as_secs();
     if self.chance(16.0) {
       let first_part = FIRST_PART + u64::from(self.random.random_range(0.0..1.0) < 0.4);
-      self.send(vec![first_part]);
+      self.send(&[first_part]);
     }
     let bad_rate = if self.scenario.turns_bad || second >= 20 {
       BAD_RATE / self.scenario.fatal_parts.max(1) as f64
@@ -405,9 +642,12 @@
     };
     for part in &FATAL_PARTS[..self.scenario.fatal_parts] {
       if self.chance(bad_rate) {
-        self.send(vec![FIRST_PART, *part]);
+        self.send(&[FIRST_PART, *part]);
       }
     }
+    if second >= 20 && self.chance(self.scenario.fatal_request_rate) {
+      self.send_content(FATAL_CONTENT, &[FIRST_PART]);
+    }
     if self.scenario.rack > 0 && self.elapsed() == Duration::from_secs(25) {
       for target in 0..self.scenario.rack {
         self.crash(target, &[]);
@@ -419,25 +659,35 @@
       self.hosts[host] = Ledger::new(self.now);
       self.runs.retain(|run| run.host != host);
     }
-    let begun: Vec<(usize, Vec<u64>)> = self
+    let begun: Vec<(usize, Vec<Feature>)> = self
       .runs
       .iter()
-      .filter(|run| run.begins_at == self.now && self.is_fatal(&run.parts))
-      .map(|run| (run.target, run.parts.clone()))
+      .filter(|run| run.begins_at == self.now && self.is_fatal(&run.features))
+      .map(|run| (run.target, run.features.clone()))
       .collect();
-    for (target, parts) in begun {
+    for (target, features) in begun {
       if self.targets[target].0 <= self.now {
-        self.crash(target, &parts);
+        self.crash(target, &features);
       }
     }
     let now = self.now;
     for run in &mut self.runs {
-      if !run.reported && now >= run.begins_at + SOUND_AFTER {
+      let reported_after = if self.scenario.is_plain {
+        Duration::ZERO
+      } else {
+        SOUND_AFTER
+      };
+      if !run.reported && now >= run.begins_at + reported_after {
         run.reported = true;
-        self.hosts[run.host].record_sound(&run.parts, run.begins_at, now);
+        self.hosts[run.host].record_sound(&run.features, SERVICE, run.begins_at, now);
       }
     }
-    self.runs.retain(|run| now < run.begins_at + Duration::from_secs(2));
+    let stays = if self.scenario.is_plain {
+      Duration::ZERO
+    } else {
+      Duration::from_secs(2)
+    };
+    self.runs.retain(|run| now < run.begins_at + stays);
     self.exchange_news();
   }
 
@@ -459,9 +709,9 @@
         continue;
       }
       let ledger = &self.hosts[host];
-      let crashes = ledger.announced_crashes(now).take(8).cloned().map(News::Crash);
+      let crashes = ledger.announced_crashes(now).into_iter().take(8).cloned().map(News::Crash);
       let mut sounds: Vec<Sound> = ledger.announced_sounds(now).collect();
-      sounds.sort_by_key(|sound| (sound.began_at, sound.part));
+      sounds.sort_by_key(|sound| (sound.began_at, sound.feature));
       let sounds = sounds.into_iter().rev().take(16).map(News::Sound);
       let news: Vec<News> =
         sounds.chain(ledger.bans().cloned().map(News::Ban)).chain(crashes).collect();
@@ -494,10 +744,10 @@
   }
 
   /// Returns the parts that some host keeps away and that are not fatal.
-  fn wrongly_banned(&self) -> HashSet<u64> {
-    let bans = self.hosts.iter().flat_map(Ledger::bans);
-    let alone = bans.filter(|ban| ban.parts.len() == 1).map(|ban| ban.parts[0]);
-    alone.filter(|part| !FATAL_PARTS.contains(part)).collect()
+  fn wrongly_banned(&self) -> HashSet<Feature> {
+    let bans = self.hosts.iter().flat_map(Ledger::bans).filter(|ban| !ban.is_uncertain);
+    let alone = bans.filter(|ban| ban.features.len() == 1).map(|ban| ban.features[0]);
+    alone.filter(|feature| !self.is_fatal(&[*feature])).collect()
   }
 }
 
@@ -527,7 +777,7 @@
     turns_bad: bool,
     seed: u64,
   ) {
-    let fleet = Fleet::run(Scenario { fatal_parts, hosts, loss, rack, restarts, seed, turns_bad });
+    let fleet = Fleet::run(Scenario { fatal_parts, hosts, loss, rack, restarts, seed, turns_bad, ..CALM });
     for late in fleet.late_arrivals {
       prop_assert!(late <= MAX_LATE_ARRIVALS, "{late} late requests");
     }
@@ -537,6 +787,44 @@
       "{} of {} refused", fleet.sound_refused, fleet.sound_sent);
   }
 
+  /// Guards against hosts that keep sending one request under which targets crash, or that refuse
+  /// sound requests that ran beside it: whatever the number of hosts and targets, lost messages,
+  /// restarts and targets that are lost at the same time.
+  #[test]
+  fn fleet_keeps_a_fatal_request_and_only_that_away(
+    fatal_request_rate in prop::sample::select(vec![0.4, 1.0, 3.0]),
+    hosts in prop::sample::select(vec![1_usize, 2, 6, 12, 30]),
+    is_plain: bool,
+    loss in prop::sample::select(vec![0.0, 0.1, 0.3]),
+    rack in prop::sample::select(vec![0_usize, 3]),
+    restarts: bool,
+    seed: u64,
+    targets in prop::sample::select(vec![3_usize, 5, 18]),
+  ) {
+    let fleet = Fleet::run(Scenario {
+      fatal_request_rate, hosts, is_plain, loss, rack, restarts, seed, targets, ..CALM
+    });
+    prop_assert!(fleet.late_fatal_requests <= MAX_LATE_ARRIVALS,
+      "{} late requests", fleet.late_fatal_requests);
+    prop_assert!(fleet.wrongly_banned().is_empty(), "{:?}", fleet.wrongly_banned());
+    prop_assert!(fleet.sound_denied * 500 <= fleet.sound_sent,
+      "{} of {} denied", fleet.sound_denied, fleet.sound_sent);
+  }
+
+  /// Guards against blaming requests in common use for plain targets that are all lost at once, after
+  /// which no request can be answered for a time.
+  #[test]
+  fn lost_plain_targets_refuse_no_request(
+    hosts in prop::sample::select(vec![1_usize, 2, 6, 12, 30]),
+    loss in prop::sample::select(vec![0.0, 0.3]),
+    seed: u64,
+    targets in prop::sample::select(vec![3_usize, 5, 18]),
+  ) {
+    let scenario = Scenario { hosts, is_plain: true, loss, rack: targets, seed, targets, ..CALM };
+    let fleet = Fleet::run(scenario);
+    prop_assert_eq!(fleet.sound_refused, 0);
+  }
+
   /// Guards against blaming prompts for targets that are lost for another reason.
   #[test]
   fn lost_racks_refuse_no_request(
@@ -545,9 +833,7 @@
     rack in 1..=18_usize,
     seed: u64,
   ) {
-    let scenario = Scenario {
-      fatal_parts: 0, hosts, loss, rack, restarts: false, seed, turns_bad: false,
-    };
+    let scenario = Scenario { hosts, loss, rack, seed, ..CALM };
     let fleet = Fleet::run(scenario);
     prop_assert_eq!(fleet.sound_refused, 0);
   }
@@ -561,10 +847,8 @@
     fatal_parts: 1,
     hosts: 295,
     loss: 0.1,
-    rack: 0,
-    restarts: false,
     seed: 7,
-    turns_bad: false,
+    ..CALM
   });
   assert!(fleet.late_arrivals[0] <= MAX_LATE_ARRIVALS);
   assert!(fleet.wrongly_banned().is_empty());
--- a/yuccarudder/src/refusal/reason.rs
+++ b/yuccarudder/src/refusal/reason.rs
@@ -94,6 +94,12 @@
   /// Targets crash when they begin to answer a prompt with a part that this one has.
   PromptQuarantined, "prompt_quarantined", BAD_REQUEST,
     "Targets crash when they begin to answer prompts like this one; change the prompt before sending it again.";
+  /// Targets crash when they run the request.
+  RequestQuarantined, "request_quarantined", BAD_REQUEST,
+    "Targets crash when they run this request; do not send it again unchanged.";
+  /// Targets crashed under the request and under others that ran beside it.
+  RequestSuspected, "request_suspected", SERVICE_UNAVAILABLE,
+    "Targets crashed while they ran this request, maybe because of another one; send it again after the given time.";
   /// The reattach token is invalid or has expired.
   ReattachExpired, "reattach_expired", GONE,
     "The time to reattach has passed; ask again for a new generation.";
