--- a/yuccarudder/src/dialect.rs
+++ b/yuccarudder/src/dialect.rs
@@ -30,6 +30,8 @@
   pub prompt_tokens: u64,
   /// Identifies this attempt of the caller.
   pub request_id: Option<String>,
+  /// ID of the attempt that brought the first event of the stream that this request continues.
+  pub resumes: Option<String>,
 }
 
 impl RequestMetadata {
--- a/yuccarudder/src/gateway/assignment.rs
+++ b/yuccarudder/src/gateway/assignment.rs
@@ -298,7 +298,7 @@
     drop(state);
     let load_before = self.gateway.scheduler.lock().total_load(target.fingerprint);
     log::info!(
-      target: PREFIX, id = self.id(), target:% = target.id, runs = load_before.requests, tokens = load_before.expected_tokens,
+      target: PREFIX, id = self.id(), target:% = target.id, software = target.listing.version.as_str(), runs = load_before.requests, tokens = load_before.expected_tokens,
       arriving = load_before.prefill_tokens, copying = load_before.transfer_tokens, need = load.expected_tokens,
       waited_ms = self.elapsed().as_millis() as u64;
       "Chose a target."
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -448,6 +448,11 @@
       return Some(End::TargetLost);
     };
     self.history.attempts += 1;
+    log::info!(
+      target: PREFIX, id = self.call.id(), source:% = self.assignment.target.id, source_software = self.assignment.target.listing.version.as_str(),
+      destination:% = assignment.target.id, software = assignment.target.listing.version.as_str(), events = self.cursor.event_count();
+      "Resuming a stream at another target."
+    );
     let resume = Resume {
       cache_location: None,
       last_event_id: self.cursor.last_event_id(),
--- a/yuccarudder/src/gateway/stream.rs
+++ b/yuccarudder/src/gateway/stream.rs
@@ -9,12 +9,20 @@
   hyper::{Response, StatusCode, body::Incoming},
 };
 
+const PREFIX: &str = "stream";
+
 /// Serves a request whose response is an event stream.
 ///
 /// # Errors
 ///
 /// Fails with a refusal that states what is known about whether the request ran.
 pub async fn serve(call: Call) -> Result<Response<Body>, Refusal> {
+  if let Some(last_event_id) = call.metadata.last_event_id {
+    log::info!(
+      target: PREFIX, id = call.id(), resumes = call.metadata.resumes.as_deref().unwrap_or("-"), last_event_id;
+      "A caller resumes a stream."
+    );
+  }
   let resumable = matches!(call.route().kind, Kind::Stream { resumable: true });
   let mut attempts = Attempts::new(resumable, call.route().max_runs);
   loop {
--- a/yuccarudder/src/member/heartbeat.rs
+++ b/yuccarudder/src/member/heartbeat.rs
@@ -92,6 +92,9 @@
   /// Start time of its process, in milliseconds since the Unix epoch.
   #[prost(uint64, optional, tag = "8")]
   pub started_ms: Option<u64>,
+  /// Version of its software.
+  #[prost(string, tag = "10")]
+  pub version: String,
   /// Time until its cold start ends, in milliseconds; 0 when it is warm.
   #[prost(uint64, tag = "9")]
   pub warmup_remaining_ms: u64,
@@ -114,6 +117,7 @@
       service: listing.service,
       slots: listing.slots,
       started_ms: listing.started_ms,
+      version: listing.version,
       warmup_remaining_ms: u64::try_from(warmup_ms).unwrap_or(u64::MAX),
     }
   }
@@ -131,6 +135,7 @@
         service: self.service.clone(),
         slots: self.slots,
         state: roster::State::Available,
+        version: self.version.clone(),
         warmup_remaining: Duration::from_millis(self.warmup_remaining_ms),
       },
       version: reader::Version::new(self.era, self.revision),
--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -381,6 +381,7 @@
       service: "llm".into(),
       slots: 24,
       state: roster::State::Available,
+      version: "v1".into(),
       warmup_remaining: ms(1_500),
     },
     version: reader::Version::new(2, 9),
--- a/yuccarudder/src/roster/listing.rs
+++ b/yuccarudder/src/roster/listing.rs
@@ -24,6 +24,8 @@
   pub slots: u32,
   /// Whether it accepts new requests.
   pub state: State,
+  /// Version of its software; streams can be continued only by targets of the version that began them.
+  pub version: String,
   /// Time until its cold start ends; zero when it is warm.
   pub warmup_remaining: Duration,
 }
--- a/yuccarudder/src/roster/tests.rs
+++ b/yuccarudder/src/roster/tests.rs
@@ -12,6 +12,7 @@
     service: "llm".into(),
     slots: 24,
     state,
+    version: "v1".into(),
     warmup_remaining: Duration::ZERO,
   }
 }
