Continue a stream only at the software version that began it

Cause: the version in a target's entry was not decoded, so a run went on at any engine with room: after a break, ahead of a planned end, and when its caller took the stream up again at any host.

Change: a session keeps the version of the engine that sent its first event; resumed and moved runs go to that version alone, and wait in a queue of their own so that they hold up no other request. A stream that nobody knows goes on where all known targets, those of the last minute and those that other hosts report included, have one version. Otherwise it is refused with 503, as it has not run (unknown_origin, no_target_of_version).

--- a/yuccarudder/src/gateway/assignment.rs
+++ b/yuccarudder/src/gateway/assignment.rs
@@ -1,5 +1,5 @@
 use {
-  super::call::Call,
+  super::{call::Call, gateway::State},
   crate::{
     placement::{self, Candidate, Choice, ColdLimit, Demand, Load, Rank, Reservation},
     refusal::{Reason, Refusal},
@@ -63,7 +63,7 @@
   pub async fn assign(&self, tried_targets: &[Key]) -> Result<Assignment, Refusal> {
     let is_trial = self.check_features()?;
     let rank = self.queue_rank();
-    let waiter = self.gateway.scheduler.enqueue(&self.service_name, rank);
+    let waiter = self.gateway.scheduler.enqueue(&self.queue_name(), rank);
     loop {
       let capacity_freed = self.gateway.scheduler.capacity_freed();
       let result = if waiter.is_first() {
@@ -98,6 +98,15 @@
     }
   }
 
+  /// Returns the name of the queue that the request waits in. Streams that only one version can
+  /// continue wait by themselves, so that they do not hold up the others when that version is full.
+  fn queue_name(&self) -> String {
+    match &self.version {
+      Some(version) => format!("{} {version}", self.service_name),
+      None => self.service_name.clone(),
+    }
+  }
+
   fn queue_rank(&self) -> Rank {
     let objective = self.route().latency_objective;
     let late = self.since_first_attempt + self.elapsed() > objective.mul_f64(LATE_THRESHOLD_SHARE);
@@ -130,11 +139,22 @@
       Choice::Full => Err(self.targets_full()),
       Choice::Paused(until) => Err(targets_paused(until, now)),
       Choice::None => Err(self.all_paused().unwrap_or_else(|| {
-        Refusal::not_run(Reason::NoTarget).with_retry_after(NO_TARGET_RETRY_AFTER)
+        let reason = if self.version.is_some() {
+          Reason::NoTargetOfVersion
+        } else {
+          Reason::NoTarget
+        };
+        Refusal::not_run(reason).with_retry_after(NO_TARGET_RETRY_AFTER)
       })),
     }
   }
 
+  /// Returns the targets that accept new requests and may run this one.
+  fn suitable_targets<'a>(&'a self, state: &'a State) -> impl Iterator<Item = (Key, &'a Target)> {
+    let accepting = state.roster.accepting(&self.service_name);
+    accepting.filter(|(_, target)| self.accepts_version(&target.listing.version))
+  }
+
   /// Returns the refusal for when no target of the service takes a request now, because of the
   /// pauses and limits that they asked for.
   pub fn all_paused(&self) -> Option<Refusal> {
@@ -148,7 +168,7 @@
     let now = self.gateway.clock.now();
     let since_boot = self.gateway.clock.since_boot();
     let state = self.gateway.lock();
-    let accepting = state.roster.accepting(&self.service_name);
+    let accepting = self.suitable_targets(&state);
     let ends: Option<Vec<(Key, Instant)>> =
       accepting.map(|(key, _)| Some((key, state.paused_until(key, now, since_boot)?))).collect();
     ends?.into_iter().min_by_key(|(_, until)| *until)
@@ -167,13 +187,14 @@
     room_at.map_or(refusal, |room_at| targets_paused(room_at, now))
   }
 
-  /// Plans where and when a run on a leaving engine is copied; returns `None` when no engine has
+  /// Plans where and when a run on a leaving engine of a software version is copied; returns `None` when no engine has
   /// capacity for it or the targets of the service are not engines.
   pub fn plan_migration(
     &self,
     sources: &[Source<'_>],
     position: Position,
     run: Run,
+    version: &str,
   ) -> Option<Plan> {
     let engine = self.service()?.engine.as_ref()?;
     let now = self.gateway.clock.now();
@@ -181,6 +202,8 @@
     let state = self.gateway.lock();
     let load_table = self.gateway.scheduler.lock();
     let accepting_targets = state.roster.accepting(&self.service_name);
+    let accepting_targets =
+      accepting_targets.filter(|(_, target)| target.listing.version == version);
     let mut available: Vec<_> =
       accepting_targets.filter(|(key, _)| state.is_usable(*key, now, since_boot)).collect();
     // All hosts use the same order, so that their plans agree.
@@ -228,7 +251,7 @@
     let load_table = self.gateway.scheduler.lock();
     let hosts = state.members.fleet_size();
     let cold_limit = self.cold_limit(&state.settings.guarantees);
-    let candidates = state.roster.accepting(&self.service_name).map(|(key, target)| {
+    let candidates = self.suitable_targets(&state).map(|(key, target)| {
       let is_cold = target.cold_until.is_some_and(|until| now < until);
       let allows = |limit: ColdLimit| {
         let random = rand::random_range(0.0..1.0);
--- a/yuccarudder/src/gateway/call.rs
+++ b/yuccarudder/src/gateway/call.rs
@@ -3,6 +3,7 @@
   crate::{
     dialect::RequestMetadata,
     limit::BufferedBody,
+    origin,
     quarantine::Feature,
     routing::{AccountKey, Catalog, Route, RouteKey, Service},
   },
@@ -28,6 +29,9 @@
   /// Time since the caller's first attempt, estimated from its deadline.
   pub since_first_attempt: Duration,
   pub arrived: Instant,
+  /// Software version that began the stream, at which alone it may be continued; `None` before the
+  /// first event.
+  pub version: Option<Arc<str>>,
   /// The request's own metadata, read from its headers.
   pub metadata: RequestMetadata,
   pub body: BufferedBody,
@@ -65,6 +69,22 @@
     self.metadata.request_id.as_deref().unwrap_or("-")
   }
 
+  /// Returns whether the caller has events of an earlier response, which this one is to continue.
+  pub fn continues_stream(&self) -> bool {
+    self.metadata.last_event_id.is_some_and(|id| id > 0)
+  }
+
+  /// Returns the key of the stream under which its caller may continue it; `None` if the caller did
+  /// not name the stream that it continues.
+  pub fn stream_key(&self) -> Option<u64> {
+    let first_request = if self.continues_stream() {
+      self.metadata.resumes.as_deref()
+    } else {
+      self.metadata.request_id.as_deref()
+    };
+    Some(origin::stream_key(self.account_name(), first_request?))
+  }
+
   /// Returns the time since the request arrived.
   pub fn elapsed(&self) -> Duration {
     self.gateway.clock.now().saturating_duration_since(self.arrived)
@@ -75,6 +95,11 @@
     self.deadline.saturating_duration_since(self.gateway.clock.now())
   }
 
+  /// Returns whether a target with a software version may run the request.
+  pub fn accepts_version(&self, version: &str) -> bool {
+    self.version.as_deref().is_none_or(|required| required == version)
+  }
+
   /// Returns the route that matched the request.
   pub fn route(&self) -> &Route {
     &self.catalog.routes[self.route_key]
--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -6,6 +6,7 @@
     limit::{Memory, RetryQuota},
     member::{self, Phase},
     metrics::Metrics,
+    origin,
     placement::{Health, LengthModel, Outcome, Pauses, RateLimits, Scheduler, Throttle},
     quarantine::Ledger,
     reader::{Era, Relation, Role, Version},
@@ -57,6 +58,8 @@
   length_models: HashMap<String, LengthModel>,
   /// Crashes of targets and the prompt parts that cause them.
   pub(super) ledger: Ledger,
+  /// Which software versions began streams.
+  pub(super) origins: origin::Table,
   /// The other hosts.
   pub(super) members: member::Table,
   /// The newest era of the platform's store.
@@ -209,6 +212,7 @@
       health: Health::default(),
       shutdown: None,
       ledger: Ledger::new(clock.now()),
+      origins: origin::Table::default(),
       length_models: HashMap::new(),
       targets_differ_since: None,
       targets_listed_at: None,
--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -2,6 +2,7 @@
   super::{
     Gateway,
     gateway::{EVACUATION_HOLD, HOST_SOURCE, State},
+    ingress,
   },
   crate::{
     member::{self, Codec, Heartbeat, Phase, Recipient, Sent},
@@ -13,7 +14,7 @@
   futures::{SinkExt, StreamExt, stream::SplitSink},
   prost::Message,
   std::{
-    collections::HashMap,
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     time::{Duration, Instant},
   },
@@ -32,6 +33,12 @@
 const MAX_SOUNDS: usize = 16;
 /// Maximum number of limits of targets in a heartbeat.
 const MAX_LIMITS: usize = 16;
+/// Maximum number of begun streams in a heartbeat.
+const MAX_ORIGINS: usize = 48;
+/// Heartbeats in which a begun stream is announced, as some are lost.
+const ORIGIN_HEARTBEATS: u32 = 3;
+/// Maximum number of versions of services in a heartbeat.
+const MAX_VERSIONS: usize = 8;
 /// Pause after a failed transfer before the next host is asked for its catalog.
 const FETCH_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Pause after a receive error.
@@ -128,6 +135,7 @@
       .into_iter()
       .map(|(address, _)| address.to_string())
       .collect(),
+    origins: origins(&state, clock_now),
     phase: phase.number(),
     reads: state.reads_platform(),
     restore_age_ms: state.era.restore_age(now).map(milliseconds),
@@ -135,6 +143,7 @@
     sequence,
     sounds: sounds(&state.ledger, clock_now),
     targets_digest: reads_targets.then(|| state.roster.digest(clock_now)),
+    versions: mixed_versions(&state.roster),
     weight: state.settings.weight,
   };
   drop(state);
@@ -176,6 +185,35 @@
   limits.take(MAX_LIMITS).collect()
 }
 
+/// Returns the streams that this host announces, or a random part of them if there are many.
+fn origins(state: &State, now: Instant) -> Vec<member::Origin> {
+  let mut streams: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
+  for (stream, version) in random_subset(state.origins.announced(now), MAX_ORIGINS) {
+    streams.entry(version).or_default().push(stream);
+  }
+  let origin = |(version, streams): (&str, _)| member::Origin {
+    streams,
+    version: version.to_owned(),
+  };
+  streams.into_iter().map(origin).collect()
+}
+
+/// Returns the software versions of the services that have several.
+fn mixed_versions(roster: &Roster) -> Vec<member::ServiceVersion> {
+  let mut services: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+  for (_, target) in roster.all() {
+    services.entry(&target.listing.service).or_default().insert(&target.listing.version);
+  }
+  let mixed = services.into_iter().filter(|(_, versions)| versions.len() > 1);
+  let versions = mixed.flat_map(|(service, versions)| {
+    versions.into_iter().map(move |version| member::ServiceVersion {
+      service: ingress::hash(service),
+      version: version.to_owned(),
+    })
+  });
+  versions.take(MAX_VERSIONS).collect()
+}
+
 /// Returns the sound answers that this host announces, or a random part of them if there are many.
 fn sounds(ledger: &Ledger, now: Instant) -> Vec<member::Sound> {
   let sounds = random_subset(ledger.announced_sounds(now), MAX_SOUNDS);
@@ -191,6 +229,18 @@
   items
 }
 
+impl Gateway {
+  /// Records which software version began a stream, and tells the other hosts.
+  pub(super) fn record_origin(&self, stream: u64, version: &str) {
+    let now = self.clock.now();
+    let mut state = self.lock();
+    let interval = member::heartbeat_interval(state.members.fleet_size());
+    state.origins.record(stream, version, now + interval * ORIGIN_HEARTBEATS, now);
+    drop(state);
+    self.heartbeat_trigger.notify_one();
+  }
+}
+
 /// Applies the heartbeat of another host.
 fn receive(gateway: &Gateway, heartbeat: &Heartbeat) {
   let received_at = gateway.clock.now();
@@ -212,6 +262,14 @@
     state.operator_version = operator_version;
     state.roster.set_evacuated(heartbeat.evacuated.iter().cloned());
   }
+  for origin in &heartbeat.origins {
+    for stream in &origin.streams {
+      state.origins.merge(*stream, &origin.version, received_at);
+    }
+  }
+  for reported in &heartbeat.versions {
+    state.origins.merge_version(reported.service, &reported.version, received_at);
+  }
   let departures = heartbeat.leaving.iter();
   let departing: Vec<_> = departures
     .filter_map(|departure| state.roster.merge_departure(&(*departure).into(), received_at))
--- a/yuccarudder/src/gateway/ingress.rs
+++ b/yuccarudder/src/gateway/ingress.rs
@@ -121,6 +121,7 @@
     route_key: admission.route,
     service_name,
     uri: parts.uri,
+    version: None,
     catalog,
   })
 }
--- a/yuccarudder/src/gateway/migration.rs
+++ b/yuccarudder/src/gateway/migration.rs
@@ -208,6 +208,7 @@
   let noticed_at = state.roster.get(source.key).and_then(|target| target.leaving_since);
   let leaves_together = |target: &Target| {
     target.listing.service == call.service_name
+      && target.listing.version == source.target.listing.version
       && target
         .leaving_since
         .zip(noticed_at)
@@ -235,7 +236,7 @@
   });
   let sources: Vec<Source<'_>> = sources.collect();
   drop(load_table);
-  call.plan_migration(&sources, position, run)
+  call.plan_migration(&sources, position, run, &source.target.listing.version)
 }
 
 /// Plans the copy of a single run after its first plan failed; by then the load of the targets
@@ -256,6 +257,7 @@
       fingerprint,
     },
     run,
+    &source.target.listing.version,
   )
 }
 
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -17,7 +17,7 @@
     relay::Cursor,
     relocation::{Copied, Failure, Run},
     roster::Status,
-    routing::Engine,
+    routing::{Engine, Kind},
   },
   bytes::Bytes,
   futures::future,
@@ -26,7 +26,10 @@
     Response,
     body::{Frame, Incoming},
   },
-  std::time::{Duration, Instant},
+  std::{
+    sync::Arc,
+    time::{Duration, Instant},
+  },
   tokio::{sync::mpsc, time},
 };
 
@@ -269,6 +272,9 @@
     if previous_count == 0 || previous_count / LOAD_UPDATE_EVENTS != count / LOAD_UPDATE_EVENTS {
       self.assignment.reservation.update(self.load());
     }
+    if previous_count == 0 {
+      self.record_origin();
+    }
     let now = self.call.gateway.clock.now();
     self.timing.record_event(now);
     if !self.is_sound && now.saturating_duration_since(self.answered_at) >= SOUND_AFTER {
@@ -287,6 +293,18 @@
     }
   }
 
+  /// Records which software version began the stream, before its first event is sent.
+  fn record_origin(&mut self) {
+    let version = &self.assignment.target.listing.version;
+    let version = self.call.version.get_or_insert_with(|| version.as_str().into());
+    let version = Arc::clone(version);
+    if let Kind::Stream { resumable: true } = self.call.route().kind
+      && let Some(stream) = self.call.stream_key()
+    {
+      self.call.gateway.record_origin(stream, &version);
+    }
+  }
+
   fn engine(&self) -> Option<&Engine> {
     self.call.service()?.engine.as_ref()
   }
--- a/yuccarudder/src/gateway/stream.rs
+++ b/yuccarudder/src/gateway/stream.rs
@@ -1,7 +1,11 @@
 use {
-  super::{assignment::Assignment, buffered, call::Call, retrying::Attempts, session::Session},
+  super::{
+    assignment::Assignment, buffered, call::Call, gateway::State, ingress, retrying::Attempts,
+    session::Session,
+  },
   crate::{
     http::{self, Body},
+    origin::Decision,
     plain,
     refusal::{Reason, Refusal},
     routing::Kind,
@@ -16,13 +20,14 @@
 /// # Errors
 ///
 /// Fails with a refusal that states what is known about whether the request ran.
-pub async fn serve(call: Call) -> Result<Response<Body>, Refusal> {
+pub async fn serve(mut call: Call) -> Result<Response<Body>, Refusal> {
   if let Some(last_event_id) = call.metadata.last_event_id {
     log::info!(
       target: PREFIX, id = call.id(), resumes = call.metadata.resumes.as_deref().unwrap_or("-"), last_event_id;
       "A caller resumes a stream."
     );
   }
+  constrain_version(&mut call)?;
   let resumable = matches!(call.route().kind, Kind::Stream { resumable: true });
   let mut attempts = Attempts::new(resumable, call.route().max_runs);
   loop {
@@ -43,6 +48,32 @@
   }
 }
 
+/// Restricts a stream that its caller continues to the software version that began it.
+fn constrain_version(call: &mut Call) -> Result<(), Refusal> {
+  if !call.continues_stream() {
+    return Ok(());
+  }
+  let stream = call.stream_key();
+  let now = call.gateway.clock.now();
+  let mut state = call.gateway.lock();
+  let State {
+    origins, roster, ..
+  } = &mut *state;
+  let targets = roster.all().map(|(_, target)| &target.listing);
+  let targets = targets.filter(|listing| listing.service == call.service_name);
+  let versions = targets.map(|listing| listing.version.as_str());
+  let decision = origins.decide(stream, ingress::hash(&call.service_name), versions, now);
+  drop(state);
+  match decision {
+    Decision::NoTarget => Ok(()),
+    Decision::Unknown => Err(Refusal::not_run(Reason::UnknownOrigin)),
+    Decision::Version(version) => {
+      call.version = Some(version);
+      Ok(())
+    }
+  }
+}
+
 /// Returns whether the body of a response is the event stream that was asked for.
 pub(super) fn has_events(response: &Response<Incoming>) -> bool {
   response.status() == StatusCode::OK
--- a/yuccarudder/src/lib.rs
+++ b/yuccarudder/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod member;
 pub mod metrics;
 pub mod once;
+pub mod origin;
 pub mod owner;
 pub mod peer;
 pub mod placement;
--- a/yuccarudder/src/member/heartbeat.rs
+++ b/yuccarudder/src/member/heartbeat.rs
@@ -393,6 +393,28 @@
   now.checked_sub(Duration::from_millis(age_ms).min(MAX_AGE)).unwrap_or(now)
 }
 
+/// Streams that the sender began or continued recently.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct Origin {
+  /// Keys of the streams.
+  #[prost(fixed64, repeated, tag = "1")]
+  pub streams: Vec<u64>,
+  /// The software version that began them.
+  #[prost(string, tag = "2")]
+  pub version: String,
+}
+
+/// A software version of a service that has several, or had until recently.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct ServiceVersion {
+  /// Hash of the name of the service.
+  #[prost(fixed64, tag = "1")]
+  pub service: u64,
+  /// The version.
+  #[prost(string, tag = "2")]
+  pub version: String,
+}
+
 /// State that a host sends to each other host at short intervals.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Heartbeat {
@@ -457,6 +479,9 @@
   /// Addresses of some hosts that the sender heard from recently.
   #[prost(string, repeated, tag = "8")]
   pub members: Vec<String>,
+  /// Streams that the sender began or continued recently and that their callers may continue.
+  #[prost(message, repeated, tag = "26")]
+  pub origins: Vec<Origin>,
   /// Number of the sender's phase.
   #[prost(uint32, tag = "9")]
   pub phase: u32,
@@ -472,6 +497,9 @@
   /// Digest of the listed targets; only from hosts that read them for the others.
   #[prost(fixed64, optional, tag = "20")]
   pub targets_digest: Option<u64>,
+  /// Versions of the services of which several are or recently were in service.
+  #[prost(message, repeated, tag = "27")]
+  pub versions: Vec<ServiceVersion>,
   /// Capacity of the sender, in thousandths of a core.
   #[prost(uint32, tag = "13")]
   pub weight: u32,
--- a/yuccarudder/src/member/mod.rs
+++ b/yuccarudder/src/member/mod.rs
@@ -15,7 +15,9 @@
 
 pub use catalog_source::CatalogSource;
 pub use codec::Codec;
-pub use heartbeat::{Announcement, Ban, Crash, Echo, Heartbeat, Leaving, Limit, Load, Sound};
+pub use heartbeat::{
+  Announcement, Ban, Crash, Echo, Heartbeat, Leaving, Limit, Load, Origin, ServiceVersion, Sound,
+};
 pub use phase::Phase;
 pub use table::{Member, Received, Recipient, Sent, Table};
 pub use timing::{failure_timeout, heartbeat_interval, min_heartbeat_interval};
--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -36,12 +36,14 @@
     limits: Vec::new(),
     loads: Vec::new(),
     members: Vec::new(),
+    origins: Vec::new(),
     phase: Phase::Ready.number(),
     reads: true,
     sender: address(host).to_string(),
     sequence,
     sounds: Vec::new(),
     targets_digest: None,
+    versions: Vec::new(),
     weight: 250,
   }
 }
--- /dev/null
+++ b/yuccarudder/src/origin/mod.rs
@@ -0,0 +1,9 @@
+//! Remembers which software version began each stream that its caller may continue, so that it is
+//! continued at that version only, at whichever host the caller asks.
+
+mod table;
+
+pub use table::{Decision, Table, stream_key};
+
+#[cfg(test)]
+mod tests;
--- a/yuccarudder/src/refusal/reason.rs
+++ b/yuccarudder/src/refusal/reason.rs
@@ -94,9 +94,15 @@
   /// Targets crash when they begin to answer a prompt with a part that this one has.
   PromptQuarantined, "prompt_quarantined", BAD_REQUEST,
     "Targets crash when they begin to answer prompts like this one; change the prompt before sending it again.";
+  /// No target has the software version that began the stream.
+  NoTargetOfVersion, "no_target_of_version", SERVICE_UNAVAILABLE,
+    "No target has the software version that began this stream; it can continue only if one returns.";
   /// Targets crash when they run the request.
   RequestQuarantined, "request_quarantined", BAD_REQUEST,
     "Targets crash when they run this request; do not send it again unchanged.";
+  /// It is not known which software version began the stream.
+  UnknownOrigin, "unknown_origin", SERVICE_UNAVAILABLE,
+    "It is not known which software version began this stream, and several are in service; ask again for a new one.";
   /// Targets crashed under the request and under others that ran beside it.
   RequestSuspected, "request_suspected", SERVICE_UNAVAILABLE,
     "Targets crashed while they ran this request, maybe because of another one; send it again after the given time.";
