--- a/yuccarudder/src/attempt/mod.rs
+++ b/yuccarudder/src/attempt/mod.rs
@@ -1,5 +1,5 @@
 //! Decides whether a request is retried after an attempt at a target, and otherwise what the
-//! caller is told.
+//! caller is informed of.
 
 mod decision;
 mod outcome;
--- a/yuccarudder/src/caller/client.rs
+++ b/yuccarudder/src/caller/client.rs
@@ -79,7 +79,7 @@
   ///
   /// # Errors
   ///
-  /// Returns the last failure, which tells whether the call ran.
+  /// Returns the last failure, which states whether the call ran.
   pub async fn call(&self, call: &Call) -> Result<Reply, Failure> {
     let answer = self.entries().await?;
     if call.idempotency_key.is_some() && answer.ticket.is_none() {
@@ -221,7 +221,7 @@
   ///
   /// # Errors
   ///
-  /// Returns a failure that tells whether the generation ran.
+  /// Returns a failure that states whether the generation ran.
   pub async fn generate(
     &self,
     endpoint: Endpoint,
@@ -282,7 +282,7 @@
   ///
   /// # Errors
   ///
-  /// Returns a failure that tells whether the request may have reached the host.
+  /// Returns a failure that states whether the request may have reached the host.
   pub async fn send(
     &self,
     entry: SocketAddr,
--- a/yuccarudder/src/command/command.rs
+++ b/yuccarudder/src/command/command.rs
@@ -26,7 +26,7 @@
   ///
   /// # Errors
   ///
-  /// Fails with a message that tells the user how to correct the invocation or its input.
+  /// Fails with a message that explains how to correct the invocation or its input.
   pub fn run(self) -> anyhow::Result<()> {
     match self.subcommand {
       Subcommand::Ask(ask) => ask.run(),
--- a/yuccarudder/src/drain/drain.rs
+++ b/yuccarudder/src/drain/drain.rs
@@ -27,7 +27,7 @@
     plan.ok().flatten().expect("the sender lives as long as self")
   }
 
-  /// Waits until the callers of long jobs are to be told to reattach at another host.
+  /// Waits until the callers of long jobs are to be directed to reattach at another host.
   pub async fn handover_due(&self) {
     let plan = self.started().await;
     time::sleep_until((plan.started_at + plan.handover_delay).into()).await;
--- a/yuccarudder/src/drain/plan.rs
+++ b/yuccarudder/src/drain/plan.rs
@@ -17,7 +17,7 @@
   Leaving,
   /// The host accepts no new jobs and finishes those in flight.
   Closed,
-  /// As `Closed`; also tells the callers of long jobs to reattach at another host.
+  /// As `Closed`; also directs the callers of long jobs to reattach at another host.
   HandingOver,
 }
 
@@ -28,7 +28,7 @@
   pub started_at: Instant,
   /// Time after `started_at` during which new jobs are still accepted.
   pub notice_period: Duration,
-  /// Time after `started_at` at which the callers of long jobs are told to reattach at another
+  /// Time after `started_at` at which the callers of long jobs are directed to reattach at another
   /// host.
   pub handover_delay: Duration,
 }
--- a/yuccarudder/src/gateway/breaks.rs
+++ b/yuccarudder/src/gateway/breaks.rs
@@ -192,7 +192,7 @@
   }
 
   /// Finds out whether the target of a run crashed: it was not leaving, and it refuses connections
-  /// or another process has taken its place. Returns `None` if that cannot be told.
+  /// or another process has taken its place. Returns `None` if that is unknown.
   async fn has_crashed(&self, run: &Break) -> Option<bool> {
     let is_leaving = {
       let state = self.lock();
--- a/yuccarudder/src/gateway/buffered.rs
+++ b/yuccarudder/src/gateway/buffered.rs
@@ -38,7 +38,7 @@
 ///
 /// # Errors
 ///
-/// Returns a refusal that tells whether the request ran, as far as is known.
+/// Returns a refusal that states whether the request ran, as far as is known.
 pub async fn serve(call: Call) -> Result<Response<Body>, Refusal> {
   let mut attempts = Attempts::new(call.route().kind == Kind::Idempotent, call.route().max_runs);
   loop {
@@ -79,7 +79,7 @@
 }
 
 /// Ends a request without another attempt: the caller gets the response of the target, unless
-/// its status would tell the caller that the request did not run.
+/// its status would state that the request did not run.
 fn give_up(call: &Call, history: &History, failure: Failure) -> Result<Response<Body>, Refusal> {
   if let Some(response) = failure.response.filter(|response| !means_not_run(response.status())) {
     return Ok(finish(call, response));
--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -172,7 +172,7 @@
     model.unwrap_or_else(|| LengthModel::new(max_tokens))
   }
 
-  /// Begins the shutdown of this host, whose process ends at `end`, and tells the other hosts.
+  /// Begins the shutdown of this host, whose process ends at `end`, and notifies the other hosts.
   pub fn begin_shutdown(&self, end: Instant) {
     self.lock().shutdown = Some((self.clock.now(), end));
     self.heartbeat_trigger.notify_one();
--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -46,7 +46,7 @@
 
 type Sender = SplitSink<UdpFramed<Codec>, (Bytes, SocketAddr)>;
 
-/// Exchanges heartbeats with the other hosts, and judges what they tell of crashes, until the task is
+/// Exchanges heartbeats with the other hosts, and judges the crashes that they report, until the task is
 /// dropped.
 pub async fn run(gateway: Gateway, socket: UdpSocket) {
   let (mut sender, mut receiver) = UdpFramed::new(socket, Codec).split();
@@ -230,7 +230,7 @@
 }
 
 impl Gateway {
-  /// Records which software version began a stream, and tells the other hosts.
+  /// Records which software version began a stream, and notifies the other hosts.
   pub(super) fn record_origin(&self, stream: u64, version: &str) {
     let now = self.clock.now();
     let mut state = self.lock();
--- a/yuccarudder/src/gateway/limits.rs
+++ b/yuccarudder/src/gateway/limits.rs
@@ -98,7 +98,7 @@
     }
   }
 
-  /// Returns when a target has room for a caller that is told to come back, and keeps the room for
+  /// Returns when a target has room for a caller that is asked to come back, and keeps the room for
   /// it, unless the target asked for a pause until later.
   pub(super) fn promise_room(
     &mut self,
--- a/yuccarudder/src/gateway/migration.rs
+++ b/yuccarudder/src/gateway/migration.rs
@@ -1,7 +1,7 @@
 //! Migrates the run of a stream from an engine that leaves service.
 //!
 //! A migration moves one run to another engine. First the run is copied: its engine, the source,
-//! sends its KV cache to the destination while the run goes on. Then `session` resumes the run
+//! sends its KV cache to the destination while the run continues. Then `session` resumes the run
 //! at the destination. The `relocation` module plans the copies of all runs on the engines that
 //! leave together, so that the migrations of all hosts do not collide.
 
--- a/yuccarudder/src/gateway/retrying.rs
+++ b/yuccarudder/src/gateway/retrying.rs
@@ -74,7 +74,7 @@
 
   /// Creates the state before the first attempt.
   ///
-  /// `repeatable` tells whether the request may be sent again after a target may have run it;
+  /// `repeatable` indicates whether the request may be sent again after a target may have run it;
   /// `max_runs` is the maximum number of targets that may run the request.
   pub fn new(repeatable: bool, max_runs: u32) -> Self {
     Self {
@@ -88,7 +88,7 @@
     }
   }
 
-  /// Assigns the request to a target that was not tried before.
+  /// Assigns the request to a target that was not attempted before.
   ///
   /// # Errors
   ///
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -76,7 +76,7 @@
   cursor: Cursor,
   /// Number of events of the runs before the current one.
   earlier_events: u64,
-  /// Whether the current response has a length or chunks, so that its end is told from a broken
+  /// Whether the current response has a length or chunks, so that its end is distinguished from a broken
   /// connection.
   is_framed: bool,
   /// Whether the current target has been answering long enough to count as sound.
--- a/yuccarudder/src/generation/engine.rs
+++ b/yuccarudder/src/generation/engine.rs
@@ -180,7 +180,7 @@
   }
 }
 
-/// Cancels a generation; gives up after `CANCEL_ATTEMPTS` failed requests.
+/// Cancels a generation; stops after `CANCEL_ATTEMPTS` failed requests.
 pub async fn cancel(pool: Pool, address: SocketAddr, generation: Id, connect_timeout: Duration) {
   for _ in 0..CANCEL_ATTEMPTS {
     let request = Request::delete(format!("/v1/generations/{generation}"));
--- a/yuccarudder/src/generation/sequencer.rs
+++ b/yuccarudder/src/generation/sequencer.rs
@@ -133,7 +133,7 @@
 
   /// Creates a sequencer for a new generation.
   ///
-  /// `streamed` tells whether tokens are sent to the caller as they arrive.
+  /// `streamed` indicates whether tokens are sent to the caller as they arrive.
   pub fn new(generation: Id, streamed: bool, limits: Limits) -> Self {
     Self {
       generation,
--- a/yuccarudder/src/generation/session.rs
+++ b/yuccarudder/src/generation/session.rs
@@ -25,7 +25,7 @@
 /// Retry time suggested to a refused caller.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 const MAX_RESUME_DELAY: Duration = Duration::from_secs(1);
-/// Maximum number of targets that are tried for one run of a job.
+/// Maximum number of targets that are attempted for one run of a job.
 const MAX_TARGETS: usize = 8;
 const MIN_RESUME_DELAY: Duration = Duration::from_millis(50);
 
@@ -384,7 +384,7 @@
   /// Sends the job to one target.
   ///
   /// Returns whether the target may have the job. If not, because no byte of the job was sent or
-  /// the target refused it as busy, another target may be tried.
+  /// the target refused it as busy, another target may be attempted.
   async fn try_target(&mut self, chosen: Chosen) -> Result<bool, Refusal> {
     let key = chosen.in_flight.key();
     if self.tried_targets.is_empty() {
--- a/yuccarudder/src/generation/stream.rs
+++ b/yuccarudder/src/generation/stream.rs
@@ -24,7 +24,7 @@
 /// Header that carries the reattach token; on a request, it asks for one.
 pub const REATTACH_HEADER: &str = "yuccarudder-reattach";
 
-/// The data of a `moved` event, which tells a caller to reattach at another host.
+/// The data of a `moved` event, which directs a caller to reattach at another host.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Moved {
   /// Addresses of hosts to reattach at, in order of preference.
@@ -36,7 +36,7 @@
 /// The body of a streamed response.
 struct Stream {
   claims: ReattachClaims,
-  /// Resolves when callers are to be told to reattach at another host.
+  /// Resolves when callers are to be directed to reattach at another host.
   redirect_signal: Pin<Box<dyn Future<Output = ()> + Send>>,
   host: Host,
   /// Rendered events that have not been sent yet.
@@ -63,7 +63,7 @@
     self.queue.push_back(format!("data: {}\n\n", refusal.json()).into());
   }
 
-  /// Ends the stream with an event that tells the caller to reattach at another host.
+  /// Ends the stream with an event that directs the caller to reattach at another host.
   fn redirect(&mut self) {
     let Ok(tree) = self.host.tree() else {
       return;
--- a/yuccarudder/src/member/heartbeat.rs
+++ b/yuccarudder/src/member/heartbeat.rs
@@ -65,7 +65,7 @@
   }
 }
 
-/// A target that came into service or whose entry changed, as a reader of the platform tells it.
+/// A target that came into service or whose entry changed, as a reader of the platform announces it.
 #[derive(Clone, Eq, PartialEq, prost::Message)]
 pub struct Announcement {
   /// Address at which it accepts requests.
@@ -192,7 +192,7 @@
   }
 }
 
-/// A run that ended because its target crashed, as the host that noticed it tells the others.
+/// A run that ended because its target crashed, as announced by the host that noticed it.
 #[derive(Clone, Eq, PartialEq, prost::Message)]
 pub struct Crash {
   /// Time since it was noticed, in milliseconds.
--- a/yuccarudder/src/member/mod.rs
+++ b/yuccarudder/src/member/mod.rs
@@ -3,7 +3,7 @@
 //! Every host sends each other host a heartbeat up to several times a second. This small
 //! datagram holds the sender's phase, the version and age of its catalog, the load that it
 //! has placed on targets, the targets that it knows to be leaving, and some of the hosts
-//! that it knows. It also tells of targets that crash under requests (see `quarantine`).
+//! that it knows. It also reports targets that crash under requests (see `quarantine`).
 
 mod catalog_source;
 mod codec;
--- a/yuccarudder/src/origin/tests.rs
+++ b/yuccarudder/src/origin/tests.rs
@@ -131,7 +131,7 @@
   #![proptest_config(ProptestConfig { cases: 64, ..ProptestConfig::default() })]
 
   /// Guards against streams that are continued at another version, and against hosts that refuse more
-  /// than half of those that callers take up again: whatever the number of hosts, lost messages, and
+  /// than half of those that callers resume: whatever the number of hosts, lost messages, and
   /// hosts that restart.
   #[test]
   fn streams_continue_at_their_version_at_any_host(
--- a/yuccarudder/src/placement/rate_limit_tests.rs
+++ b/yuccarudder/src/placement/rate_limit_tests.rs
@@ -12,7 +12,7 @@
 
 /// Time in which all hosts are to know a limit.
 const CONTACT: Duration = Duration::from_secs(3);
-/// Time from a response that names a limit until the host counts as told.
+/// Time from a response that names a limit until the host counts as notified.
 const TOLD_AFTER: Duration = Duration::from_millis(500);
 const WINDOW: Duration = Duration::from_secs(4);
 const STEP: Duration = Duration::from_millis(20);
@@ -111,7 +111,7 @@
     ),
     (None, None)
   );
-  // The others are told that the limit ended, for some time.
+  // The others are notified that the limit ended, for some time.
   assert_eq!(limits.own_statements(start + ms(400)).count(), 1);
   assert_eq!(limits.own_statements(start + ms(9_000)).count(), 0);
 }
@@ -148,12 +148,12 @@
 struct Host {
   known: HashSet<usize>,
   limits: RateLimits,
-  /// When it was first told the limit by the target itself.
+  /// When the target itself first stated the limit to it.
   told_at: Option<Instant>,
 }
 
 /// Runs a fleet that sends requests to one target; returns the times of the requests of hosts that
-/// had been told, and of all.
+/// had been notified, and of all.
 fn run(scenario: &Scenario) -> (Instant, Vec<Instant>, Vec<Instant>) {
   let (key, start) = (key(), Instant::now());
   let mut random = StdRng::seed_from_u64(scenario.seed);
--- a/yuccarudder/src/placement/rate_limits.rs
+++ b/yuccarudder/src/placement/rate_limits.rs
@@ -11,7 +11,7 @@
 const SHARERS_PER_RATE: f64 = 1.5;
 /// Time after which a request that found no host with a share may find one elsewhere.
 const NO_SHARE_DELAY: Duration = Duration::from_secs(2);
-/// Longest delay that a caller is told.
+/// Longest delay that a caller is given.
 const MAX_DELAY: Duration = Duration::from_secs(60);
 /// How long the end of a limit is announced to the other hosts: several heartbeats of a large fleet.
 const END_ANNOUNCEMENT_PERIOD: Duration = Duration::from_secs(5);
@@ -60,7 +60,7 @@
   newest: LimitStatement,
   /// The newest statement in a response to this host.
   own: Option<LimitStatement>,
-  /// Requests that callers were told to come back with, and that have not been sent.
+  /// Requests that callers were asked to come back with, and that have not been sent.
   promised: f64,
   /// Requests that may be sent now; at most one, so that any period allows only as many as its
   /// length does, and one more.
@@ -123,7 +123,7 @@
     record.delay(rate, now, 1.0).map(|delay| now + delay)
   }
 
-  /// Returns the time at which a target has room for a caller that is told to come back, and keeps
+  /// Returns the time at which a target has room for a caller that is asked to come back, and keeps
   /// that room for it.
   pub fn promise(&mut self, key: Key, share: &LimitShare, now: Instant) -> Option<Instant> {
     let record = self.records.get_mut(key)?;
@@ -149,7 +149,7 @@
     record.promised = (record.promised - count).max(0.0);
   }
 
-  /// Returns what this host was told itself, for the other hosts.
+  /// Returns what targets stated to this host itself, for the other hosts.
   pub fn own_statements(&self, now: Instant) -> impl Iterator<Item = (Key, LimitStatement)> {
     self.records.iter().filter_map(move |(key, record)| {
       let statement = record.own?;
--- a/yuccarudder/src/plain/call.rs
+++ b/yuccarudder/src/plain/call.rs
@@ -165,7 +165,7 @@
 
 /// Returns whether a request carries an idempotency key and its ticket.
 ///
-/// Only the home host of such a key can tell whether the request was executed.
+/// Only the home host of such a key knows whether the request was executed.
 pub fn has_idempotency_key(headers: &HeaderMap) -> bool {
   headers.contains_key(TICKET_HEADER) && headers.contains_key(IDEMPOTENCY_KEY_HEADER)
 }
--- a/yuccarudder/src/plain/dispatch.rs
+++ b/yuccarudder/src/plain/dispatch.rs
@@ -20,7 +20,7 @@
 
 /// Retry time suggested to a caller when no target could be used.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Maximum number of targets that are tried for one request.
+/// Maximum number of targets that are attempted for one request.
 const MAX_TARGETS: usize = 8;
 
 /// The body of a request to a target.
@@ -197,7 +197,7 @@
   Err(no_target(Choice::Unreachable, &tried, send_permit))
 }
 
-/// Refuses a request for which no further target can be tried.
+/// Refuses a request for which no further target can be attempted.
 fn no_target(choice: Choice, tried: &[Key], send_permit: &SendPermit) -> Refusal {
   let reason = choice.refusal_reason(!tried.is_empty());
   correct_execution(Refusal::not_run(reason), send_permit).with_retry_after(RETRY_AFTER)
--- a/yuccarudder/src/quarantine/ban.rs
+++ b/yuccarudder/src/quarantine/ban.rs
@@ -13,7 +13,7 @@
   /// Number of targets that crashed.
   pub crashes: u32,
   /// The banned features, in ascending order. A request is refused if it has all of them; there is
-  /// more than one while nothing tells which of them is to blame.
+  /// more than one while it is unknown which of them is to blame.
   pub features: Vec<Feature>,
   /// When the first target crashed.
   pub first_crash: Instant,
--- a/yuccarudder/src/quarantine/feature.rs
+++ b/yuccarudder/src/quarantine/feature.rs
@@ -10,7 +10,7 @@
 }
 
 impl Feature {
-  /// Returns whether the feature tells a request and its repeats from all other requests.
+  /// Returns whether the feature distinguishes a request and its repeats from all other requests.
   pub fn is_content(self) -> bool {
     matches!(self, Self::Content(_))
   }
--- a/yuccarudder/src/quarantine/tests.rs
+++ b/yuccarudder/src/quarantine/tests.rs
@@ -321,7 +321,7 @@
   assert_eq!(banned(&ledger), [[9]]);
   assert!(!ledger.merge_ban(ban, start + ms(1_100)));
   assert_eq!(banned(&ledger), [[9]]);
-  // The other hosts are told, as one of them still had the part in its ban.
+  // The other hosts are notified, as one of them still had the part in its ban.
   let announced: Vec<u64> =
     ledger.announced_sounds(start + ms(1_200)).map(|sound| id(sound.feature)).collect();
   assert_eq!(announced, [8]);
--- a/yuccarudder/src/reader/role.rs
+++ b/yuccarudder/src/reader/role.rs
@@ -15,7 +15,7 @@
 /// Pause after which a host that does not read checks again whether it has to.
 const IDLE_PAUSE: Duration = Duration::from_millis(250);
 /// Pauses between two watches of the targets, by rank of the hosts that watch them. These
-/// hosts tell the others of targets that are leaving.
+/// hosts notify the others of targets that are leaving.
 const TARGET_READER_PAUSES: [Duration; 2] =
   [Duration::from_millis(120), Duration::from_millis(500)];
 /// Time beyond the longest regular gap between two responses after which a reader considers
@@ -26,7 +26,7 @@
 /// Pause between two lists of the targets on all other hosts while their targets differ from
 /// those of a reader.
 const POLL_PAUSE: Duration = Duration::from_millis(1200);
-/// Time within which the readers have told the other hosts of a changed target, unless their
+/// Time within which the readers have notified the other hosts of a changed target, unless their
 /// heartbeats were lost.
 const NEWS_DELAY: Duration = Duration::from_millis(1500);
 /// Mean age at which another host of a small fleet lists the targets again although they match
@@ -60,7 +60,7 @@
 }
 
 impl Copies {
-  /// Returns whether the targets differ for longer than the readers need to tell the change.
+  /// Returns whether the targets differ for longer than the readers need to announce the change.
   fn have_missed_news(&self) -> bool {
     self.targets_differ_for.is_some_and(|time| time >= NEWS_DELAY)
   }
@@ -103,7 +103,7 @@
     failed || since_response >= TARGETS_WATCH_TIMEOUT + *pause + RESPONSE_MARGIN
   }
 
-  /// Returns for how long a host tells the others that a target is leaving.
+  /// Returns for how long a host announces to the others that a target is leaving.
   ///
   /// The readers of the targets do it for as long as it is relevant. The others do it only for
   /// the next heartbeats, in case one of a reader was lost.
--- a/yuccarudder/src/refusal/reason.rs
+++ b/yuccarudder/src/refusal/reason.rs
@@ -130,7 +130,7 @@
   TargetsPaused, "targets_paused", SERVICE_UNAVAILABLE,
     "Every target of this service asked for a pause or for fewer requests; try again after it.";
   /// No target could be reached: connections to them failed lately, or none of those that were
-  /// tried took the request.
+  /// attempted took the request.
   TargetsUnreachable, "targets_unreachable", SERVICE_UNAVAILABLE,
     "No target of this service can be reached.";
   /// The ticket is malformed or not signed with a current secret.
--- a/yuccarudder/src/roster/roster.rs
+++ b/yuccarudder/src/roster/roster.rs
@@ -101,7 +101,7 @@
   }
 }
 
-/// A target that came into service or whose entry changed, as the readers of the platform tell the
+/// A target that came into service or whose entry changed, as the readers of the platform announce it to the
 /// other hosts.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Announcement {
--- a/yuccarudder/src/target/choose.rs
+++ b/yuccarudder/src/target/choose.rs
@@ -30,7 +30,7 @@
 impl Choice {
   /// Returns the reason for refusing a job that got no target.
   ///
-  /// `tried` tells whether the job has already failed at other targets.
+  /// `tried` indicates whether the job has already failed at other targets.
   pub fn refusal_reason(self, tried: bool) -> Reason {
     match self {
       Self::Busy => Reason::TargetsBusy,
--- a/yuccarudder/src/tree/settings.rs
+++ b/yuccarudder/src/tree/settings.rs
@@ -145,7 +145,7 @@
   /// Longest time from the arrival of a request to the end of its response.
   deadline: Duration, read_duration, format_duration = secs(600), ms(100)..=days(1), [Operator Service Account];
 
-  /// Time after which a draining host tells callers to reattach at another host.
+  /// Time after which a draining host directs callers to reattach at another host.
   drain_bound: Duration, read_duration, format_duration = secs(60), ms(100)..=days(1), [Operator];
 
   /// Time for which callers may cache a response of `/v1/entries`.
--- a/yuccarudder/src/upstream/pool.rs
+++ b/yuccarudder/src/upstream/pool.rs
@@ -120,7 +120,7 @@
   ///
   /// # Errors
   ///
-  /// Fails when no response head arrives; the error tells whether bytes of the request
+  /// Fails when no response head arrives; the error indicates whether bytes of the request
   /// may have reached the target.
   pub async fn send(&self, call: Call) -> Result<Response<Incoming>, Error> {
     let reused = if call.new_connection {
--- a/yuccarudder/tests/processes.rs
+++ b/yuccarudder/tests/processes.rs
@@ -192,7 +192,7 @@
     (check.tokens(), check.errors()),
     (2 * LONG_GENERATION_TOKENS, 0)
   );
-  // The generation runs longer than `drain_bound`, so its caller was told to reattach elsewhere.
+  // The generation runs longer than `drain_bound`, so its caller was directed to reattach elsewhere.
   assert!(generation.reattach_attempts > 0);
   assert!(processes.hosts[0].wait().await.success());
 }
