--- a/yuccarudder/src/quarantine/tests.rs
+++ b/yuccarudder/src/quarantine/tests.rs
@@ -854,3 +854,21 @@
   assert!(fleet.wrongly_banned().is_empty());
   assert!(fleet.sound_refused * 100 <= fleet.sound_sent);
 }
+
+/// Guards against one request that ends target after target in a fleet of hundreds of hosts, of which
+/// each sees one crash at most.
+#[test]
+fn large_fleet_keeps_a_fatal_request_away() {
+  let fleet = Fleet::run(Scenario {
+    fatal_request_rate: 3.0,
+    hosts: 295,
+    is_plain: true,
+    loss: 0.1,
+    seed: 8,
+    targets: 5,
+    ..CALM
+  });
+  assert!(fleet.late_fatal_requests <= MAX_LATE_ARRIVALS);
+  assert!(fleet.wrongly_banned().is_empty());
+  assert_eq!(fleet.sound_denied, 0);
+}
