Refuse a banned request with 400 also after it ran

A request that was banned while a host retried it got 502, which callers of repeatable requests answer by sending it again. It is now refused with 400, as before its first run; the body still says whether it ran. 400 promises nothing about the execution.

--- a/yuccarudder/src/gateway/response.rs
+++ b/yuccarudder/src/gateway/response.rs
@@ -19,6 +19,14 @@
 fn status(refusal: &Refusal) -> StatusCode {
   let status = refusal.reason.status();
   match refusal.execution {
+    // The caller is not to send the request again, whether or not it ran.
+    _ if matches!(
+      refusal.reason,
+      Reason::PromptQuarantined | Reason::RequestQuarantined
+    ) =>
+    {
+      status
+    }
     Execution::NotRun if status.is_client_error() => status,
     Execution::NotRun => StatusCode::SERVICE_UNAVAILABLE,
     Execution::Failed | Execution::Unknown if refusal.reason == Reason::DeadlinePassed => {
--- a/yuccarudder/src/gateway/tests.rs
+++ b/yuccarudder/src/gateway/tests.rs
@@ -1,7 +1,8 @@
 use {
-  super::{directory::sample_hosts, shutdown},
+  super::{directory::sample_hosts, response, shutdown},
   crate::{
     dialect::RequestMetadata,
+    refusal::{Reason, Refusal},
     routing::{Kind, Route},
   },
   std::{net::SocketAddr, time::Duration},
@@ -11,6 +12,16 @@
   ([10, 0, 0, index], 80).into()
 }
 
+/// Guards against callers that send a request again under which targets have just crashed.
+#[test]
+fn request_that_is_banned_after_it_ran_is_refused_for_good() {
+  let status = |refusal: Refusal| response::from_refusal(&refusal).status().as_u16();
+  assert_eq!(status(Refusal::unknown(Reason::RequestQuarantined)), 400);
+  assert_eq!(status(Refusal::not_run(Reason::RequestQuarantined)), 400);
+  assert_eq!(status(Refusal::not_run(Reason::RequestSuspected)), 503);
+  assert_eq!(status(Refusal::unknown(Reason::RequestSuspected)), 502);
+}
+
 #[test]
 fn hosts_of_equal_weight_are_all_listed() {
   let hosts = (1..7).map(|index| (host(index), 250)).collect();
