Lift bans of contents that another ban explains with further crashes

Bans of contents are now compared with each other as news arrive: one whose crashes another content explains with further ones is lifted, and two that explain the same are uncertain.

--- a/yuccarudder/src/quarantine/ledger.rs
+++ b/yuccarudder/src/quarantine/ledger.rs
@@ -166,6 +166,7 @@
     self.crashes.retain(|record| is_kept(record.crash.at, CRASH_RETENTION));
     self.bans.retain(|record| is_kept(record.ban.last_crash, BAN_RETENTION));
     self.bans.retain(|record| !is_over(&record.ban, now));
+    self.revise_bans();
     let mut new_bans = Vec::new();
     if self.crashes.is_empty() {
       return new_bans;
@@ -367,6 +368,40 @@
     !self.sounds.contains_key(&feature) && (feature.is_content() || has_seen_traffic)
   }
 
+  /// Lifts bans of contents whose crashes the content of another ban explains with further ones, and
+  /// makes bans uncertain whose contents explain the same crashes: hosts decide before they have
+  /// heard of all crashes.
+  fn revise_bans(&mut self) {
+    let is_of_content = |ban: &&Ban| ban.features.iter().any(|feature| feature.is_content());
+    let contents: Vec<&Ban> = self.certain_bans().filter(is_of_content).collect();
+    if contents.len() < 2 {
+      return;
+    }
+    let targets: Vec<HashSet<u64>> = contents.iter().map(|ban| self.targets_under(ban)).collect();
+    let mut lifted = Vec::new();
+    let mut doubted = Vec::new();
+    for (index, ban) in contents.iter().enumerate() {
+      let own = &targets[index];
+      let covers = |other: &(usize, &HashSet<u64>)| other.0 != index && own.is_subset(other.1);
+      let covering = targets.iter().enumerate().filter(covers).map(|(_, other)| other.len()).max();
+      match covering.filter(|_| !own.is_empty()) {
+        Some(count) if count > own.len() => lifted.push(ban.features.clone()),
+        Some(_) => doubted.push(ban.features.clone()),
+        None => {}
+      }
+    }
+    self.bans.retain(|record| !lifted.contains(&record.ban.features));
+    for record in &mut self.bans {
+      record.ban.is_uncertain |= doubted.contains(&record.ban.features);
+    }
+  }
+
+  /// Returns the targets that crashed under requests which a ban covers.
+  fn targets_under(&self, ban: &Ban) -> HashSet<u64> {
+    let crashes = self.crashes.iter().map(|record| &record.crash);
+    crashes.filter(|crash| ban.covers(&crash.features)).map(|crash| crash.target).collect()
+  }
+
   fn certain_bans(&self) -> impl Iterator<Item = &Ban> {
     self.bans().filter(|ban| !ban.is_uncertain)
   }
