Count crashes at about the same time under a request that is in no common use

Such crashes are discounted because requests in common use run on all targets; a content that was never answered soundly, at a host that has seen traffic for 10 s, is none of them.

One unit test of the discount expected no ban for such a content; it is replaced by three: one for this case, one for a request whose retries follow targets that are lost together, and one for a request in common use.

--- a/yuccarudder/src/quarantine/evidence.rs
+++ b/yuccarudder/src/quarantine/evidence.rs
@@ -43,16 +43,22 @@
   ///
   /// Of crashes at about the same time, only those of runs that were sent after the crash before
   /// count: requests in common use run on all targets, and would explain targets that are lost
-  /// together.
-  pub fn crash_times(&self, counted: impl Fn(u64) -> bool) -> Vec<Instant> {
+  /// together. With `is_rare`, the feature is in no common use, so those of runs that were sent before
+  /// it count as well.
+  pub fn crash_times(&self, is_rare: bool, counted: impl Fn(u64) -> bool) -> Vec<Instant> {
     let runs = self.targets.iter().filter(|(target, _)| counted(**target));
     let mut runs: Vec<CrashedRun> = runs.map(|(_, run)| *run).collect();
     runs.sort_unstable_by_key(|run| run.at);
     let mut times: Vec<Instant> = Vec::new();
     for run in runs {
       let is_separate = |last: &Instant| {
-        let is_sent_after = run.sent_at + CLOCK_TOLERANCE >= *last && run.at >= *last + MIN_RUN;
-        is_sent_after || run.at >= *last + COMMON_CAUSE_WINDOW
+        let is_sent_after = run.sent_at + CLOCK_TOLERANCE >= *last;
+        let is_explained = if is_sent_after {
+          run.at >= *last + MIN_RUN
+        } else {
+          is_rare
+        };
+        is_explained || run.at >= *last + COMMON_CAUSE_WINDOW
       };
       if times.last().is_none_or(is_separate) {
         times.push(run.at);
--- a/yuccarudder/src/quarantine/ledger.rs
+++ b/yuccarudder/src/quarantine/ledger.rs
@@ -23,7 +23,7 @@
 const MIN_SILENCE: Duration = Duration::from_millis(1500);
 /// Crashes at which a feature of a ban occurs without the others before it is banned alone.
 const MIN_CRASHES_ALONE: usize = 2;
-/// Time for which a host must have seen traffic before a prompt part counts as never answered soundly.
+/// Time for which a host must have seen traffic before it knows the features in common use.
 const OBSERVATION_PERIOD: Duration = Duration::from_secs(10);
 /// How long crashes and answers are announced to the other hosts: several heartbeats of a large
 /// fleet, as some are lost.
@@ -364,8 +364,12 @@
 
   /// Returns whether no target is known to have answered a feature soundly.
   fn is_new(&self, feature: Feature, now: Instant) -> bool {
-    let has_seen_traffic = now.saturating_duration_since(self.started_at) >= OBSERVATION_PERIOD;
-    !self.sounds.contains_key(&feature) && (feature.is_content() || has_seen_traffic)
+    !self.sounds.contains_key(&feature) && (feature.is_content() || self.has_seen_traffic(now))
+  }
+
+  /// Returns whether this host has been running long enough to know the features in common use.
+  fn has_seen_traffic(&self, now: Instant) -> bool {
+    now.saturating_duration_since(self.started_at) >= OBSERVATION_PERIOD
   }
 
   /// Lifts bans of contents whose crashes the content of another ban explains with further ones, and
@@ -420,11 +424,16 @@
     let evidence = self.evidence();
     let suspects: Vec<Suspect<'_>> = evidence
       .iter()
-      .map(|(feature, evidence)| Suspect {
-        crash_times: evidence.crash_times(|_| true),
-        evidence,
-        feature: *feature,
-        is_new: self.is_new(*feature, now),
+      .map(|(feature, evidence)| {
+        let is_new = self.is_new(*feature, now);
+        let is_rare = is_new && feature.is_content() && self.has_seen_traffic(now);
+        Suspect {
+          crash_times: evidence.crash_times(is_rare, |_| true),
+          evidence,
+          feature: *feature,
+          is_new,
+          is_rare,
+        }
       })
       .collect();
     let suffices = |suspect: &&Suspect<'_>| self.suffices(suspect, &suspects, news_delay, now);
@@ -479,12 +488,12 @@
     }
     if self.certain_bans().any(|ban| ban.features.contains(&suspect.feature)) {
       let is_uncovered = |target| evidence.uncovered.contains(&target);
-      return evidence.crash_times(is_uncovered).len() >= MIN_CRASHES_ALONE;
+      return evidence.crash_times(suspect.is_rare, is_uncovered).len() >= MIN_CRASHES_ALONE;
     }
     let rivals: Vec<&Suspect<'_>> =
       suspects.iter().filter(|other| other.explains_better(suspect)).collect();
     let is_left = |target| !rivals.iter().any(|rival| rival.evidence.targets.contains_key(&target));
-    evidence.crash_times(is_left).len() >= min_crashes
+    evidence.crash_times(suspect.is_rare, is_left).len() >= min_crashes
   }
 
   fn ban(&self, culprit: &Suspect<'_>, is_uncertain: bool) -> Ban {
--- a/yuccarudder/src/quarantine/suspect.rs
+++ b/yuccarudder/src/quarantine/suspect.rs
@@ -14,6 +14,8 @@
   pub feature: Feature,
   /// Whether no target is known to have answered it soundly.
   pub is_new: bool,
+  /// Whether it is in no common use, as far as is known.
+  pub is_rare: bool,
 }
 
 impl Suspect<'_> {
--- a/yuccarudder/src/quarantine/tests.rs
+++ b/yuccarudder/src/quarantine/tests.rs
@@ -230,12 +230,38 @@
   true
 );
 content_bans!(
-  request_on_targets_that_are_lost_together,
-  [(1, 1, 0, 40), (1, 2, 5, 42), (1, 3, 10, 45), (1, 4, 15, 48)],
+  request_that_crashes_targets_at_about_the_same_time,
+  [(1, 1, 0, 300), (1, 2, 5, 302), (1, 3, 10, 345)],
+  [1],
+  false
+);
+content_bans!(
+  request_sent_at_once_to_targets_that_are_lost_together,
+  [
+    (1, 1, 0, 40),
+    (1, 2, 41, 42),
+    (1, 3, 43, 44),
+    (1, 4, 45, 46)
+  ],
   [],
   false
 );
 
+/// Guards against blaming a request in common use for targets that are lost together.
+#[test]
+fn popular_request_on_targets_that_are_lost_together_is_not_banned() {
+  let (mut ledger, start) = ledger();
+  ledger.record_sound(&[Feature::Content(1)], SERVICE, start - ms(5), start);
+  for target in 0..6 {
+    let at = start + ms(40 + 2 * target);
+    ledger.record_crash(crash_under(target, 1, start, at), true, at);
+  }
+  let answered_at = start + ms(3_000);
+  ledger.record_sound(&[Feature::Content(2)], SERVICE, answered_at, answered_at);
+  ledger.judge(ms(600), answered_at);
+  assert_eq!(banned(&ledger), Vec::<Vec<u64>>::new());
+}
+
 /// Guards against a fatal request that is let through again because another one ran beside it at its
 /// first three crashes.
 #[test]
