--- a/yuccarudder/src/quarantine/tests.rs
+++ b/yuccarudder/src/quarantine/tests.rs
@@ -294,6 +294,43 @@
   assert_eq!(verdict(&mut ledger, 2, 4_342), "allowed");
 }
 
+/// Returns a ledger with certain bans of the contents 1 and 2, which two hosts decided on before they
+/// had heard of all crashes, and with the crashes of the given targets under each.
+fn ledger_with_two_bans(targets: [&[u64]; 2]) -> Ledger {
+  let (mut ledger, start) = ledger();
+  for (content, targets) in [1, 2].into_iter().zip(targets) {
+    for target in targets {
+      let at = start + ms(200 * target);
+      ledger.record_crash(crash_under(*target, content, at - ms(40), at), false, at);
+    }
+    ledger.merge_ban(
+      Ban {
+        crashes: 3,
+        features: vec![Feature::Content(content)],
+        first_crash: start + ms(200),
+        is_uncertain: false,
+        last_crash: start + ms(600),
+      },
+      start + ms(700),
+    );
+  }
+  ledger.judge(ms(600), start + ms(1_000));
+  ledger
+}
+
+/// Guards against sound requests that stay banned because a host decided on a part of the crashes.
+#[test]
+fn ban_of_a_content_is_lifted_when_another_explains_its_crashes_and_further_ones() {
+  let ledger = ledger_with_two_bans([&[1, 2, 3, 4], &[1, 2, 3]]);
+  assert_eq!(banned(&ledger), [[1]]);
+}
+
+#[test]
+fn bans_of_contents_that_explain_the_same_crashes_become_uncertain() {
+  let ledger = ledger_with_two_bans([&[1, 2, 3], &[1, 2, 3]]);
+  assert_eq!(ledger.bans().filter(|ban| ban.is_uncertain).count(), 2);
+}
+
 #[test]
 fn crash_of_one_target_counts_once_whoever_reports_it() {
   let (mut ledger, start) = ledger();
--- a/yuccarudder/src/refusal/reason.rs
+++ b/yuccarudder/src/refusal/reason.rs
@@ -85,6 +85,9 @@
   /// No target of the service accepts new requests.
   NoTarget, "no_target", SERVICE_UNAVAILABLE,
     "No target of this service takes new work now.";
+  /// No target has the software version that began the stream.
+  NoTargetOfVersion, "no_target_of_version", SERVICE_UNAVAILABLE,
+    "No target has the software version that began this stream; it can continue only if one returns.";
   /// The path or service does not exist.
   NotFound, "not_found", NOT_FOUND,
     "There is nothing at this path; see GET /v1/models for the services.";
@@ -94,21 +97,15 @@
   /// Targets crash when they begin to answer a prompt with a part that this one has.
   PromptQuarantined, "prompt_quarantined", BAD_REQUEST,
     "Targets crash when they begin to answer prompts like this one; change the prompt before sending it again.";
-  /// No target has the software version that began the stream.
-  NoTargetOfVersion, "no_target_of_version", SERVICE_UNAVAILABLE,
-    "No target has the software version that began this stream; it can continue only if one returns.";
+  /// The reattach token is invalid or has expired.
+  ReattachExpired, "reattach_expired", GONE,
+    "The time to reattach has passed; ask again for a new generation.";
   /// Targets crash when they run the request.
   RequestQuarantined, "request_quarantined", BAD_REQUEST,
     "Targets crash when they run this request; do not send it again unchanged.";
-  /// It is not known which software version began the stream.
-  UnknownOrigin, "unknown_origin", SERVICE_UNAVAILABLE,
-    "It is not known which software version began this stream, and several are in service; ask again for a new one.";
   /// Targets crashed under the request and under others that ran beside it.
   RequestSuspected, "request_suspected", SERVICE_UNAVAILABLE,
     "Targets crashed while they ran this request, maybe because of another one; send it again after the given time.";
-  /// The reattach token is invalid or has expired.
-  ReattachExpired, "reattach_expired", GONE,
-    "The time to reattach has passed; ask again for a new generation.";
   /// No retry is left; limits keep retries from multiplying the load during a fault.
   RetriesSpent, "retries_spent", SERVICE_UNAVAILABLE,
     "Too many jobs had to be sent again lately; try again later.";
@@ -142,4 +139,7 @@
   /// The bearer credential is missing or unknown.
   Unauthorized, "unauthorized", UNAUTHORIZED,
     "The bearer credential is missing or unknown.";
+  /// It is not known which software version began the stream.
+  UnknownOrigin, "unknown_origin", SERVICE_UNAVAILABLE,
+    "It is not known which software version began this stream, and several are in service; ask again for a new one.";
 }
