Log why an attempt at a target failed

A connection that is not answered, reset or refused ended in the same log line, so that lost links could not be told from targets that are down.

--- a/yuccarudder/src/gateway/sending.rs
+++ b/yuccarudder/src/gateway/sending.rs
@@ -62,19 +62,26 @@
       )
       .on_dedicated_connection(),
     );
+    let mut error = None;
     let result = match time::timeout(timeout, response).await {
       Ok(Ok(response)) => self.validate(assignment, response),
-      Ok(Err(Error::Denied(_) | Error::NotSent { .. })) => Err(Outcome::NotSent.into()),
-      Ok(Err(Error::Sent(_))) => {
+      Ok(Err(Error::Denied(_))) => Err(Outcome::NotSent.into()),
+      Ok(Err(Error::NotSent { cause, .. })) => {
+        error = Some(cause);
+        Err(Outcome::NotSent.into())
+      }
+      Ok(Err(Error::Sent(cause))) => {
+        error = Some(cause);
         self.report_break(assignment, None, Cause::ConnectionLost).await;
         Err(Outcome::Lost.into())
       }
       Err(_) => {
+        error = Some("no response in time".to_owned());
         self.report_break(assignment, None, Cause::Silent).await;
         Err(Outcome::Lost.into())
       }
     };
-    self.record_outcome(assignment, resume, &result);
+    self.record_outcome(assignment, resume, &result, error.as_deref());
     result
   }
 
@@ -108,6 +115,7 @@
     assignment: &Assignment,
     resume: Option<&Resume>,
     result: &Result<Response<Incoming>, Failure>,
+    error: Option<&str>,
   ) {
     let (outcome, outcome_name) = match result {
       Ok(_) => (placement::Outcome::Answered, "answered"),
@@ -123,7 +131,7 @@
     self.gateway.record_outcome(assignment.key, outcome);
     log::info!(
       target: PREFIX, id = self.id(), target:% = assignment.target.id, outcome = outcome_name,
-      elapsed_ms = self.elapsed().as_millis() as u64, resumed = resume.is_some();
+      elapsed_ms = self.elapsed().as_millis() as u64, resumed = resume.is_some(), error;
       "Sent a request to a target."
     );
   }
