Pass requests on to another host while the links to the targets are lost

Callers of hosts that had lost their links to the targets got 502, 503 and 504 although other hosts reached the same targets: a host took its own links for the targets.

links::Table judges from the host's own attempts: two different targets of a service that fail without an answer to any attempt that began later put the links in doubt, probes settle it, and an answered probe ends it. Meanwhile requests go to another host that does not announce lost links in its heartbeat, over the callers' protocol with one more header. That host admits, counts and retries them like its own; one hop, as it does not pass them on. Streams that stop are resumed through it. The directory leaves cut hosts out while the others have a third of the capacity. Ejections of unreachable targets end with the cut.

Weighed: peer::forward of the own interface rests on tickets and secrets of the settings tree, which this platform has not; what it would add is a second way for bodies, refusals and streams. A directory that stops naming cut hosts is not enough, as callers keep its answers and connections.

--- a/yuccarudder/src/dialect.rs
+++ b/yuccarudder/src/dialect.rs
@@ -10,6 +10,27 @@
   std::{fmt, net::SocketAddr, sync::Arc, time::Duration},
 };
 
+/// What a host did for a request that it passes on to another host.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Forwarded {
+  /// Number of targets that may have run the request.
+  pub possible_runs: u32,
+  /// Time since the caller's first attempt, estimated from its deadline.
+  pub since_first_attempt: Duration,
+}
+
+/// Metadata that a host sets on a request that it passes on to another host.
+#[derive(Clone, Debug)]
+pub struct HandoverMetadata<'a> {
+  /// What it did for the request.
+  pub forwarded: Forwarded,
+  /// ID of the last event that the caller has received, and the attempt that brought the first one;
+  /// `None` if the request has no events yet or its caller sent them.
+  pub resume: Option<(u64, &'a str)>,
+  /// Remaining time that the caller waits for the response.
+  pub timeout: Duration,
+}
+
 /// Metadata that a caller sends with its request.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct RequestMetadata {
@@ -19,6 +40,8 @@
   pub timeout: Option<Duration>,
   /// ID of the last event that the caller received of an earlier response.
   pub last_event_id: Option<u64>,
+  /// What another host did for the request before it passed it on to this one.
+  pub forwarded: Option<Forwarded>,
   /// The caller's estimate of the number of tokens that will be generated.
   pub length_hint: Option<u64>,
   /// Maximum number of tokens to generate.
@@ -100,6 +123,8 @@
 >;
 /// Function that asks an engine for its status; returns `None` when there is no response.
 pub type InspectFn = Arc<dyn Fn(SocketAddr) -> BoxFuture<'static, Option<Report>> + Send + Sync>;
+/// Function that asks a target at a path whether it is healthy; returns whether there is any response.
+pub type PingFn = Arc<dyn Fn(SocketAddr, String) -> BoxFuture<'static, bool> + Send + Sync>;
 /// Function that frees the copy of a run at an engine, given by address and handle.
 pub type ReleaseFn = Arc<dyn Fn(SocketAddr, String) -> BoxFuture<'static, ()> + Send + Sync>;
 
@@ -108,6 +133,8 @@
 pub struct Dialect {
   /// Asks an engine for its status.
   pub inspect: InspectFn,
+  /// Asks a target whether it is healthy.
+  pub ping: PingFn,
   /// Parses a published catalog.
   pub read_catalog: fn(&[u8]) -> anyhow::Result<Catalog>,
   /// Extracts the metadata from the headers of a request.
@@ -118,6 +145,8 @@
   pub release: ReleaseFn,
   /// Copies the KV cache of a run from one engine to another.
   pub copy: CopyFn,
+  /// Sets the headers of a request that is passed on to another host.
+  pub write_handover: fn(&mut HeaderMap, &HandoverMetadata<'_>),
   /// Sets the headers of a request that is forwarded to a target.
   pub write_request: fn(&mut HeaderMap, &ForwardingMetadata<'_>),
 }
--- a/yuccarudder/src/gateway/buffered.rs
+++ b/yuccarudder/src/gateway/buffered.rs
@@ -1,14 +1,15 @@
 use {
-  super::{assignment::Assignment, breaks::Cause, call::Call, retrying::Attempts, sending},
+  super::{
+    assignment::Assignment, breaks::Cause, call::Call, forwarding, retrying::Attempts, sending,
+  },
   crate::{
     attempt::{History, Outcome},
     http::{self, Body},
     plain,
     refusal::Refusal,
-    routing::Kind,
   },
   hyper::{Response, StatusCode, body::Incoming},
-  std::time::Duration,
+  std::{net::SocketAddr, time::Duration},
 };
 
 /// Maximum size of a response, which is buffered before it is sent to the caller.
@@ -40,8 +41,20 @@
 ///
 /// Returns a refusal that states whether the request ran, as far as is known.
 pub async fn serve(call: Call) -> Result<Response<Body>, Refusal> {
-  let mut attempts = Attempts::new(call.route().kind == Kind::Idempotent, call.route().max_runs);
+  let mut attempts = Attempts::new(&call);
   loop {
+    if let Some(host) = attempts.next_helper(&call) {
+      let failure = match exchange_with_host(&call, host, &attempts.history).await {
+        Ok(response) => return Ok(finish(&call, response)),
+        Err(failure) => failure,
+      };
+      if !attempts.record_failure(&call, failure.outcome) {
+        return failure
+          .response
+          .ok_or_else(|| call.final_refusal(&attempts.history, failure.outcome));
+      }
+      continue;
+    }
     let assignment = attempts.assign_next(&call).await?;
     let failure = match exchange(
       &call,
@@ -139,6 +152,24 @@
   }
 }
 
+/// Passes a request on to another host and reads the response.
+async fn exchange_with_host(
+  call: &Call,
+  host: SocketAddr,
+  history: &History,
+) -> Result<Response<Body>, Failure> {
+  match call.hand_over(host, history, None).await {
+    Ok(response) => {
+      let whole = read_body(response, call.time_left()).await;
+      whole.ok_or_else(|| Outcome::Lost.into())
+    }
+    Err(failure) => Err(Failure {
+      response: failure.response.map(|response| forwarding::relay(*response)),
+      outcome: failure.outcome,
+    }),
+  }
+}
+
 /// Reads a response to its end; returns `None` when it is cut off, is too large or takes too long.
 pub(super) async fn read_body(
   response: Response<Incoming>,
--- a/yuccarudder/src/gateway/call.rs
+++ b/yuccarudder/src/gateway/call.rs
@@ -12,6 +12,7 @@
     sync::Arc,
     time::{Duration, Instant},
   },
+  tokio::sync::OwnedSemaphorePermit,
 };
 
 /// Share of its remaining growth that a run has made when the runs of an engine together need
@@ -39,6 +40,8 @@
   /// What the request has in common with its repeats and with other requests.
   pub features: Vec<Feature>,
   pub deadline: Instant,
+  /// The place that the request takes among those that other hosts pass on to this one.
+  pub _forwarding_permit: Option<OwnedSemaphorePermit>,
   pub gateway: Gateway,
   pub headers: HeaderMap,
   pub method: Method,
--- /dev/null
+++ b/yuccarudder/src/gateway/forwarding.rs
@@ -0,0 +1,204 @@
+//! Passes requests on to other hosts while this host has lost its links to the targets of a service.
+//!
+//! The other host handles the request like one of its own callers: it admits it, counts it against the
+//! limits and budgets, and retries it. It does not pass it on again.
+
+use {
+  super::{call::Call, directory, gateway::State, ingress, sending::Failure},
+  crate::{
+    attempt::{History, Outcome},
+    dialect::{Forwarded, HandoverMetadata},
+    http::{self, Body},
+    member::Phase,
+    plain,
+    routing::Kind,
+    upstream::{self, Error},
+  },
+  hyper::{
+    Request, Response, StatusCode, Uri,
+    body::Incoming,
+    header::{CONTENT_LENGTH, HeaderMap},
+  },
+  rand::seq::IndexedRandom,
+  std::{
+    collections::HashMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+  },
+  tokio::time,
+};
+
+const PREFIX: &str = "forwarding";
+/// Longest wait for a connection to another host.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time beyond that of the caller for the other host's own refusal to arrive.
+const ANSWER_MARGIN: Duration = Duration::from_millis(100);
+/// Number of hosts among which the requests for a service are spread at a time, so that the choice costs
+/// the same in a fleet of any size.
+const HELPERS: usize = 8;
+/// How long the same hosts are used; their states are as old as their heartbeats.
+const HELPERS_LIFETIME: Duration = Duration::from_millis(500);
+/// Maximum number of hosts that a request is passed on to, one after the other.
+const MAX_HANDOVERS: usize = 2;
+
+/// The hosts to which requests are passed on, by service.
+#[derive(Debug, Default)]
+pub struct Helpers {
+  by_service: HashMap<String, (Instant, Vec<SocketAddr>)>,
+}
+
+impl State {
+  /// Chooses a host that reaches the targets of a service as far as is known, in proportion to its
+  /// capacity.
+  fn choose_helper(
+    &mut self,
+    service: &str,
+    tried_hosts: &[SocketAddr],
+    now: Instant,
+    since_boot: Duration,
+  ) -> Option<SocketAddr> {
+    let is_recent = |at: Instant| now.saturating_duration_since(at) < HELPERS_LIFETIME;
+    self.helpers.by_service.retain(|_, (chosen_at, _)| is_recent(*chosen_at));
+    if !self.helpers.by_service.contains_key(service) {
+      let hash = ingress::hash(service);
+      let live = self.members.live(since_boot).map(|(_, member)| member);
+      let reaching = live.filter(|member| {
+        member.phase == Phase::Ready && !member.unreachable_services.contains(&hash)
+      });
+      let hosts = reaching.map(|member| (member.callers, member.weight)).collect();
+      let helpers = directory::sample(hosts, HELPERS, || rand::random_range(0.0..1.0));
+      self.helpers.by_service.insert(service.to_owned(), (now, helpers));
+    }
+    let (_, helpers) = &self.helpers.by_service[service];
+    let untried: Vec<_> = helpers.iter().filter(|host| !tried_hosts.contains(host)).collect();
+    untried.choose(&mut rand::rng()).map(|host| **host)
+  }
+
+  /// Passes nothing on to a host for some time.
+  fn drop_helper(&mut self, host: SocketAddr) {
+    for (_, hosts) in self.helpers.by_service.values_mut() {
+      hosts.retain(|helper| *helper != host);
+    }
+  }
+}
+
+impl Call {
+  /// Returns whether a target may run the request although another one may have run it.
+  pub fn is_repeatable(&self) -> bool {
+    matches!(
+      self.route().kind,
+      Kind::Idempotent | Kind::Stream { resumable: true }
+    )
+  }
+
+  /// Returns the host to which the request is better passed on; `None` if this host is to send it to a
+  /// target itself.
+  pub fn helper(&self, history: &History, tried_hosts: &[SocketAddr]) -> Option<SocketAddr> {
+    let may_run = history.possible_runs == 0
+      || (history.repeatable && history.possible_runs < history.max_runs);
+    if self.metadata.forwarded.is_some()
+      || !may_run
+      || tried_hosts.len() >= MAX_HANDOVERS
+      || !self.gateway.doubts_links(&self.service_name)
+    {
+      return None;
+    }
+    let now = self.gateway.clock.now();
+    let since_boot = self.gateway.clock.since_boot();
+    let mut state = self.gateway.lock();
+    state.choose_helper(&self.service_name, tried_hosts, now, since_boot)
+  }
+
+  /// Passes the request on to another host and waits for the head of its response. `last_event_id` is
+  /// that of the last event that the caller got from this host, if any.
+  ///
+  /// # Errors
+  ///
+  /// Fails when there is no response, or when the other host did not run the request.
+  pub async fn hand_over(
+    &self,
+    host: SocketAddr,
+    history: &History,
+    last_event_id: Option<u64>,
+  ) -> Result<Response<Incoming>, Failure> {
+    let request = self.build_handover(history, last_event_id);
+    let response = self
+      .gateway
+      .pool
+      .send(upstream::Call::new(host, CONNECT_TIMEOUT, request).on_dedicated_connection());
+    let timeout = self.time_left() + ANSWER_MARGIN;
+    let result = match time::timeout(timeout, response).await {
+      Ok(Ok(response)) => self.classify(response),
+      Ok(Err(Error::Denied(_) | Error::NotSent { .. })) => Err(Outcome::NotSent.into()),
+      Ok(Err(Error::Sent(_))) | Err(_) => Err(Outcome::Lost.into()),
+    };
+    let outcome = match &result {
+      Ok(_) => "answered",
+      Err(failure) => failure.outcome.name(),
+    };
+    let mut state = self.gateway.lock();
+    if result.is_err() {
+      state.drop_helper(host);
+    }
+    if outcome != Outcome::NotSent.name() {
+      // The other host counts the request.
+      state.retry_budget.withdraw_request(&self.service_name);
+    }
+    drop(state);
+    self.gateway.instruments.handovers.with_label_values(&[outcome]).inc();
+    log::info!(
+      target: PREFIX, id = self.id(), host:% = host, outcome, runs = history.possible_runs,
+      elapsed_ms = self.elapsed().as_millis() as u64, resumed = last_event_id.is_some();
+      "Passed a request on to another host."
+    );
+    result
+  }
+
+  /// Distinguishes responses of targets and final ones of the other host from its promises that the
+  /// request has not run.
+  fn classify(&self, response: Response<Incoming>) -> Result<Response<Incoming>, Failure> {
+    let metadata = (self.gateway.dialect.read_response)(response.status(), response.headers());
+    let is_not_run = matches!(
+      response.status(),
+      StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    );
+    if is_not_run && !metadata.signed {
+      return Err(Failure {
+        outcome: Outcome::NotRun,
+        response: Some(Box::new(response)),
+      });
+    }
+    Ok(response)
+  }
+
+  fn build_handover(&self, history: &History, last_event_id: Option<u64>) -> Request<Body> {
+    let mut request = Request::new(http::full(self.body.bytes.clone()));
+    *request.method_mut() = self.method.clone();
+    *request.uri_mut() =
+      self.uri.path_and_query().map_or_else(Uri::default, |path| Uri::from(path.clone()));
+    let mut headers: HeaderMap = self.headers.clone();
+    plain::strip_hop_by_hop(&mut headers);
+    headers.remove(CONTENT_LENGTH);
+    let metadata = HandoverMetadata {
+      forwarded: Forwarded {
+        possible_runs: history.possible_runs,
+        since_first_attempt: self.since_first_attempt + self.elapsed(),
+      },
+      resume: last_event_id.map(|last_event_id| {
+        let first_request = self.metadata.resumes.as_deref().filter(|_| self.continues_stream());
+        (last_event_id, first_request.unwrap_or(self.id()))
+      }),
+      timeout: self.time_left(),
+    };
+    (self.gateway.dialect.write_handover)(&mut headers, &metadata);
+    *request.headers_mut() = headers;
+    request
+  }
+}
+
+/// Returns the response of another host for the caller; it breaks off if the other host does.
+pub fn relay(response: Response<Incoming>) -> Response<Body> {
+  let (mut head, body) = response.into_parts();
+  plain::strip_response(&mut head.headers);
+  Response::from_parts(head, http::incoming(body))
+}
--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -1,15 +1,17 @@
 use {
-  super::{instruments::Instruments, shutdown::Shutdown},
+  super::{directory, forwarding::Helpers, instruments::Instruments, shutdown::Shutdown},
   crate::{
     clock::Clock,
     dialect::{Dialect, RequestMetadata, ResponseMetadata},
     limit::{Memory, RetryQuota},
+    links,
     member::{self, Phase},
     metrics::Metrics,
     origin,
     placement::{Health, LengthModel, Outcome, Pauses, RateLimits, Scheduler, Throttle},
     quarantine::Ledger,
     reader::{Era, Relation, Role, Version},
+    refusal::{Reason, Refusal},
     roster::{Key, Roster},
     routing::{AgeLimits, Catalog, Freshness},
     settings,
@@ -24,7 +26,7 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
   },
-  tokio::sync::{Notify, watch},
+  tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch},
 };
 
 /// Share of the memory of the host that buffered request bodies may take.
@@ -36,6 +38,8 @@
 const AGE_MARGIN: Duration = Duration::from_millis(250);
 /// How long an evacuation stays in force after the store was restored without it.
 pub(super) const EVACUATION_HOLD: Duration = Duration::from_secs(5);
+/// Maximum number of requests that other hosts pass on to this one, per thousandth of a core.
+const FORWARDED_PER_MILLICORE: usize = 1;
 /// Maximum number of routes for which request statistics are kept.
 const MAX_ROUTES: usize = 4096;
 const PREFIX: &str = "gateway";
@@ -52,6 +56,10 @@
   pub(super) freshness: Freshness,
   /// Ejections of targets after failures.
   pub(super) health: Health,
+  /// Hosts to which requests are passed on while links are lost.
+  pub(super) helpers: Helpers,
+  /// The links of this host to the targets.
+  pub(super) links: links::Table,
   /// When the host began to shut down, and when its process ends.
   pub(super) shutdown: Option<(Instant, Instant)>,
   /// Models that predict the number of generated tokens, by route.
@@ -113,6 +121,12 @@
   pub(super) heartbeat_trigger: Arc<Notify>,
   /// The load of the targets and the queues of waiting requests.
   pub(super) scheduler: Scheduler,
+  /// Wakes the task that probes targets when links are newly in doubt.
+  pub(super) links_doubted: Arc<Notify>,
+  /// Counts losses of links; tasks watch it for changes.
+  pub(super) link_losses: watch::Sender<u64>,
+  /// Places for requests that other hosts pass on to this one.
+  pub(super) forwarded_requests: Arc<Semaphore>,
   pub(super) pool: Pool,
   /// Counts announcements of targets that leave service; tasks watch it for changes.
   pub(super) departures: watch::Sender<u64>,
@@ -151,6 +165,16 @@
     longest.saturating_sub(timeout)
   }
 
+  /// Reserves a place for a request that another host passes on.
+  ///
+  /// # Errors
+  ///
+  /// Refuses when there are too many, so that enough capacity is left for this host's own callers.
+  pub(super) fn reserve_forwarded(&self) -> Result<OwnedSemaphorePermit, Refusal> {
+    let permit = Arc::clone(&self.forwarded_requests).try_acquire_owned();
+    permit.map_err(|_| Refusal::not_run(Reason::HostBusy))
+  }
+
   /// Returns whether this host is ready for requests of callers.
   pub fn is_ready(&self) -> bool {
     self.phase() == Phase::Ready
@@ -203,6 +227,7 @@
   /// Builds the state of a host that has read nothing from the platform yet.
   pub fn new(settings: settings::Gateway, dialect: Dialect, pool: Pool, clock: Clock) -> Self {
     let incarnation = rand::random();
+    let forwarded_requests = settings.weight as usize * FORWARDED_PER_MILLICORE;
     let body_bytes = settings.memory_bytes as f64 * BODY_MEMORY_SHARE;
     let state = State {
       catalog: None,
@@ -210,6 +235,8 @@
       longest_timeouts: HashMap::new(),
       freshness: Freshness::default(),
       health: Health::default(),
+      helpers: Helpers::default(),
+      links: links::Table::default(),
       shutdown: None,
       ledger: Ledger::new(clock.now()),
       origins: origin::Table::default(),
@@ -241,6 +268,9 @@
       metrics: Arc::default(),
       heartbeat_trigger: Arc::default(),
       scheduler: Scheduler::default(),
+      links_doubted: Arc::default(),
+      link_losses: watch::Sender::new(0),
+      forwarded_requests: Arc::new(Semaphore::new(forwarded_requests)),
       departures: watch::Sender::new(0),
       state: Arc::new(Mutex::new(state)),
     }
@@ -371,10 +401,14 @@
     self.recovered_at.is_some_and(recently)
   }
 
-  /// Returns the addresses for callers and the weights of the other hosts that are ready.
-  pub(super) fn ready_hosts(&self, now: Duration) -> Vec<(SocketAddr, u32)> {
+  /// Returns the other hosts that are ready.
+  pub(super) fn ready_hosts(&self, now: Duration) -> Vec<directory::Host> {
     let ready = |(_, member): (SocketAddr, &member::Member)| {
-      (member.phase == Phase::Ready).then_some((member.callers, member.weight))
+      (member.phase == Phase::Ready).then_some(directory::Host {
+        callers: member.callers,
+        reaches_targets: member.unreachable_services.is_empty(),
+        weight: member.weight,
+      })
     };
     self.members.live(now).filter_map(ready).collect()
   }
--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -102,6 +102,7 @@
   let clock_now = gateway.clock.now();
   let now = gateway.clock.since_boot();
   let loads = gateway.scheduler.lock().local_loads();
+  let unreachable_services = gateway.unreachable_services();
   let mut state = gateway.lock();
   let (recipients, removed) = state.members.recipients(now);
   let role = state.role(now);
@@ -143,6 +144,7 @@
     sequence,
     sounds: sounds(&state.ledger, clock_now),
     targets_digest: reads_targets.then(|| state.roster.digest(clock_now)),
+    unreachable_services,
     versions: mixed_versions(&state.roster),
     weight: state.settings.weight,
   };
--- a/yuccarudder/src/gateway/ingress.rs
+++ b/yuccarudder/src/gateway/ingress.rs
@@ -97,6 +97,10 @@
   {
     return Err(Refusal::not_run(Reason::HostLeaving).with_retry_after(SHUTDOWN_RETRY_AFTER));
   }
+  let forwarding_permit = match &metadata.forwarded {
+    Some(_) => Some(gateway.reserve_forwarded()?),
+    None => None,
+  };
   let budget = gateway.settings().guarantees.retry_budget;
   gateway.lock().retry_budget.record_request(&service_name, &budget, arrived);
   let buffered_body = gateway.memory.read_body(&parts.headers, body, catalog.limits.max_body_bytes);
@@ -106,7 +110,10 @@
   let content = Feature::Content(hash_content(&parts.uri, account, &body.bytes));
   let prompt_parts = metadata.shared_parts().iter().copied().map(Feature::PromptPart);
   let features = [content].into_iter().chain(prompt_parts).collect();
-  let since_first_attempt = gateway.time_since_first_attempt(&route.name, metadata.timeout);
+  let since_first_attempt = match &metadata.forwarded {
+    Some(forwarded) => forwarded.since_first_attempt,
+    None => gateway.time_since_first_attempt(&route.name, metadata.timeout),
+  };
   Ok(Call {
     account_key: admission.account,
     since_first_attempt,
@@ -115,6 +122,7 @@
     metadata,
     body,
     deadline: arrived + timeout,
+    _forwarding_permit: forwarding_permit,
     gateway: gateway.clone(),
     headers: parts.headers,
     method: parts.method,
--- a/yuccarudder/src/gateway/instruments.rs
+++ b/yuccarudder/src/gateway/instruments.rs
@@ -23,6 +23,10 @@
   pub ejections: IntCounterVec,
   /// Seconds from the arrival of a request to the first event of its stream, by kind of route.
   pub time_to_first_event: HistogramVec,
+  /// Requests that were passed on to another host, by outcome.
+  pub handovers: IntCounterVec,
+  /// Losses of the links to all targets of a service.
+  pub lost_links: IntCounter,
   /// Other hosts whose heartbeats were received recently.
   pub live_hosts: IntGauge,
   /// Targets that left service, by source of the information.
@@ -69,6 +73,16 @@
         "yuccarudder_first_event_seconds",
         "Arrival to the first event",
       ),
+      handovers: counter(
+        "yuccarudder_handovers_total",
+        "Requests passed on to another host",
+        "outcome",
+      ),
+      lost_links: IntCounter::new(
+        "yuccarudder_lost_links_total",
+        "Losses of the links to all targets of a service",
+      )
+      .expect(VALID_NAMES),
       live_hosts: IntGauge::new("yuccarudder_hosts", "Other hosts heard lately")
         .expect(VALID_NAMES),
       target_departures: counter(
@@ -112,6 +126,8 @@
       Box::new(self.catalog_age.clone()),
       Box::new(self.ejections.clone()),
       Box::new(self.time_to_first_event.clone()),
+      Box::new(self.handovers.clone()),
+      Box::new(self.lost_links.clone()),
       Box::new(self.live_hosts.clone()),
       Box::new(self.target_departures.clone()),
       Box::new(self.migration_steps.clone()),
--- a/yuccarudder/src/gateway/retrying.rs
+++ b/yuccarudder/src/gateway/retrying.rs
@@ -6,7 +6,7 @@
     refusal::{Reason, Refusal},
     roster::Key,
   },
-  std::time::Duration,
+  std::{net::SocketAddr, time::Duration},
 };
 
 const PREFIX: &str = "retrying";
@@ -62,6 +62,7 @@
 pub struct Attempts {
   /// What is known about the attempts so far; it decides whether another one may follow.
   pub history: History,
+  tried_hosts: Vec<SocketAddr>,
   tried_targets: Vec<Key>,
 }
 
@@ -74,20 +75,28 @@
 
   /// Creates the state before the first attempt.
   ///
-  /// `repeatable` indicates whether the request may be sent again after a target may have run it;
-  /// `max_runs` is the maximum number of targets that may run the request.
-  pub fn new(repeatable: bool, max_runs: u32) -> Self {
+  /// A request that another host passed on may have run before.
+  pub fn new(call: &Call) -> Self {
     Self {
       history: History {
-        repeatable,
-        possible_runs: 0,
-        max_runs,
+        repeatable: call.is_repeatable(),
+        possible_runs: call.metadata.forwarded.map_or(0, |forwarded| forwarded.possible_runs),
+        max_runs: call.route().max_runs,
         attempts: 0,
       },
+      tried_hosts: Vec::new(),
       tried_targets: Vec::new(),
     }
   }
 
+  /// Returns the host to which the request is passed on instead of a target, if it is.
+  pub fn next_helper(&mut self, call: &Call) -> Option<SocketAddr> {
+    let host = call.helper(&self.history, &self.tried_hosts)?;
+    self.history.attempts += 1;
+    self.tried_hosts.push(host);
+    Some(host)
+  }
+
   /// Assigns the request to a target that was not attempted before.
   ///
   /// # Errors
--- a/yuccarudder/src/gateway/sending.rs
+++ b/yuccarudder/src/gateway/sending.rs
@@ -4,7 +4,7 @@
     attempt::Outcome,
     dialect::{ForwardingMetadata, Resume},
     http::{self, Body},
-    placement, plain,
+    links, placement, plain,
     upstream::{self, Error},
   },
   hyper::{
@@ -12,7 +12,10 @@
     body::Incoming,
     header::{CONTENT_ENCODING, HOST},
   },
-  std::time::Duration,
+  std::{
+    pin::pin,
+    time::{Duration, Instant},
+  },
   tokio::time,
 };
 
@@ -21,6 +24,13 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 const PREFIX: &str = "sending";
 
+/// Time without a response after which a target counts as silent, unless its route's latency objective
+/// is longer.
+const MIN_SILENCE: Duration = Duration::from_secs(1);
+
+/// No response arrived in time.
+struct Unanswered;
+
 /// The reason why an attempt returned no response that can be relayed.
 pub struct Failure {
   /// The outcome of the attempt.
@@ -62,20 +72,27 @@
       )
       .on_dedicated_connection(),
     );
+    let began_at = self.gateway.clock.now();
     let mut error = None;
-    let result = match time::timeout(timeout, response).await {
-      Ok(Ok(response)) => self.validate(assignment, response),
+    let result = match self.await_response(assignment, began_at, timeout, response).await {
+      Ok(Ok(response)) => {
+        self.gateway.record_reached(&self.service_name, began_at);
+        self.validate(assignment, response)
+      }
       Ok(Err(Error::Denied(_))) => Err(Outcome::NotSent.into()),
       Ok(Err(Error::NotSent { cause, .. })) => {
+        self.record_unreached(assignment, links::Failure::Disconnected, began_at);
         error = Some(cause);
         Err(Outcome::NotSent.into())
       }
       Ok(Err(Error::Sent(cause))) => {
+        self.record_unreached(assignment, links::Failure::Disconnected, began_at);
         error = Some(cause);
         self.report_break(assignment, None, Cause::ConnectionLost).await;
         Err(Outcome::Lost.into())
       }
-      Err(_) => {
+      Err(Unanswered) => {
+        self.record_unreached(assignment, links::Failure::Silent, began_at);
         error = Some("no response in time".to_owned());
         self.report_break(assignment, None, Cause::Silent).await;
         Err(Outcome::Lost.into())
@@ -85,6 +102,45 @@
     result
   }
 
+  /// Waits for the head of a response, but no longer than useful: a request that may be repeated is
+  /// given up when this host has lost its links to the targets.
+  async fn await_response(
+    &self,
+    assignment: &Assignment,
+    began_at: Instant,
+    timeout: Duration,
+    response: impl Future<Output = Result<Response<Incoming>, Error>>,
+  ) -> Result<Result<Response<Incoming>, Error>, Unanswered> {
+    let mut link_losses = self.gateway.link_losses.subscribe();
+    let mut response = pin!(response);
+    let deadline = time::Instant::from_std(began_at + timeout);
+    let silent_from = began_at + MIN_SILENCE.max(self.route().latency_objective);
+    if let Ok(response) = time::timeout_at(deadline.min(silent_from.into()), &mut response).await {
+      return Ok(response);
+    }
+    self.record_unreached(assignment, links::Failure::Silent, began_at);
+    loop {
+      if self.is_repeatable() && self.gateway.has_lost_links(&self.service_name) {
+        return Err(Unanswered);
+      }
+      tokio::select! {
+        response = &mut response => return Ok(response),
+        () = time::sleep_until(deadline) => return Err(Unanswered),
+        Ok(()) = link_losses.changed() => {}
+      }
+    }
+  }
+
+  /// Records that an attempt at a target, begun at `began_at`, failed or has been silent for some time.
+  pub(super) fn record_unreached(
+    &self,
+    assignment: &Assignment,
+    failure: links::Failure,
+    began_at: Instant,
+  ) {
+    self.gateway.record_unreached(&self.service_name, assignment.key, failure, began_at);
+  }
+
   fn validate(
     &self,
     assignment: &Assignment,
--- a/yuccarudder/src/gateway/serve.rs
+++ b/yuccarudder/src/gateway/serve.rs
@@ -1,5 +1,5 @@
 use {
-  super::{Gateway, engine_polling, heartbeats, ingress, scrape},
+  super::{Gateway, engine_polling, heartbeats, ingress, reachability, scrape},
   crate::{
     http::Body,
     member,
@@ -96,6 +96,7 @@
     tasks.spawn(reader::run(gateway.clone(), store.clone(), area));
   }
   tasks.spawn(engine_polling::run(gateway.clone()));
+  tasks.spawn(reachability::run(gateway.clone()));
   tasks.spawn(heartbeats::run(gateway.clone(), server.heartbeats));
   tasks.spawn(member::serve_catalog(
     server.peers,
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -11,6 +11,7 @@
     attempt::{History, Outcome},
     dialect::Resume,
     http::{self, Body, BodyError},
+    links,
     placement::Load,
     quarantine::SOUND_AFTER,
     refusal::{Reason, Refusal},
@@ -41,6 +42,8 @@
 const PREFIX: &str = "session";
 /// Timeout for the response head of the engine that resumes a run from a copy.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time without an event after which a stream counts as stopped once the links to the targets are lost.
+const CUT_SILENCE: Duration = Duration::from_millis(400);
 /// Number of events after which the reported KV cache use of a run is updated.
 const LOAD_UPDATE_EVENTS: u64 = 16;
 
@@ -76,6 +79,8 @@
   cursor: Cursor,
   /// Number of events of the runs before the current one.
   earlier_events: u64,
+  /// Whether another host relays the current run, as this one has lost its links to the targets.
+  is_at_other_host: bool,
   /// Whether the current response has a length or chunks, so that its end is distinguished from a broken
   /// connection.
   is_framed: bool,
@@ -107,6 +112,7 @@
       call,
       chunk_sender,
       earlier_events: 0,
+      is_at_other_host: false,
       is_framed,
       is_sound: false,
       target_body: Some(target_body),
@@ -159,10 +165,29 @@
 
   /// Returns whether the target has sent nothing for some time although it had just begun.
   fn is_silent(&self) -> bool {
+    !self.is_sound && !self.is_at_other_host && self.silence() >= SILENCE
+  }
+
+  /// Returns the time since the last event or, before it, the head of the response.
+  fn silence(&self) -> Duration {
     let last_sign =
       self.timing.last_event().map_or(self.answered_at, |at| at.max(self.answered_at));
-    let silence = self.call.gateway.clock.now().saturating_duration_since(last_sign);
-    !self.is_sound && silence >= SILENCE
+    self.call.gateway.clock.now().saturating_duration_since(last_sign)
+  }
+
+  /// Resumes the stream through another host if this host has lost its links to the targets and the
+  /// stream has stopped.
+  async fn recover_if_cut(&mut self) -> Option<End> {
+    let call = &self.call;
+    if self.is_at_other_host
+      || !call.is_repeatable()
+      || self.silence() < CUT_SILENCE
+      || !call.gateway.has_lost_links(&call.service_name)
+    {
+      return None;
+    }
+    self.target_body = None;
+    self.recover().await
   }
 
   fn record_metrics(&self, end: End) {
@@ -192,6 +217,7 @@
 
   async fn relay(&mut self) -> End {
     let mut departures = self.call.gateway.departures.subscribe();
+    let mut link_losses = self.call.gateway.link_losses.subscribe();
     let mut deadline = Box::pin(time::sleep_until(self.call.deadline.into()));
     self.migrate_if_leaving();
     loop {
@@ -207,6 +233,7 @@
           }
           None
         }
+        Ok(()) = link_losses.changed() => self.recover_if_cut().await,
       };
       if let Some(end) = end {
         return end;
@@ -225,7 +252,9 @@
         Err(_) => None,
       },
       None if self.is_whole() => {
-        if self.is_framed {
+        if self.is_at_other_host {
+          // The other host reports what it sees of the target.
+        } else if self.is_framed {
           self.call.report_sound(self.answered_at);
         } else {
           let answered_at = Some(self.answered_at);
@@ -239,8 +268,11 @@
         self.target_body = None;
         None
       }
+      _ if self.is_at_other_host => self.recover().await,
       _ => {
         let answered_at = Some(self.answered_at);
+        let failure = links::Failure::Disconnected;
+        self.call.record_unreached(&self.assignment, failure, self.call.gateway.clock.now());
         self.call.report_break(&self.assignment, answered_at, Cause::ConnectionLost).await;
         self.recover().await
       }
@@ -277,7 +309,10 @@
     }
     let now = self.call.gateway.clock.now();
     self.timing.record_event(now);
-    if !self.is_sound && now.saturating_duration_since(self.answered_at) >= SOUND_AFTER {
+    if !self.is_at_other_host
+      && !self.is_sound
+      && now.saturating_duration_since(self.answered_at) >= SOUND_AFTER
+    {
       self.is_sound = true;
       self.call.report_sound(self.answered_at);
     }
@@ -347,7 +382,7 @@
     let Some(engine) = self.engine().filter(|engine| engine.relocatable) else {
       return;
     };
-    if !self.migration.is_idle() {
+    if !self.migration.is_idle() || self.is_at_other_host {
       return;
     }
     let remaining_tokens = self.call.metadata.max_tokens.saturating_sub(self.generated_tokens());
@@ -444,15 +479,38 @@
 
   /// Continues the stream with the response of another run.
   fn relay_from(&mut self, assignment: Assignment, response: Response<Incoming>) {
+    self.replace_body(response);
+    self.is_at_other_host = false;
+    self.assignment = assignment;
+    self.assignment.reservation.update(self.load());
+    self.migrate_if_leaving();
+  }
+
+  fn replace_body(&mut self, response: Response<Incoming>) {
     self.earlier_events = self.cursor.event_count();
     self.is_framed = http::is_framed(response.headers());
     self.is_sound = false;
     self.answered_at = self.call.gateway.clock.now();
     self.cursor.discard_partial_event();
     self.target_body = Some(response.into_body());
-    self.assignment = assignment;
-    self.assignment.reservation.update(self.load());
-    self.migrate_if_leaving();
+  }
+
+  /// Continues the stream through another host if this one has lost its links to the targets; returns
+  /// whether it does.
+  async fn resume_at_other_host(&mut self) -> bool {
+    let Some(host) = self.call.helper(&self.history, &[]) else {
+      return false;
+    };
+    self.history.attempts += 1;
+    let last_event_id = self.cursor.last_event_id();
+    let response = self.call.hand_over(host, &self.history, last_event_id).await;
+    let Some(response) = response.ok().filter(stream::has_events) else {
+      return false;
+    };
+    self.replace_body(response);
+    self.is_at_other_host = true;
+    self.assignment.reservation.update(Load::default());
+    true
   }
 
   /// Starts a new run on another target after the last relayed event, if a retry is allowed.
@@ -462,6 +520,9 @@
     if !self.call.grant_retry(&self.history, Outcome::Lost) {
       return Some(End::TargetLost);
     }
+    if self.resume_at_other_host().await {
+      return None;
+    }
     let Ok(assignment) = self.call.assign(&[self.assignment.key]).await else {
       return Some(End::TargetLost);
     };
--- a/yuccarudder/src/gateway/stream.rs
+++ b/yuccarudder/src/gateway/stream.rs
@@ -1,14 +1,13 @@
 use {
   super::{
-    assignment::Assignment, buffered, call::Call, gateway::State, ingress, retrying::Attempts,
-    session::Session,
+    assignment::Assignment, buffered, call::Call, forwarding, gateway::State, ingress,
+    retrying::Attempts, session::Session,
   },
   crate::{
     http::{self, Body},
     origin::Decision,
     plain,
     refusal::{Reason, Refusal},
-    routing::Kind,
   },
   hyper::{Response, StatusCode, body::Incoming},
 };
@@ -28,9 +27,19 @@
     );
   }
   constrain_version(&mut call)?;
-  let resumable = matches!(call.route().kind, Kind::Stream { resumable: true });
-  let mut attempts = Attempts::new(resumable, call.route().max_runs);
+  let mut attempts = Attempts::new(&call);
   loop {
+    if let Some(host) = attempts.next_helper(&call) {
+      let failure = match call.hand_over(host, &attempts.history, None).await {
+        Ok(response) => return Ok(forwarding::relay(response)),
+        Err(failure) => failure,
+      };
+      if !attempts.record_failure(&call, failure.outcome) {
+        let refusal = failure.response.map(|response| forwarding::relay(*response));
+        return refusal.ok_or_else(|| call.final_refusal(&attempts.history, failure.outcome));
+      }
+      continue;
+    }
     let assignment = attempts.assign_next(&call).await?;
     let failure = match call.send(&assignment, None, call.time_left()).await {
       Ok(response) if has_events(&response) => {
--- a/yuccarudder/src/gateway/tests.rs
+++ b/yuccarudder/src/gateway/tests.rs
@@ -1,5 +1,8 @@
 use {
-  super::{directory::sample_hosts, response, shutdown},
+  super::{
+    directory::{self, sample_hosts},
+    response, shutdown,
+  },
   crate::{
     dialect::RequestMetadata,
     refusal::{Reason, Refusal},
@@ -49,6 +52,40 @@
   assert!(heavy > 2 * light, "{counts:?}");
 }
 
+/// Defines a test of the hosts that the directory lists, of four: those that reach all targets, the
+/// weight of the first one, and the hosts listed.
+macro_rules! lists_hosts {
+  ($name:ident, $reaching:expr, $first_weight:expr, $listed:expr) => {
+    #[test]
+    fn $name() {
+      let reaching: &[u8] = &$reaching;
+      let hosts = (1..=4).map(|index| directory::Host {
+        callers: host(index),
+        reaches_targets: reaching.contains(&index),
+        weight: if index == 1 { $first_weight } else { 250 },
+      });
+      let listed = directory::select(hosts.collect());
+      let listed: Vec<SocketAddr> = listed.into_iter().map(|(address, _)| address).collect();
+      let expected: &[u8] = &$listed;
+      assert_eq!(
+        listed,
+        expected.iter().map(|index| host(*index)).collect::<Vec<_>>()
+      );
+    }
+  };
+}
+
+lists_hosts!(
+  hosts_that_all_reach_the_targets,
+  [1, 2, 3, 4],
+  250,
+  [1, 2, 3, 4]
+);
+lists_hosts!(half_of_the_hosts_cut_off, [1, 2], 250, [1, 2]);
+lists_hosts!(all_but_a_small_host_cut_off, [2], 250, [1, 2, 3, 4]);
+lists_hosts!(all_but_a_large_host_cut_off, [1], 500, [1]);
+lists_hosts!(all_hosts_cut_off, [], 250, [1, 2, 3, 4]);
+
 /// Defines a test from the kind of route, the maximum number of tokens, the caller's timeout and
 /// the expected maximum duration of the response, both in milliseconds.
 macro_rules! limits_duration {
--- a/yuccarudder/src/lib.rs
+++ b/yuccarudder/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod host;
 pub mod http;
 pub mod limit;
+pub mod links;
 pub mod logs;
 pub mod member;
 pub mod metrics;
--- a/yuccarudder/src/limit/quota.rs
+++ b/yuccarudder/src/limit/quota.rs
@@ -49,6 +49,13 @@
     history.requests.push_back(now);
   }
 
+  /// Takes back the newest request for a service, which another host counts.
+  pub fn withdraw_request(&mut self, service: &str) {
+    if let Some(history) = self.by_service.get_mut(service) {
+      history.requests.pop_back();
+    }
+  }
+
   /// Takes one retry from the quota if one is left; returns whether it was.
   ///
   /// `hosts` is the number of hosts that share the allowance.
--- /dev/null
+++ b/yuccarudder/src/links/table.rs
@@ -0,0 +1,209 @@
+use {
+  super::Status,
+  crate::roster::Key,
+  std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+  },
+};
+
+/// Number of different targets that must fail without an answer of another one, if the service has as
+/// many: the failure of one target says nothing about the links to the others.
+const MIN_FAILED_TARGETS: usize = 2;
+/// Time for which a service must have been silent if it could be connected to: a sound target may
+/// pause for about a second, and one that is full answers late.
+const MIN_SILENCE: Duration = Duration::from_secs(1);
+/// Time after which a failure no longer counts; one that is not repeated may have ended.
+const FAILURE_RETENTION: Duration = Duration::from_secs(5);
+/// Maximum number of failed targets that are kept for a service.
+const MAX_FAILED_TARGETS: usize = 8;
+/// Interval at which targets are probed while the links are in doubt.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// The same while targets can be connected to: they may be full, and a probe takes a place there.
+const SILENT_PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Number of targets that are probed at once.
+const PROBED_TARGETS: usize = 2;
+/// Maximum number of services that are observed; further ones count as sound.
+const MAX_SERVICES: usize = 1024;
+
+/// How an attempt at a target failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Failure {
+  /// The connection was not established, or broke.
+  Disconnected,
+  /// Nothing arrived on the connection.
+  Silent,
+}
+
+/// Targets of a service that are to be probed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Probe {
+  /// The name of the service.
+  pub service: String,
+  /// How many of its targets.
+  pub targets: usize,
+}
+
+/// The newest failed attempt at a target.
+#[derive(Clone, Copy, Debug)]
+struct FailedAttempt {
+  began_at: Instant,
+  failure: Failure,
+  key: Key,
+}
+
+/// The evidence about the links to the targets of one service.
+#[derive(Clone, Debug, Default)]
+struct Record {
+  /// When the newest attempt began that a target answered.
+  answered: Option<Instant>,
+  failures: Vec<FailedAttempt>,
+  last_probe: Option<Instant>,
+  status: Status,
+}
+
+/// The links of a host to the targets of all services, judged by its own attempts.
+///
+/// An answer only refutes failures of attempts that began before the answered one: connections that
+/// were open before the links were lost may live on.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+  records: HashMap<String, Record>,
+}
+
+impl Table {
+  /// Returns the status of the links to a service.
+  pub fn status(&self, service: &str) -> Status {
+    self.records.get(service).map_or(Status::Sound, |record| record.status)
+  }
+
+  /// Returns the services to which the links are lost.
+  pub fn lost(&self) -> impl Iterator<Item = &str> {
+    let lost = self.records.iter().filter(|(_, record)| record.status == Status::Lost);
+    lost.map(|(service, _)| service.as_str())
+  }
+
+  /// Returns whether the links to any service are in doubt.
+  pub fn has_doubts(&self) -> bool {
+    self.records.values().any(|record| record.status.is_doubtful())
+  }
+
+  /// Returns the evidence about a service; `None` if too many are observed.
+  fn record(&mut self, service: &str) -> Option<&mut Record> {
+    if !self.records.contains_key(service) {
+      if self.records.len() >= MAX_SERVICES {
+        return None;
+      }
+      self.records.insert(service.to_owned(), Record::default());
+    }
+    self.records.get_mut(service)
+  }
+
+  /// Records that an attempt, begun at `began_at`, was answered by a target; returns whether the links
+  /// were in doubt until now.
+  pub fn record_answer(&mut self, service: &str, began_at: Instant) -> bool {
+    let Some(record) = self.record(service) else {
+      return false;
+    };
+    record.answered = record.answered.max(Some(began_at));
+    record.failures.retain(|failed| failed.began_at > began_at);
+    let was_doubtful = record.status.is_doubtful();
+    if record.failures.is_empty() {
+      record.status = Status::Sound;
+    }
+    was_doubtful && !record.status.is_doubtful()
+  }
+
+  /// Records that an attempt at a target, begun at `began_at`, failed or has been silent for some time.
+  ///
+  /// `targets` is the number of targets of the service. Returns whether the links are newly in doubt.
+  pub fn record_failure(
+    &mut self,
+    service: &str,
+    key: Key,
+    failure: Failure,
+    began_at: Instant,
+    targets: usize,
+    now: Instant,
+  ) -> bool {
+    let Some(record) = self.record(service) else {
+      return false;
+    };
+    if record.answered.is_some_and(|answered| answered >= began_at) {
+      return false;
+    }
+    let age = |at: Instant| now.saturating_duration_since(at);
+    let previous = record.failures.iter().find(|failed| failed.key == key);
+    // The silence of a target lasts from the first attempt at it.
+    let began_at = match previous {
+      Some(previous) if failure == Failure::Silent && previous.failure == Failure::Silent => {
+        previous.began_at
+      }
+      _ => began_at,
+    };
+    record
+      .failures
+      .retain(|failed| failed.key != key && age(failed.began_at) < FAILURE_RETENTION);
+    if record.failures.len() >= MAX_FAILED_TARGETS {
+      record.failures.remove(0);
+    }
+    record.failures.push(FailedAttempt {
+      began_at,
+      failure,
+      key,
+    });
+    let disconnected =
+      record.failures.iter().filter(|failed| failed.failure == Failure::Disconnected).count();
+    let needed = MIN_FAILED_TARGETS.min(targets.max(1));
+    let is_silent = || record.failures.iter().any(|failed| age(failed.began_at) >= MIN_SILENCE);
+    let is_new = record.status == Status::Sound
+      && record.failures.len() >= needed
+      && (disconnected >= needed || is_silent());
+    if is_new {
+      record.status = Status::Suspected;
+    }
+    is_new
+  }
+
+  /// Returns the probes that are due now.
+  pub fn due_probes(&mut self, now: Instant) -> Vec<Probe> {
+    let mut probes = Vec::new();
+    for (service, record) in &mut self.records {
+      let is_disconnected =
+        record.failures.iter().any(|failed| failed.failure == Failure::Disconnected);
+      let (interval, targets) = if is_disconnected {
+        (PROBE_INTERVAL, PROBED_TARGETS)
+      } else {
+        (SILENT_PROBE_INTERVAL, 1)
+      };
+      let is_due = record.last_probe.is_none_or(|at| now.saturating_duration_since(at) >= interval);
+      if record.status.is_doubtful() && is_due {
+        record.last_probe = Some(now);
+        probes.push(Probe {
+          service: service.clone(),
+          targets,
+        });
+      }
+    }
+    probes
+  }
+
+  /// Records that none of the targets of a service answered the probes that began at `began_at`;
+  /// returns whether the links are newly lost.
+  pub fn record_failed_probes(&mut self, service: &str, began_at: Instant) -> bool {
+    let Some(record) = self.records.get_mut(service) else {
+      return false;
+    };
+    let is_refuted = record.answered.is_some_and(|answered| answered >= began_at);
+    let is_new = record.status == Status::Suspected && !is_refuted;
+    if is_new {
+      record.status = Status::Lost;
+    }
+    is_new
+  }
+
+  /// Forgets the evidence about a service, when it has no targets any more.
+  pub fn forget(&mut self, service: &str) {
+    self.records.remove(service);
+  }
+}
--- a/yuccarudder/src/member/heartbeat.rs
+++ b/yuccarudder/src/member/heartbeat.rs
@@ -497,6 +497,9 @@
   /// Digest of the listed targets; only from hosts that read them for the others.
   #[prost(fixed64, optional, tag = "20")]
   pub targets_digest: Option<u64>,
+  /// Hashes of the names of services to whose targets the sender has lost its links.
+  #[prost(fixed64, repeated, tag = "28")]
+  pub unreachable_services: Vec<u64>,
   /// Versions of the services of which several are or recently were in service.
   #[prost(message, repeated, tag = "27")]
   pub versions: Vec<ServiceVersion>,
--- a/yuccarudder/src/member/table.rs
+++ b/yuccarudder/src/member/table.rs
@@ -27,6 +27,8 @@
 const STABLE_AFTER: Duration = Duration::from_secs(10);
 /// Own heartbeats whose send times are kept.
 const MAX_SENT: usize = 64;
+/// Largest number of unreachable services that are kept of a member.
+const MAX_UNREACHABLE_SERVICES: usize = 64;
 /// Largest number of members, and of candidates; further ones are ignored.
 const MAX_MEMBERS: usize = 1024;
 
@@ -45,6 +47,8 @@
   sequence: u64,
   /// Digest of the targets that it has read for the others.
   targets_digest: Option<u64>,
+  /// Hashes of the names of services to whose targets it has lost its links.
+  pub unreachable_services: Vec<u64>,
   /// Its capacity, in thousandths of a core.
   pub weight: u32,
 }
@@ -217,6 +221,12 @@
         reads_platform: heartbeat.reads,
         sequence: heartbeat.sequence,
         targets_digest: heartbeat.targets_digest,
+        unreachable_services: heartbeat
+          .unreachable_services
+          .iter()
+          .copied()
+          .take(MAX_UNREACHABLE_SERVICES)
+          .collect(),
         weight: heartbeat.weight,
       },
     );
--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -43,6 +43,7 @@
     sequence,
     sounds: Vec::new(),
     targets_digest: None,
+    unreachable_services: Vec::new(),
     versions: Vec::new(),
     weight: 250,
   }
--- a/yuccarudder/src/placement/health.rs
+++ b/yuccarudder/src/placement/health.rs
@@ -43,6 +43,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Record {
   ejected_until: Option<Instant>,
+  /// Whether it is ejected because its process ended.
+  has_crashed: bool,
   /// Ejections since the target last recovered.
   ejections: u32,
   /// Exponentially weighted fraction of requests that failed.
@@ -62,6 +64,13 @@
     record.and_then(|record| record.ejected_until).is_some_and(|until| now < until)
   }
 
+  /// Ends the ejection of a target that could not be reached, since this host had lost its links.
+  pub fn forget_unreachable(&mut self, key: Key) {
+    if self.records.get(key).is_some_and(|record| !record.has_crashed) {
+      self.records.remove(key);
+    }
+  }
+
   /// Records a result; returns the duration of the ejection that it causes.
   ///
   /// An unreachable target is ejected at once, a failing one when its failure rate is too
@@ -82,6 +91,7 @@
     }
     if outcome == Outcome::Crashed {
       record.ejected_until = Some(now + MAX_EJECTION);
+      record.has_crashed = true;
       return Some(MAX_EJECTION);
     }
     if outcome != Outcome::Unreachable && record.failure_rate <= MAX_FAILURE_RATE {
--- a/yuccarudder/src/plain/headers.rs
+++ b/yuccarudder/src/plain/headers.rs
@@ -21,7 +21,7 @@
 const VIA_VALUE: HeaderValue = HeaderValue::from_static("1.1 yuccarudder");
 
 /// Removes the headers that an intermediary must not forward (RFC 9110, section 7.6.1).
-fn strip_hop_by_hop(headers: &mut HeaderMap) {
+pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
   let connection_options: Vec<HeaderName> = headers
     .get_all(CONNECTION)
     .iter()
--- a/yuccarudder/src/plain/mod.rs
+++ b/yuccarudder/src/plain/mod.rs
@@ -13,7 +13,7 @@
 
 pub use call::{Inbound, handle, has_idempotency_key};
 pub use dispatch::{Dispatch, RequestBody, dispatch};
-pub use headers::{strip_request, strip_response};
+pub use headers::{strip_hop_by_hop, strip_request, strip_response};
 pub use home::run_at_home;
 pub use keyed_request::KeyedRequest;
 pub use relay::relay;
--- a/yuccarudder/src/routing/service.rs
+++ b/yuccarudder/src/routing/service.rs
@@ -36,6 +36,8 @@
   pub cold_start_rate: Option<f64>,
   /// Properties of its engines, if its targets are model engines.
   pub engine: Option<Engine>,
+  /// Path at which its targets answer health checks.
+  pub health_path: String,
   /// The name of the service.
   pub name: String,
 }
