Ask other hosts before a refused connection counts as a crash

When the links of a host broke, each target whose connections were reset or refused was taken for crashed: all hosts passed it over for 4 s, and the requests in flight were evidence for bans.

A host whose connection is refused now asks up to four others, as in the indirect probes of SWIM, whether the target accepts theirs; one that does refutes the crash. The question goes over the connection that already serves catalogs.

--- a/yuccarudder/src/gateway/breaks.rs
+++ b/yuccarudder/src/gateway/breaks.rs
@@ -10,6 +10,8 @@
     refusal::{Reason, Refusal},
     roster::{Key, Status},
   },
+  futures::{StreamExt, stream::FuturesUnordered},
+  rand::seq::IteratorRandom,
   std::{
     net::SocketAddr,
     sync::Arc,
@@ -22,6 +24,10 @@
 /// Time for a target to accept or refuse the connection that shows whether it still runs; a lost
 /// packet delays a connection by a second.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Number of other hosts that are asked whether they reach a target that refuses connections.
+const MAX_ASKED_HOSTS: usize = 4;
+/// Time for their answers.
+const ASK_TIMEOUT: Duration = Duration::from_millis(200);
 /// Longest wait for the result of the connection attempt before a request is sent again; a target that
 /// crashed refuses the connection at once.
 const MAX_VERDICT_WAIT: Duration = Duration::from_millis(50);
@@ -207,7 +213,7 @@
     }
     let listening = self.pool.is_listening(run.address, PROBE_TIMEOUT).await;
     if listening == Some(false) && !is_leaving {
-      return Some(true);
+      return Some(!self.is_reached_by_others(run.fingerprint).await);
     }
     let polls = if listening.is_none() {
       REPLACEMENT_POLLS
@@ -226,6 +232,40 @@
     listening.map(|_| false)
   }
 
+  /// Asks some of the other hosts whether a target that refuses connections of this host accepts theirs.
+  ///
+  /// Links that break look like crashes of all targets from here; from elsewhere they do not.
+  async fn is_reached_by_others(&self, target: u64) -> bool {
+    let hosts = {
+      let state = self.lock();
+      let live = state.members.live(self.clock.since_boot());
+      let sound = live.filter(|(_, member)| member.unreachable_services.is_empty());
+      sound.map(|(address, _)| address).sample(&mut rand::rng(), MAX_ASKED_HOSTS)
+    };
+    let questions = hosts.into_iter().map(|host| async move {
+      let answer = time::timeout(ASK_TIMEOUT, member::ask_is_listening(host, target)).await;
+      matches!(answer, Ok(Ok(Some(true))))
+    });
+    let mut answers: FuturesUnordered<_> = questions.collect();
+    while let Some(is_reached) = answers.next().await {
+      if is_reached {
+        return true;
+      }
+    }
+    false
+  }
+
+  /// Returns whether a target, given by its fingerprint, accepts or refuses connections of this host;
+  /// `None` if neither happens or the target is unknown.
+  pub(super) async fn check_listening(self, target: u64) -> Option<bool> {
+    let address = {
+      let state = self.lock();
+      let key = state.roster.keys_of(target).next()?;
+      state.roster.get(key)?.listing.address
+    };
+    self.pool.is_listening(address, ASK_TIMEOUT).await
+  }
+
   /// Returns whether another process serves at the address of a target that did not say it leaves.
   fn is_replaced(&self, run: &Break) -> bool {
     let state = self.lock();
--- a/yuccarudder/src/gateway/serve.rs
+++ b/yuccarudder/src/gateway/serve.rs
@@ -7,7 +7,6 @@
     server::connections,
   },
   anyhow::Context,
-  bytes::Bytes,
   hyper::{Request, Response, body::Incoming},
   std::{net::SocketAddr, pin::Pin, sync::Arc, time::Duration},
   tokio::{
@@ -98,10 +97,7 @@
   tasks.spawn(engine_polling::run(gateway.clone()));
   tasks.spawn(reachability::run(gateway.clone()));
   tasks.spawn(heartbeats::run(gateway.clone(), server.heartbeats));
-  tasks.spawn(member::serve_catalog(
-    server.peers,
-    catalog_provider(&gateway),
-  ));
+  tasks.spawn(member::serve_calls(server.peers, handlers(&gateway)));
   tasks.spawn(connections::serve(
     server.directory,
     move |request| directory(request),
@@ -156,8 +152,11 @@
   let _ = time::timeout_at(deadline, serving).await;
 }
 
-/// Returns the function that serves the catalog to other hosts.
-fn catalog_provider(gateway: &Gateway) -> Arc<dyn Fn(u64) -> Bytes + Send + Sync> {
-  let gateway = gateway.clone();
-  Arc::new(move |above| gateway.compressed_catalog_above(above))
+/// Returns the functions that answer the calls of other hosts.
+fn handlers(gateway: &Gateway) -> Arc<member::Handlers> {
+  let (catalog_gateway, target_gateway) = (gateway.clone(), gateway.clone());
+  Arc::new(member::Handlers {
+    catalog: Box::new(move |above| catalog_gateway.compressed_catalog_above(above)),
+    is_listening: Box::new(move |target| Box::pin(target_gateway.clone().check_listening(target))),
+  })
 }
--- a/yuccarudder/src/member/mod.rs
+++ b/yuccarudder/src/member/mod.rs
@@ -21,7 +21,7 @@
 pub use phase::Phase;
 pub use table::{Member, Received, Recipient, Sent, Table};
 pub use timing::{failure_timeout, heartbeat_interval, min_heartbeat_interval};
-pub use transfer::{compress_catalog, fetch_catalog, serve_catalog};
+pub use transfer::{Handlers, ask_is_listening, compress_catalog, fetch_catalog, serve_calls};
 
 #[cfg(test)]
 mod tests;
--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -357,11 +357,30 @@
       Bytes::new()
     }
   };
-  tokio::spawn(serve_catalog(listener, std::sync::Arc::new(catalogs)));
+  let handlers = Handlers {
+    catalog: Box::new(catalogs),
+    is_listening: Box::new(|_| Box::pin(async { None })),
+  };
+  tokio::spawn(serve_calls(listener, std::sync::Arc::new(handlers)));
   assert_eq!(fetch_catalog(address, 2).await.unwrap(), catalog);
   assert!(fetch_catalog(address, 3).await.unwrap().is_empty());
 }
 
+#[tokio::test]
+async fn host_tells_others_whether_a_target_is_listening() {
+  let answers = [None, Some(false), Some(true)];
+  let handlers = Handlers {
+    catalog: Box::new(|_| Bytes::new()),
+    is_listening: Box::new(move |target| Box::pin(async move { answers[target as usize] })),
+  };
+  let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+  let address = listener.local_addr().unwrap();
+  tokio::spawn(serve_calls(listener, std::sync::Arc::new(handlers)));
+  for (target, answer) in (0..).zip(answers) {
+    assert_eq!(ask_is_listening(address, target).await.unwrap(), answer);
+  }
+}
+
 #[test]
 fn heartbeats_list_fewer_members_when_the_fleet_is_stable() {
   let mut table = table();
--- a/yuccarudder/src/member/transfer.rs
+++ b/yuccarudder/src/member/transfer.rs
@@ -1,12 +1,13 @@
-//! Transfer of the catalog from one host to another.
+//! Calls between hosts: transfer of the catalog, and questions whether a target can be reached.
 
 use {
   anyhow::Context,
   bytes::Bytes,
   flate2::{Compression, read::ZlibDecoder, write::ZlibEncoder},
-  futures::{SinkExt, StreamExt},
+  futures::{SinkExt, StreamExt, future::BoxFuture},
   prost::Message,
   std::{
+    fmt,
     io::{Read, Write},
     net::SocketAddr,
     sync::Arc,
@@ -28,20 +29,40 @@
 const PREFIX: &str = "member";
 const TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Request for the catalog.
+/// Request for the catalog or, if it names a target, the question whether that accepts connections.
 #[derive(Clone, PartialEq, prost::Message)]
 struct Request {
   /// Version that the requesting host has; only a newer catalog is sent.
   #[prost(uint64, tag = "1")]
   above: u64,
+  /// Fingerprint of the target, which identifies its process.
+  #[prost(fixed64, optional, tag = "2")]
+  target: Option<u64>,
 }
 
-/// Response with the published catalog.
+/// Response with the published catalog or the answer to the question.
 #[derive(Clone, PartialEq, prost::Message)]
 struct Response {
   /// The compressed catalog; empty if there is no newer one.
   #[prost(bytes = "bytes", tag = "1")]
   bytes: Bytes,
+  /// Whether the target accepted or refused a connection; absent if neither happened.
+  #[prost(bool, optional, tag = "2")]
+  is_listening: Option<bool>,
+}
+
+/// What a host answers to the calls of others.
+pub struct Handlers {
+  /// Returns the compressed catalog if it is newer than a version, or no bytes.
+  pub catalog: Box<dyn Fn(u64) -> Bytes + Send + Sync>,
+  /// Finds out whether a target, given by its fingerprint, accepts or refuses connections.
+  pub is_listening: Box<dyn Fn(u64) -> BoxFuture<'static, Option<bool>> + Send + Sync>,
+}
+
+impl fmt::Debug for Handlers {
+  fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    f.write_str("Handlers")
+  }
 }
 
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
@@ -58,12 +79,33 @@
 /// Fails when the other host cannot be reached, does not respond in time, or sends a response
 /// that cannot be decoded.
 pub async fn fetch_catalog(address: SocketAddr, above: u64) -> anyhow::Result<Bytes> {
+  let request = Request {
+    above,
+    target: None,
+  };
+  decompress_catalog(&call(address, &request).await?.bytes)
+}
+
+/// Asks another host whether a target accepts (`true`) or refuses connections; `None` if it does not
+/// know.
+///
+/// # Errors
+///
+/// Fails when the other host cannot be reached or does not respond in time.
+pub async fn ask_is_listening(address: SocketAddr, target: u64) -> anyhow::Result<Option<bool>> {
+  let request = Request {
+    above: u64::MAX,
+    target: Some(target),
+  };
+  Ok(call(address, &request).await?.is_listening)
+}
+
+async fn call(address: SocketAddr, request: &Request) -> anyhow::Result<Response> {
   let response = async {
     let mut frames = framed(TcpStream::connect(address).await?);
-    let request = Bytes::from(Request { above }.encode_to_vec());
-    frames.send(request).await?;
+    frames.send(Bytes::from(request.encode_to_vec())).await?;
     let frame = frames.next().await.context("the other host closed the connection")??;
-    decompress_catalog(&Response::decode(frame)?.bytes)
+    Ok(Response::decode(frame)?)
   };
   time::timeout(TIMEOUT, response).await.context("the other host did not respond in time")?
 }
@@ -84,13 +126,8 @@
   Ok(catalog.into())
 }
 
-/// Serves the catalog to other hosts until the task is dropped.
-///
-/// `catalog` returns the compressed catalog if it is newer than a version, or no bytes.
-pub async fn serve_catalog(
-  listener: TcpListener,
-  catalog: Arc<dyn Fn(u64) -> Bytes + Send + Sync>,
-) {
+/// Answers the calls of other hosts until the task is dropped.
+pub async fn serve_calls(listener: TcpListener, handlers: Arc<Handlers>) {
   loop {
     let stream = match listener.accept().await {
       Ok((stream, _)) => stream,
@@ -100,23 +137,29 @@
         continue;
       }
     };
-    let catalog = Arc::clone(&catalog);
+    let handlers = Arc::clone(&handlers);
     tokio::spawn(time::timeout(TIMEOUT, async move {
-      if let Err(error) = respond(stream, &*catalog).await {
-        log::debug!(target: PREFIX, error:% = error; "Failed to send the catalog to another host.");
+      if let Err(error) = respond(stream, &handlers).await {
+        log::debug!(target: PREFIX, error:% = error; "Failed to answer a call of another host.");
       }
     }));
   }
 }
 
-async fn respond(
-  stream: TcpStream,
-  catalog: &(dyn Fn(u64) -> Bytes + Send + Sync),
-) -> anyhow::Result<()> {
+async fn respond(stream: TcpStream, handlers: &Handlers) -> anyhow::Result<()> {
   let mut frames = framed(stream);
   let frame = frames.next().await.context("the other host closed the connection")??;
-  let bytes = catalog(Request::decode(frame)?.above);
-  let response = Bytes::from(Response { bytes }.encode_to_vec());
-  frames.send(response).await?;
+  let request = Request::decode(frame)?;
+  let response = match request.target {
+    Some(target) => Response {
+      bytes: Bytes::new(),
+      is_listening: (handlers.is_listening)(target).await,
+    },
+    None => Response {
+      bytes: (handlers.catalog)(request.above),
+      is_listening: None,
+    },
+  };
+  frames.send(Bytes::from(response.encode_to_vec())).await?;
   Ok(())
 }
