Continue unknown streams only where all versions of five minutes are known

Callers whose streams broke off as all hosts were killed got answers joined from two versions: a host that had just started took the only version that it saw for the only one there was, and a stream without a target in sight waited for one of any version.

Checks that encoded the fault are replaced: the cases of origin::tests::decision that continued an unknown stream without knowing the time before now give the time that is known, with further ones on both sides of the bound; no_target is Unknown, as no target is no reason to take the next; a reported version counts for five minutes instead of one, as streams last that long.

--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -1,5 +1,5 @@
 use {
-  super::{directory, forwarding::Helpers, instruments::Instruments, shutdown::Shutdown},
+  super::{directory, forwarding::Helpers, ingress, instruments::Instruments, shutdown::Shutdown},
   crate::{
     clock::Clock,
     dialect::{Dialect, RequestMetadata, ResponseMetadata},
@@ -228,6 +228,11 @@
   pub fn new(settings: settings::Gateway, dialect: Dialect, pool: Pool, clock: Clock) -> Self {
     let incarnation = rand::random();
     let forwarded_requests = settings.weight as usize * FORWARDED_PER_MILLICORE;
+    let mut origins = origin::Table::default();
+    if settings.first_start {
+      // No stream began before this process started.
+      origins.extend_coverage(origin::STREAM_RETENTION, clock.now());
+    }
     let body_bytes = settings.memory_bytes as f64 * BODY_MEMORY_SHARE;
     let state = State {
       catalog: None,
@@ -239,7 +244,7 @@
       links: links::Table::default(),
       shutdown: None,
       ledger: Ledger::new(clock.now()),
-      origins: origin::Table::default(),
+      origins,
       length_models: HashMap::new(),
       targets_differ_since: None,
       targets_listed_at: None,
@@ -375,6 +380,22 @@
     relation != Relation::Outdated
   }
 
+  /// Records the versions of the targets that are or recently were in service, of one service or all.
+  pub(super) fn observe_versions(&mut self, service: Option<&str>, now: Instant) {
+    for (_, target) in self.roster.all() {
+      let listing = &target.listing;
+      if service.is_none_or(|service| service == listing.service) {
+        let last_seen = target.leaving_since.unwrap_or(now);
+        self.origins.record_version(
+          ingress::hash(&listing.service),
+          &listing.version,
+          last_seen,
+          now,
+        );
+      }
+    }
+  }
+
   /// Returns this host's part in reading the platform.
   pub(super) fn role(&self, now: Duration) -> Role {
     Role {
--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -2,7 +2,6 @@
   super::{
     Gateway,
     gateway::{EVACUATION_HOLD, HOST_SOURCE, State},
-    ingress,
   },
   crate::{
     member::{self, Codec, Heartbeat, Phase, Recipient, Sent},
@@ -14,7 +13,7 @@
   futures::{SinkExt, StreamExt, stream::SplitSink},
   prost::Message,
   std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     time::{Duration, Instant},
   },
@@ -38,7 +37,7 @@
 /// Heartbeats in which a begun stream is announced, as some are lost.
 const ORIGIN_HEARTBEATS: u32 = 3;
 /// Maximum number of versions of services in a heartbeat.
-const MAX_VERSIONS: usize = 8;
+const MAX_VERSIONS: usize = 16;
 /// Pause after a failed transfer before the next host is asked for its catalog.
 const FETCH_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Pause after a receive error.
@@ -110,6 +109,8 @@
   let reads_targets = role.reads_targets() && state.reads_platform();
   let max_members = state.members.members_per_heartbeat(now);
   state.members.record_sent(Sent { at: now, sequence });
+  state.observe_versions(None, clock_now);
+  let (versions, versions_known_for_ms) = versions(&state, now, clock_now);
   let age = state.freshness.age(now);
   let heartbeat = Heartbeat {
     announcements: if reads_targets {
@@ -145,7 +146,8 @@
     sounds: sounds(&state.ledger, clock_now),
     targets_digest: reads_targets.then(|| state.roster.digest(clock_now)),
     unreachable_services,
-    versions: mixed_versions(&state.roster),
+    versions,
+    versions_known_for_ms,
     weight: state.settings.weight,
   };
   drop(state);
@@ -200,20 +202,29 @@
   streams.into_iter().map(origin).collect()
 }
 
-/// Returns the software versions of the services that have several.
-fn mixed_versions(roster: &Roster) -> Vec<member::ServiceVersion> {
-  let mut services: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
-  for (_, target) in roster.all() {
-    services.entry(&target.listing.service).or_default().insert(&target.listing.version);
+/// Returns the software versions of the services that have several; or those of all services, with the
+/// time for which this host has known all of them, if other processes have just started.
+fn versions(
+  state: &State,
+  now: Duration,
+  clock_now: Instant,
+) -> (Vec<member::ServiceVersion>, Option<u64>) {
+  let mut versions = state.origins.versions(clock_now);
+  let coverage = state
+    .origins
+    .coverage(clock_now)
+    .filter(|_| state.members.has_new_process(now) && versions.len() <= MAX_VERSIONS);
+  if coverage.is_none() {
+    let mut counts: HashMap<u64, u32> = HashMap::new();
+    for ((service, _), _) in &versions {
+      *counts.entry(*service).or_default() += 1;
+    }
+    versions.retain(|((service, _), _)| counts[service] > 1);
+    versions.truncate(MAX_VERSIONS);
   }
-  let mixed = services.into_iter().filter(|(_, versions)| versions.len() > 1);
-  let versions = mixed.flat_map(|(service, versions)| {
-    versions.into_iter().map(move |version| member::ServiceVersion {
-      service: ingress::hash(service),
-      version: version.to_owned(),
-    })
-  });
-  versions.take(MAX_VERSIONS).collect()
+  let versions =
+    versions.into_iter().map(|(version, age)| member::ServiceVersion::new(version, age));
+  (versions.collect(), coverage.map(milliseconds))
 }
 
 /// Returns the sound answers that this host announces, or a random part of them if there are many.
@@ -270,7 +281,13 @@
     }
   }
   for reported in &heartbeat.versions {
-    state.origins.merge_version(reported.service, &reported.version, received_at);
+    let last_seen = reported.last_seen(received_at);
+    state.origins.record_version(reported.service, &reported.version, last_seen, received_at);
+  }
+  if let Some(known_for) = heartbeat.versions_known_for_ms
+    && state.targets_listed_at.is_some()
+  {
+    state.origins.extend_coverage(Duration::from_millis(known_for), received_at);
   }
   let departures = heartbeat.leaving.iter();
   let departing: Vec<_> = departures
--- a/yuccarudder/src/gateway/stream.rs
+++ b/yuccarudder/src/gateway/stream.rs
@@ -1,7 +1,7 @@
 use {
   super::{
-    assignment::Assignment, buffered, call::Call, forwarding, gateway::State, ingress,
-    retrying::Attempts, session::Session,
+    assignment::Assignment, buffered, call::Call, forwarding, ingress, retrying::Attempts,
+    session::Session,
   },
   crate::{
     http::{self, Body},
@@ -65,18 +65,11 @@
   let stream = call.stream_key();
   let now = call.gateway.clock.now();
   let mut state = call.gateway.lock();
-  let State {
-    origins, roster, ..
-  } = &mut *state;
-  let targets = roster.all().map(|(_, target)| &target.listing);
-  let targets = targets.filter(|listing| listing.service == call.service_name);
-  let versions = targets.map(|listing| listing.version.as_str());
-  let decision = origins.decide(stream, ingress::hash(&call.service_name), versions, now);
-  drop(state);
-  match decision {
-    Decision::NoTarget => Ok(()),
+  state.observe_versions(Some(&call.service_name), now);
+  match state.origins.decide(stream, ingress::hash(&call.service_name), now) {
     Decision::Unknown => Err(Refusal::not_run(Reason::UnknownOrigin)),
     Decision::Version(version) => {
+      drop(state);
       call.version = Some(version);
       Ok(())
     }
--- a/yuccarudder/src/gateway/updates.rs
+++ b/yuccarudder/src/gateway/updates.rs
@@ -282,6 +282,7 @@
     }
     let departing = state.roster.apply_snapshot(entries, snapshot.version, recovering, now);
     state.targets_listed_at = Some(now);
+    state.origins.extend_coverage(Duration::ZERO, now);
     drop(state);
     self.announce_departures(&departing, "platform");
   }
--- a/yuccarudder/src/member/heartbeat.rs
+++ b/yuccarudder/src/member/heartbeat.rs
@@ -1,6 +1,6 @@
 use {
   crate::{
-    placement,
+    origin, placement,
     quarantine::{self, Feature},
     reader, roster,
   },
@@ -404,9 +404,12 @@
   pub version: String,
 }
 
-/// A software version of a service that has several, or had until recently.
+/// A software version of a service that is or recently was in service.
 #[derive(Clone, Eq, PartialEq, prost::Message)]
 pub struct ServiceVersion {
+  /// Time since it was last seen in service, in milliseconds.
+  #[prost(uint64, tag = "3")]
+  pub age_ms: u64,
   /// Hash of the name of the service.
   #[prost(fixed64, tag = "1")]
   pub service: u64,
@@ -415,6 +418,23 @@
   pub version: String,
 }
 
+impl ServiceVersion {
+  /// Builds the message for a version that was last seen in service `age` ago.
+  pub fn new(version: &origin::ServiceVersion, age: Duration) -> Self {
+    let (service, version) = version;
+    Self {
+      age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+      service: *service,
+      version: version.as_ref().to_owned(),
+    }
+  }
+
+  /// Returns when it was last seen in service, on this host's clock.
+  pub fn last_seen(&self, now: Instant) -> Instant {
+    time_before(self.age_ms, now)
+  }
+}
+
 /// State that a host sends to each other host at short intervals.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Heartbeat {
@@ -500,9 +520,14 @@
   /// Hashes of the names of services to whose targets the sender has lost its links.
   #[prost(fixed64, repeated, tag = "28")]
   pub unreachable_services: Vec<u64>,
-  /// Versions of the services of which several are or recently were in service.
+  /// Versions of the services of which several are or recently were in service; those of all services
+  /// if `versions_known_for_ms` is present.
   #[prost(message, repeated, tag = "27")]
   pub versions: Vec<ServiceVersion>,
+  /// For how long the sender has known all versions in service, in milliseconds; sent to processes that
+  /// have just started.
+  #[prost(uint64, optional, tag = "29")]
+  pub versions_known_for_ms: Option<u64>,
   /// Capacity of the sender, in thousandths of a core.
   #[prost(uint32, tag = "13")]
   pub weight: u32,
--- a/yuccarudder/src/member/table.rs
+++ b/yuccarudder/src/member/table.rs
@@ -94,6 +94,8 @@
   incarnation: u64,
   /// When a host was last added or removed.
   last_change: Duration,
+  /// When the first heartbeat of a process was last received.
+  last_start: Option<Duration>,
   members: HashMap<SocketAddr, Member>,
   seeds: Vec<SocketAddr>,
   sent: VecDeque<Sent>,
@@ -122,6 +124,11 @@
     }
   }
 
+  /// Returns whether the process of another host has just started, as far as this one has heard.
+  pub fn has_new_process(&self, now: Duration) -> bool {
+    self.last_start.is_some_and(|at| now.saturating_sub(at) < STABLE_AFTER)
+  }
+
   /// Returns the live hosts whose catalog is newer than a version.
   pub fn with_catalog_above(&self, version: u64, now: Duration) -> Vec<SocketAddr> {
     let newer = self.live(now).filter(|(_, member)| member.catalog_version > version);
@@ -146,6 +153,7 @@
     Self {
       candidates: HashMap::new(),
       last_change: Duration::ZERO,
+      last_start: None,
       first_sent: None,
       incarnation,
       members: HashMap::new(),
@@ -209,6 +217,10 @@
     if !is_known {
       self.last_change = now;
     }
+    let known = self.members.get(&sender);
+    if known.is_none_or(|known| known.incarnation != heartbeat.incarnation) {
+      self.last_start = Some(now);
+    }
     self.candidates.remove(&sender);
     self.members.insert(
       sender,
--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -45,6 +45,7 @@
     targets_digest: None,
     unreachable_services: Vec::new(),
     versions: Vec::new(),
+    versions_known_for_ms: None,
     weight: 250,
   }
 }
--- a/yuccarudder/src/origin/mod.rs
+++ b/yuccarudder/src/origin/mod.rs
@@ -3,7 +3,7 @@
 
 mod table;
 
-pub use table::{Decision, Table, stream_key};
+pub use table::{Decision, STREAM_RETENTION, ServiceVersion, Table, stream_key};
 
 #[cfg(test)]
 mod tests;
--- a/yuccarudder/src/origin/table.rs
+++ b/yuccarudder/src/origin/table.rs
@@ -1,7 +1,7 @@
 use {
   siphasher::sip::SipHasher13,
   std::{
-    collections::{HashMap, HashSet, VecDeque},
+    collections::{HashMap, VecDeque},
     hash::{Hash, Hasher},
     sync::Arc,
     time::{Duration, Instant},
@@ -10,25 +10,24 @@
 
 /// Maximum number of streams; the oldest ones are dropped.
 const MAX_STREAMS: usize = 8192;
-/// Maximum number of versions that other hosts reported.
-const MAX_REPORTED_VERSIONS: usize = 256;
-/// How long a stream is kept after its last use; callers wait less for a whole stream.
-const STREAM_RETENTION: Duration = Duration::from_secs(300);
-/// How long a version that another host reported counts as recently in service, as long as a roster
-/// keeps removed targets.
-const VERSION_RETENTION: Duration = Duration::from_secs(60);
+/// Maximum number of versions of services that are remembered.
+const MAX_VERSIONS: usize = 256;
+/// Longest time for which a caller may continue a stream, counted from its beginning. A host that does
+/// not know the stream must know all versions that were in service for as long.
+pub const STREAM_RETENTION: Duration = Duration::from_secs(300);
 
 /// At which version a stream may be continued.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Decision {
-  /// No target of the service is known.
-  NoTarget,
-  /// Nobody knows which of several versions began the stream.
+  /// It is not known which version began the stream.
   Unknown,
   /// At this version only.
   Version(Arc<str>),
 }
 
+/// A version of a service, given by the hash of its name.
+pub type ServiceVersion = (u64, Arc<str>);
+
 #[derive(Clone, Debug)]
 struct Record {
   /// Until when this host announces the stream.
@@ -40,11 +39,14 @@
 /// The versions that began streams, as far as a host knows.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
+  /// For how long this host has known all versions in service, at some time; `None` before it has
+  /// listed the targets.
+  coverage: Option<(Duration, Instant)>,
   /// Keys of `streams`, oldest first.
   order: VecDeque<u64>,
-  /// When other hosts last reported a version of a service, given by the hash of its name.
-  reported_versions: HashMap<(u64, Arc<str>), Instant>,
   streams: HashMap<u64, Record>,
+  /// When each version of a service was last seen in service, by this host or another one.
+  versions: HashMap<ServiceVersion, Instant>,
 }
 
 impl Table {
@@ -55,51 +57,73 @@
     streams.map(|(key, record)| (*key, &record.version))
   }
 
-  /// Decides at which version a stream may be continued.
+  /// Decides at which version a stream of a service may be continued.
   ///
-  /// `stream` is the key of the stream, if the caller named it; `listed_versions` are the versions
-  /// of the targets of the service that are in service or were until recently. A stream that nobody
-  /// knows began at the only version there is.
-  pub fn decide<'a>(
-    &mut self,
-    stream: Option<u64>,
-    service: u64,
-    listed_versions: impl Iterator<Item = &'a str>,
-    now: Instant,
-  ) -> Decision {
+  /// `stream` is the key of the stream, if the caller named it. A stream that nobody knows began at the
+  /// only version that has been in service for as long as streams last; a host that cannot know that
+  /// does not guess.
+  pub fn decide(&mut self, stream: Option<u64>, service: u64, now: Instant) -> Decision {
     if let Some(record) = stream.and_then(|stream| self.streams.get_mut(&stream))
       && now.saturating_duration_since(record.used_at) < STREAM_RETENTION
     {
       record.used_at = now;
       return Decision::Version(Arc::clone(&record.version));
     }
-    let is_recent = |at: &Instant| now.saturating_duration_since(*at) < VERSION_RETENTION;
-    let reported = self.reported_versions.iter().filter(|(_, at)| is_recent(at));
-    let reported = reported.filter(|((of, _), _)| *of == service);
-    let reported = reported.map(|((_, version), _)| version.as_ref());
-    let mut versions: HashSet<&str> = listed_versions.collect();
-    if versions.is_empty() {
-      return Decision::NoTarget;
+    if self.coverage(now).is_none_or(|coverage| coverage < STREAM_RETENTION) {
+      return Decision::Unknown;
     }
-    versions.extend(reported);
-    match versions.into_iter().collect::<Vec<_>>()[..] {
-      [version] => Decision::Version(version.into()),
+    let versions = self.recent_versions(now).filter(|((of, _), _)| *of == service);
+    match versions.collect::<Vec<_>>()[..] {
+      [((_, version), _)] => Decision::Version(Arc::clone(version)),
       _ => Decision::Unknown,
     }
   }
 
+  /// Returns for how long this host has known all versions in service, up to `STREAM_RETENTION`.
+  pub fn coverage(&self, now: Instant) -> Option<Duration> {
+    let (age, at) = self.coverage?;
+    Some((age + now.saturating_duration_since(at)).min(STREAM_RETENTION))
+  }
+
+  /// Records that this host has known all versions in service for a time, on its own or from another
+  /// host that told it all of them.
+  pub fn extend_coverage(&mut self, coverage: Duration, now: Instant) {
+    if self.coverage(now).is_none_or(|known| known < coverage) {
+      self.coverage = Some((coverage, now));
+    }
+  }
+
+  fn recent_versions(&self, now: Instant) -> impl Iterator<Item = (&ServiceVersion, &Instant)> {
+    let is_recent = move |at: &Instant| now.saturating_duration_since(*at) < STREAM_RETENTION;
+    self.versions.iter().filter(move |(_, at)| is_recent(at))
+  }
+
+  /// Returns the versions of all services that were in service while streams last that may still be
+  /// continued, with the time since then.
+  pub fn versions(&self, now: Instant) -> Vec<(&ServiceVersion, Duration)> {
+    let versions = self.recent_versions(now);
+    versions.map(|(version, at)| (version, now.saturating_duration_since(*at))).collect()
+  }
+
   /// Records what another host announced: that a version began a stream.
   pub fn merge(&mut self, stream: u64, version: &str, now: Instant) {
     self.insert(stream, version, None, now);
   }
 
-  /// Records that another host reported a version of a service that has several.
-  pub fn merge_version(&mut self, service: u64, version: &str, now: Instant) {
-    let is_recent = |at: &Instant| now.saturating_duration_since(*at) < VERSION_RETENTION;
-    self.reported_versions.retain(|_, at| is_recent(at));
-    if self.reported_versions.len() < MAX_REPORTED_VERSIONS {
-      self.reported_versions.insert((service, version.into()), now);
+  /// Records that a version of a service was in service at a time.
+  pub fn record_version(&mut self, service: u64, version: &str, at: Instant, now: Instant) {
+    let key = (service, Arc::from(version));
+    if !self.versions.contains_key(&key) {
+      let is_recent = |at: &Instant| now.saturating_duration_since(*at) < STREAM_RETENTION;
+      self.versions.retain(|_, at| is_recent(at));
+      if self.versions.len() >= MAX_VERSIONS {
+        // Versions are missing from now on.
+        self.coverage = None;
+        return;
+      }
     }
+    let last_seen = self.versions.entry(key).or_insert(at);
+    *last_seen = at.max(*last_seen);
   }
 
   /// Records that a version began a stream, or continues it, at this host, which announces it until
--- a/yuccarudder/src/origin/tests.rs
+++ b/yuccarudder/src/origin/tests.rs
@@ -11,68 +11,64 @@
   Decision::Version(text.into())
 }
 
-/// Defines a test of the decision on a stream that is continued: the stream that the caller names,
-/// the versions that are listed, those that other hosts report, and the decision. Stream 1 began at
-/// `v1`.
+/// Defines a test of the decision on a stream that is continued: the stream that the caller names, the
+/// versions that were in service and how many seconds ago, for how many seconds all versions are known,
+/// and the decision. Stream 1 began at `v1`.
 macro_rules! decision {
-  ($name:ident, $stream:expr, [$($listed:expr),*], [$($reported:expr),*], $expected:expr) => {
+  ($name:ident, $stream:expr, [$($version:literal $age:literal),*], $coverage:expr, $expected:expr) => {
     #[test]
     fn $name() {
-      let now = Instant::now();
+      let start = Instant::now();
+      let now = start + Duration::from_secs(1_000);
       let mut table = Table::default();
       table.merge(1, "v1", now);
-      let reported: Vec<&str> = vec![$($reported),*];
-      for version in reported {
-        table.merge_version(SERVICE, version, now);
+      let coverage: Option<u64> = $coverage;
+      if let Some(seconds) = coverage {
+        table.extend_coverage(Duration::from_secs(seconds), now);
       }
-      let listed: Vec<&str> = vec![$($listed),*];
-      assert_eq!(table.decide($stream, SERVICE, listed.into_iter(), now), $expected);
+      let versions: Vec<(&str, u64)> = vec![$(($version, $age)),*];
+      for (version, age) in versions {
+        table.record_version(SERVICE, version, now - Duration::from_secs(age), now);
+      }
+      assert_eq!(table.decide($stream, SERVICE, now), $expected);
     }
   };
 }
 
-decision!(known_stream, Some(1), ["v1", "v2"], [], version("v1"));
+decision!(known_stream, Some(1), ["v1" 0, "v2" 0], None, version("v1"));
 decision!(
   known_stream_whose_version_has_left,
   Some(1),
-  ["v2"],
-  [],
+  ["v2" 0],
+  Some(300),
   version("v1")
 );
+decision!(unknown_stream_of_two_versions, Some(2), ["v1" 0, "v2" 0], Some(300), Decision::Unknown);
+decision!(unnamed_stream_of_two_versions, None, ["v2" 0, "v1" 0], Some(300), Decision::Unknown);
+decision!(unknown_stream_of_one_version, Some(2), ["v2" 0], Some(300), version("v2"));
 decision!(
-  unknown_stream_of_two_versions,
+  version_that_left_while_streams_may_last,
   Some(2),
-  ["v1", "v2"],
-  [],
-  Decision::Unknown
-);
-decision!(
-  unnamed_stream_of_two_versions,
-  None,
-  ["v2", "v1", "v2"],
-  [],
+  ["v2" 0, "v1" 299],
+  Some(300),
   Decision::Unknown
 );
 decision!(
-  unknown_stream_of_one_version,
+  version_that_left_long_ago,
   Some(2),
-  ["v2", "v2"],
-  [],
+  ["v2" 0, "v1" 300],
+  Some(300),
   version("v2")
 );
-decision!(
-  version_that_only_others_have_seen,
-  Some(2),
-  ["v2"],
-  ["v1"],
-  Decision::Unknown
-);
+decision!(host_that_has_just_started, Some(2), ["v2" 0], Some(0), Decision::Unknown);
+decision!(host_that_knows_too_little, Some(2), ["v2" 0], Some(299), Decision::Unknown);
+decision!(host_that_has_not_listed_the_targets, Some(2), ["v2" 0], None, Decision::Unknown);
 decision!(
   unknown_stream_without_targets,
   Some(2),
   [],
-  [],
-  Decision::NoTarget
+  Some(300),
+  Decision::Unknown
 );
 
 #[test]
@@ -90,41 +86,49 @@
   let mut table = Table::default();
   table.record(1, "v1", now + Duration::from_secs(1), now);
   table.merge(1, "v2", now);
-  assert_eq!(
-    table.decide(Some(1), SERVICE, ["v2"].into_iter(), now),
-    version("v1")
-  );
+  assert_eq!(table.decide(Some(1), SERVICE, now), version("v1"));
 }
 
 #[test]
-fn reported_version_is_forgotten_after_a_minute() {
+fn host_knows_enough_after_it_has_seen_all_versions_for_as_long_as_streams_last() {
   let now = Instant::now();
   let mut table = Table::default();
-  table.merge_version(SERVICE, "v1", now);
-  let later = now + Duration::from_secs(61);
-  assert_eq!(
-    table.decide(None, SERVICE, ["v2"].into_iter(), later),
-    version("v2")
-  );
+  table.extend_coverage(Duration::ZERO, now);
+  for (seconds, expected) in [
+    (0, Decision::Unknown),
+    (299, Decision::Unknown),
+    (300, version("v2")),
+  ] {
+    let later = now + Duration::from_secs(seconds);
+    table.record_version(SERVICE, "v2", later, later);
+    assert_eq!(table.decide(None, SERVICE, later), expected);
+  }
+}
+
+#[test]
+fn later_news_does_not_shorten_what_a_host_knows() {
+  let now = Instant::now();
+  let mut table = Table::default();
+  table.extend_coverage(STREAM_RETENTION, now);
+  table.extend_coverage(Duration::ZERO, now);
+  assert_eq!(table.coverage(now), Some(STREAM_RETENTION));
 }
 
 #[test]
 fn state_stays_bounded() {
   let now = Instant::now();
   let mut table = Table::default();
+  table.extend_coverage(STREAM_RETENTION, now);
   for stream in 0..20_000 {
     table.record(stream, "v1", now + Duration::from_secs(1), now);
-    table.merge_version(stream, "v1", now);
+    table.record_version(stream, "v1", now, now);
   }
   assert!(table.announced(now).count() <= 8192);
-  assert_eq!(
-    table.decide(Some(19_999), SERVICE, ["v1", "v2"].into_iter(), now),
-    version("v1")
-  );
-  assert_eq!(
-    table.decide(Some(0), SERVICE, ["v1", "v2"].into_iter(), now),
-    Decision::Unknown
-  );
+  assert!(table.versions(now).len() <= 256);
+  // Versions are missing, so nothing is concluded from the others.
+  assert_eq!(table.coverage(now), None);
+  assert_eq!(table.decide(Some(19_999), SERVICE, now), version("v1"));
+  assert_eq!(table.decide(Some(0), SERVICE, now), Decision::Unknown);
 }
 
 proptest! {
@@ -142,11 +146,17 @@
   ) {
     let start = Instant::now();
     let mut random = StdRng::seed_from_u64(seed);
-    let mut tables = vec![Table::default(); hosts];
+    let mut table = Table::default();
+    table.extend_coverage(STREAM_RETENTION, start);
+    let mut tables = vec![table; hosts];
     let mut continued = 0;
     let streams = 60;
     for stream in 0..streams {
       let now = start + Duration::from_millis(100 * stream);
+      for table in &mut tables {
+        table.record_version(SERVICE, "v1", now, now);
+        table.record_version(SERVICE, "v2", now, now);
+      }
       let origin = if random.random_range(0..2) == 0 { "v1" } else { "v2" };
       let first = random.random_range(0..hosts);
       tables[first].record(stream, origin, now + Duration::from_secs(1), now);
@@ -166,15 +176,77 @@
         }
       }
       let resumed = random.random_range(0..hosts);
-      match tables[resumed].decide(Some(stream), SERVICE, ["v1", "v2"].into_iter(), now) {
+      match tables[resumed].decide(Some(stream), SERVICE, now) {
         Decision::Version(version) => {
           prop_assert_eq!(version.as_ref(), origin);
           continued += 1;
         }
         Decision::Unknown => {}
-        Decision::NoTarget => prop_assert!(false, "targets are listed"),
       }
     }
     prop_assert!(continued * 2 >= streams, "{continued}");
   }
+
+  /// Guards against streams that are joined from two versions when hosts restart, all or some of them, at
+  /// any moment of a release, with lost messages: a host learns the versions from those that lived on.
+  #[test]
+  fn unknown_streams_continue_only_at_the_version_that_began_them(
+    hosts in prop::sample::select(vec![1_usize, 3, 12]),
+    loss in 0.0..0.5,
+    release_at in 0..200_u64,
+    restart_share in prop::sample::select(vec![0.0, 0.1, 0.9, 1.0]),
+    seed: u64,
+  ) {
+    let start = Instant::now();
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut tables = vec![Table::default(); hosts];
+    tables.iter_mut().for_each(|table| table.extend_coverage(STREAM_RETENTION, start));
+    let mut begun: Vec<&str> = Vec::new();
+    for step in 0..400_u64 {
+      let now = start + Duration::from_secs(step);
+      let serving = if step < release_at { "v1" } else { "v2" };
+      for table in &mut tables {
+        if random.random_bool(restart_share / 50.0) {
+          *table = Table::default();
+        }
+      }
+      if restart_share == 1.0 && random.random_bool(0.02) {
+        tables.iter_mut().for_each(|table| *table = Table::default());
+      }
+      for table in &mut tables {
+        table.extend_coverage(Duration::ZERO, now);
+        table.record_version(SERVICE, serving, now, now);
+      }
+      let news: Vec<_> = tables
+        .iter()
+        .map(|table| {
+          let versions = table.versions(now).into_iter();
+          let versions: Vec<_> =
+            versions.map(|((_, version), age)| (version.to_string(), now - age)).collect();
+          (versions, table.coverage(now))
+        })
+        .collect();
+      for table in &mut tables {
+        for (versions, coverage) in &news {
+          if random.random_bool(loss) {
+            continue;
+          }
+          for (version, at) in versions {
+            table.record_version(SERVICE, version, *at, now);
+          }
+          if let Some(coverage) = coverage {
+            table.extend_coverage(*coverage, now);
+          }
+        }
+      }
+      begun.push(serving);
+      // The caller of a stream from within the last five minutes comes to any host.
+      let first = step.saturating_sub(299) as usize;
+      let origin = begun[random.random_range(first..begun.len())];
+      let resumed = random.random_range(0..hosts);
+      if let Decision::Version(version) = tables[resumed].decide(Some(step), SERVICE, now) {
+        prop_assert_eq!(version.as_ref(), origin, "at {} s", step);
+      }
+    }
+  }
 }
--- a/yuccarudder/src/settings/gateway.rs
+++ b/yuccarudder/src/settings/gateway.rs
@@ -46,6 +46,8 @@
   pub data_centre: String,
   /// Address on which callers ask for the hosts that they may connect to.
   pub directory: SocketAddr,
+  /// Whether the fleet starts for the first time, so that no request ran before.
+  pub first_start: bool,
   /// Format of the log lines.
   pub log: LogFormat,
   /// Memory that the process may use, in bytes.
@@ -89,6 +91,7 @@
       let log = map.get("log").map_or(Some(LogFormat::Json), |node| {
         node.choice(&super::LOG_FORMATS)
       });
+      let first_start = map.get("first_start").map_or(Some(false), |node| node.boolean());
       let memory = map.require("memory_mb", "a number of megabytes");
       let memory_mb = memory.and_then(|node| node.float(&(16.0..=1e6)));
       let metrics = map.get("metrics").map_or(Some(None), |node| node.address().map(Some));
@@ -110,6 +113,7 @@
         callers: callers?,
         data_centre: data_centre?.into(),
         directory: directory?,
+        first_start: first_start?,
         log: log?,
         memory_bytes: (memory_mb? * 1e6) as u64,
         metrics: metrics?,
