Ask again before a crash is noted while links are in doubt

A host whose links are in doubt asks others two heartbeats later, when the cut hosts have announced themselves.

--- a/yuccarudder/src/gateway/breaks.rs
+++ b/yuccarudder/src/gateway/breaks.rs
@@ -213,6 +213,20 @@
     }
     let listening = self.pool.is_listening(run.address, PROBE_TIMEOUT).await;
     if listening == Some(false) && !is_leaving {
+      if self.is_reached_by_others(run.fingerprint).await {
+        return Some(false);
+      }
+      let interval = {
+        let state = self.lock();
+        let interval = member::heartbeat_interval(state.members.fleet_size());
+        state.links.has_doubts().then_some(interval * NEWS_HEARTBEATS)
+      };
+      let Some(interval) = interval else {
+        return Some(true);
+      };
+      // The asked hosts may have lost their links at the same moment; by then they have announced it,
+      // and others are asked.
+      time::sleep(interval).await;
       return Some(!self.is_reached_by_others(run.fingerprint).await);
     }
     let polls = if listening.is_none() {
