Share out the places at brittle targets

Targets may say that they fall over when they have to reject more than some requests a second; nothing decoded it.

While a service is brittle each place at its targets belongs to one host, in an order that differs from target to target, so that the hosts together never ask for more than there are, whatever they know of each other's loads. A place whose request was rejected rests, so that a target which suddenly has less room is not rejecting more often than it bears. Hosts without any place pass requests on to those that have some, over the way that cut hosts use. The crash of a brittle target that has just rejected a request is no evidence against the requests it ran.

Not covered: hosts that restart leave their requests running at the target while their places are used again.

--- a/yuccarudder/src/dialect.rs
+++ b/yuccarudder/src/dialect.rs
@@ -91,6 +91,8 @@
 /// Metadata in the head of a target's response.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseMetadata {
+  /// Rejections per second, for want of room, beyond which the target falls over, if it names them.
+  pub rejection_tolerance: Option<f64>,
   /// Whether the target states that it is leaving service.
   pub leaving: bool,
   /// Whether the target guarantees that it has not run the request and will not.
--- a/yuccarudder/src/gateway/assignment.rs
+++ b/yuccarudder/src/gateway/assignment.rs
@@ -1,5 +1,5 @@
 use {
-  super::{call::Call, gateway::State},
+  super::{call::Call, gateway::State, ingress},
   crate::{
     placement::{self, Candidate, Choice, ColdLimit, Demand, Load, Rank, Reservation},
     refusal::{Reason, Refusal},
@@ -247,10 +247,13 @@
     now: Instant,
   ) -> Choice {
     let since_boot = self.gateway.clock.since_boot();
-    let state = self.gateway.lock();
+    let mut state = self.gateway.lock();
+    state.update_place_shares(&self.service_name, now, since_boot);
+    let state = state;
     let load_table = self.gateway.scheduler.lock();
     let hosts = state.members.fleet_size();
     let cold_limit = self.cold_limit(&state.settings.guarantees);
+    let service = ingress::hash(&self.service_name);
     let candidates = self.suitable_targets(&state).map(|(key, target)| {
       let is_cold = target.cold_until.is_some_and(|until| now < until);
       let allows = |limit: ColdLimit| {
@@ -264,6 +267,12 @@
         load: load_table.total_load(target.fingerprint),
         local: target.listing.data_centre == own_data_centre,
         paused_until: state.paused_until(key, now, since_boot),
+        room: state.brittleness.room(
+          service,
+          key,
+          load_table.local_load(target.fingerprint).requests,
+          now,
+        ),
         slots: target.listing.slots,
         tried: tried_targets.contains(&key),
       }
--- a/yuccarudder/src/gateway/breaks.rs
+++ b/yuccarudder/src/gateway/breaks.rs
@@ -28,6 +28,8 @@
 const MAX_ASKED_HOSTS: usize = 4;
 /// Time for their answers.
 const ASK_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time from a rejection within which the crash of a brittle target counts as its consequence.
+const FALL_PERIOD: Duration = Duration::from_secs(2);
 /// Longest wait for the result of the connection attempt before a request is sent again; a target that
 /// crashed refuses the connection at once.
 const MAX_VERDICT_WAIT: Duration = Duration::from_millis(50);
@@ -293,9 +295,15 @@
 
   fn record_crash(&self, run: Break) {
     let now = self.clock.now();
+    // A brittle target falls over under the requests that it rejects, not under those that it runs.
+    let has_fallen = {
+      let state = self.lock();
+      state.brittleness.tolerance(run.service).is_some()
+        && state.brittleness.has_rejected(run.key, FALL_PERIOD, now)
+    };
     let crash = Crash {
       at: run.at,
-      features: if run.is_suspect() {
+      features: if run.is_suspect() && !has_fallen {
         run.features
       } else {
         Vec::new()
--- a/yuccarudder/src/gateway/forwarding.rs
+++ b/yuccarudder/src/gateway/forwarding.rs
@@ -1,4 +1,5 @@
-//! Passes requests on to other hosts while this host has lost its links to the targets of a service.
+//! Passes requests on to other hosts while this host has lost its links to the targets of a service, or
+//! has no place at brittle ones.
 //!
 //! The other host handles the request like one of its own callers: it admits it, counts it against the
 //! limits and budgets, and retries it. It does not pass it on again.
@@ -21,7 +22,7 @@
   },
   rand::seq::IndexedRandom,
   std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     time::{Duration, Instant},
   },
@@ -41,43 +42,76 @@
 /// Maximum number of hosts that a request is passed on to, one after the other.
 const MAX_HANDOVERS: usize = 2;
 
+/// Why requests for a service are passed on to another host.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Cause {
+  /// This host has lost its links to the targets, as far as it knows.
+  LinksInDoubt,
+  /// The targets are brittle, and all their places belong to other hosts.
+  NoPlace,
+}
+
+/// Hosts that were chosen to help, when, and why.
+#[derive(Debug)]
+struct Selection {
+  at: Instant,
+  cause: Cause,
+  hosts: Vec<SocketAddr>,
+}
+
 /// The hosts to which requests are passed on, by service.
 #[derive(Debug, Default)]
 pub struct Helpers {
-  by_service: HashMap<String, (Instant, Vec<SocketAddr>)>,
+  by_service: HashMap<String, Selection>,
 }
 
 impl State {
-  /// Chooses a host that reaches the targets of a service as far as is known, in proportion to its
-  /// capacity.
+  /// Chooses a host that can help with a service as far as is known, in proportion to its capacity.
   fn choose_helper(
     &mut self,
     service: &str,
+    cause: Cause,
     tried_hosts: &[SocketAddr],
     now: Instant,
     since_boot: Duration,
   ) -> Option<SocketAddr> {
     let is_recent = |at: Instant| now.saturating_duration_since(at) < HELPERS_LIFETIME;
-    self.helpers.by_service.retain(|_, (chosen_at, _)| is_recent(*chosen_at));
-    if !self.helpers.by_service.contains_key(service) {
-      let hash = ingress::hash(service);
-      let live = self.members.live(since_boot).map(|(_, member)| member);
-      let reaching = live.filter(|member| {
-        member.phase == Phase::Ready && !member.unreachable_services.contains(&hash)
-      });
-      let hosts = reaching.map(|member| (member.callers, member.weight)).collect();
-      let helpers = directory::sample(hosts, HELPERS, || rand::random_range(0.0..1.0));
-      self.helpers.by_service.insert(service.to_owned(), (now, helpers));
+    self.helpers.by_service.retain(|_, selection| is_recent(selection.at));
+    let selection = self.helpers.by_service.get(service);
+    if selection.is_none_or(|selection| selection.cause != cause) {
+      let selection = Selection {
+        at: now,
+        cause,
+        hosts: self.select_helpers(service, cause, since_boot),
+      };
+      self.helpers.by_service.insert(service.to_owned(), selection);
     }
-    let (_, helpers) = &self.helpers.by_service[service];
+    let helpers = &self.helpers.by_service[service].hosts;
     let untried: Vec<_> = helpers.iter().filter(|host| !tried_hosts.contains(host)).collect();
     untried.choose(&mut rand::rng()).map(|host| **host)
   }
 
+  fn select_helpers(&self, service: &str, cause: Cause, since_boot: Duration) -> Vec<SocketAddr> {
+    let hash = ingress::hash(service);
+    let with_places: Option<HashSet<SocketAddr>> = (cause == Cause::NoPlace).then(|| {
+      let targets = self.roster.accepting(service).map(|(_, target)| target);
+      let owners =
+        targets.map(|target| self.members.first(target.fingerprint, target.listing.slots as usize));
+      owners.flatten().collect()
+    });
+    let reaching = self.members.live(since_boot).filter(|(address, member)| {
+      member.phase == Phase::Ready
+        && !member.unreachable_services.contains(&hash)
+        && with_places.as_ref().is_none_or(|hosts| hosts.contains(address))
+    });
+    let hosts = reaching.map(|(_, member)| (member.callers, member.weight)).collect();
+    directory::sample(hosts, HELPERS, || rand::random_range(0.0..1.0))
+  }
+
   /// Passes nothing on to a host for some time.
   fn drop_helper(&mut self, host: SocketAddr) {
-    for (_, hosts) in self.helpers.by_service.values_mut() {
-      hosts.retain(|helper| *helper != host);
+    for selection in self.helpers.by_service.values_mut() {
+      selection.hosts.retain(|helper| *helper != host);
     }
   }
 }
@@ -96,17 +130,21 @@
   pub fn helper(&self, history: &History, tried_hosts: &[SocketAddr]) -> Option<SocketAddr> {
     let may_run = history.possible_runs == 0
       || (history.repeatable && history.possible_runs < history.max_runs);
-    if self.metadata.forwarded.is_some()
-      || !may_run
-      || tried_hosts.len() >= MAX_HANDOVERS
-      || !self.gateway.doubts_links(&self.service_name)
-    {
+    if self.metadata.forwarded.is_some() || !may_run || tried_hosts.len() >= MAX_HANDOVERS {
       return None;
     }
     let now = self.gateway.clock.now();
     let since_boot = self.gateway.clock.since_boot();
     let mut state = self.gateway.lock();
-    state.choose_helper(&self.service_name, tried_hosts, now, since_boot)
+    let service = self.service_name.as_str();
+    let cause = if state.links.status(service).is_doubtful() {
+      Cause::LinksInDoubt
+    } else if state.lacks_places(service, now, since_boot) {
+      Cause::NoPlace
+    } else {
+      return None;
+    };
+    state.choose_helper(service, cause, tried_hosts, now, since_boot)
   }
 
   /// Passes the request on to another host and waits for the head of its response. `last_event_id` is
--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -8,7 +8,9 @@
     member::{self, Phase},
     metrics::Metrics,
     origin,
-    placement::{Health, LengthModel, Outcome, Pauses, RateLimits, Scheduler, Throttle},
+    placement::{
+      Brittleness, Health, LengthModel, Outcome, Pauses, RateLimits, Scheduler, Throttle,
+    },
     quarantine::Ledger,
     reader::{Era, Relation, Role, Version},
     refusal::{Reason, Refusal},
@@ -58,6 +60,8 @@
   pub(super) health: Health,
   /// Hosts to which requests are passed on while links are lost.
   pub(super) helpers: Helpers,
+  /// Services whose targets bear few rejections.
+  pub(super) brittleness: Brittleness,
   /// The links of this host to the targets.
   pub(super) links: links::Table,
   /// When the host began to shut down, and when its process ends.
@@ -241,6 +245,7 @@
       freshness: Freshness::default(),
       health: Health::default(),
       helpers: Helpers::default(),
+      brittleness: Brittleness::default(),
       links: links::Table::default(),
       shutdown: None,
       ledger: Ledger::new(clock.now()),
@@ -329,6 +334,14 @@
       }
     }
     self.record_limit(key, metadata.request_limit);
+    self.record_tolerance(key, metadata.rejection_tolerance);
+    if metadata.not_run {
+      let mut state = self.lock();
+      let service = state.roster.get(key).map(|target| ingress::hash(&target.listing.service));
+      if let Some(service) = service {
+        state.brittleness.record_rejection(service, key, now);
+      }
+    }
     if metadata.leaving && self.lock().roster.record_own_statement(key, now) {
       self.announce_departures(&[key], "response");
     }
--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -119,6 +119,7 @@
       Vec::new()
     },
     bans: bans(&state.ledger, clock_now),
+    brittle: brittle_services(&state, clock_now),
     callers: state.settings.callers.to_string(),
     catalog_age_ms: age.map(|age| milliseconds(age) + 1),
     catalog_version: state.catalog_version(),
@@ -179,6 +180,14 @@
   first.iter().chain(rest).map(|crash| member::Crash::new(crash, now)).collect()
 }
 
+/// Returns what brittle targets stated to this host.
+fn brittle_services(state: &State, now: Instant) -> Vec<member::Brittle> {
+  let statements = state.brittleness.own_statements(now);
+  let messages =
+    statements.map(|(service, statement)| member::Brittle::new(service, statement, now));
+  messages.take(MAX_LIMITS).collect()
+}
+
 /// Returns the limits that targets named to this host.
 fn limits(state: &State, now: Instant) -> Vec<member::Limit> {
   let statements = state.rate_limits.own_statements(now);
--- a/yuccarudder/src/gateway/limits.rs
+++ b/yuccarudder/src/gateway/limits.rs
@@ -1,10 +1,10 @@
 //! Limits that targets name for the requests of all hosts together.
 
 use {
-  super::{Gateway, gateway::State},
+  super::{Gateway, gateway::State, ingress},
   crate::{
     member::Heartbeat,
-    placement::{LimitShare, LimitStatement},
+    placement::{BrittleStatement, LimitShare, LimitStatement, PlaceShare},
     roster::Key,
   },
   std::time::{Duration, Instant},
@@ -35,12 +35,39 @@
     self.heartbeat_trigger.notify_one();
   }
 
+  /// Records the number of rejections that a response of a target names, or that it names none.
+  pub(super) fn record_tolerance(&self, key: Key, tolerance: Option<f64>) {
+    let at = self.clock.now();
+    let mut state = self.lock();
+    let Some(target) = state.roster.get(key) else {
+      return;
+    };
+    let name = target.listing.service.clone();
+    let statement = BrittleStatement { at, tolerance };
+    if !state.brittleness.record(ingress::hash(&name), statement, true) {
+      return;
+    }
+    drop(state);
+    match tolerance {
+      Some(tolerance) => {
+        log::info!(target: PREFIX, service = name.as_str(), tolerance; "A target named the rejections that it bears; sharing out the places.");
+      }
+      None => {
+        log::info!(target: PREFIX, service = name.as_str(); "A target named no number of rejections any more.");
+      }
+    }
+    self.heartbeat_trigger.notify_one();
+  }
+
   /// Merges the limits that targets named to another host.
   pub(super) fn merge_limits(&self, heartbeat: &Heartbeat, now: Instant) {
-    if heartbeat.limits.is_empty() {
+    if heartbeat.limits.is_empty() && heartbeat.brittle.is_empty() {
       return;
     }
     let mut state = self.lock();
+    for brittle in &heartbeat.brittle {
+      state.brittleness.record(brittle.service, brittle.statement(now), false);
+    }
     for limit in &heartbeat.limits {
       let keys: Vec<Key> = state.roster.keys_of(limit.target).collect();
       for key in keys {
@@ -73,6 +100,42 @@
     }
   }
 
+  /// Computes this host's shares of the places at the targets of a service anew, if it is brittle and
+  /// they are out of date.
+  pub(super) fn update_place_shares(&mut self, service: &str, now: Instant, since_boot: Duration) {
+    if self.brittleness.tolerance(ingress::hash(service)).is_none() {
+      return;
+    }
+    let hosts = self.members.fleet_size();
+    let outdated = self
+      .roster
+      .accepting(service)
+      .filter(|(key, _)| self.brittleness.share(*key, now).is_none());
+    let shares: Vec<(Key, PlaceShare)> = outdated
+      .map(|(key, target)| {
+        let share = PlaceShare {
+          hosts,
+          position: self.members.position(target.fingerprint, since_boot),
+          slots: target.listing.slots,
+        };
+        (key, share)
+      })
+      .collect();
+    for (key, share) in shares {
+      self.brittleness.set_share(key, share, now);
+    }
+  }
+
+  /// Returns whether this host has no place at any target of a brittle service.
+  pub(super) fn lacks_places(&mut self, service: &str, now: Instant, since_boot: Duration) -> bool {
+    if self.brittleness.tolerance(ingress::hash(service)).is_none() {
+      return false;
+    }
+    self.update_place_shares(service, now, since_boot);
+    let mut targets = self.roster.accepting(service);
+    targets.all(|(key, _)| self.brittleness.share(key, now).is_none_or(|share| share.places() == 0))
+  }
+
   /// Returns until when this host may send no request to a target because of the target's limit.
   fn limited_until(&self, key: Key, now: Instant, since_boot: Duration) -> Option<Instant> {
     self.rate_limits.limit(key)?;
--- a/yuccarudder/src/gateway/reachability.rs
+++ b/yuccarudder/src/gateway/reachability.rs
@@ -38,11 +38,6 @@
 }
 
 impl Gateway {
-  /// Returns whether requests for a service are better passed on to another host.
-  pub(super) fn doubts_links(&self, service: &str) -> bool {
-    self.lock().links.status(service).is_doubtful()
-  }
-
   /// Returns whether the links to the targets of a service are lost.
   pub(super) fn has_lost_links(&self, service: &str) -> bool {
     self.lock().links.status(service) == Status::Lost
--- a/yuccarudder/src/member/heartbeat.rs
+++ b/yuccarudder/src/member/heartbeat.rs
@@ -343,6 +343,39 @@
   }
 }
 
+/// What a target of a service said to the sender about rejections for want of room.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Brittle {
+  /// Time since the target said it, in milliseconds.
+  #[prost(uint64, tag = "1")]
+  pub age_ms: u64,
+  /// Hash of the name of the service.
+  #[prost(fixed64, tag = "2")]
+  pub service: u64,
+  /// Rejections per second that each target bears; absent if it names no number any more.
+  #[prost(double, optional, tag = "3")]
+  pub tolerance: Option<f64>,
+}
+
+impl Brittle {
+  /// Builds the message for a statement of a target.
+  pub fn new(service: u64, statement: placement::BrittleStatement, now: Instant) -> Self {
+    Self {
+      age_ms: age_ms(statement.at, now),
+      service,
+      tolerance: statement.tolerance,
+    }
+  }
+
+  /// Returns the statement, with its time on this host's clock.
+  pub fn statement(&self, now: Instant) -> placement::BrittleStatement {
+    placement::BrittleStatement {
+      at: time_before(self.age_ms, now),
+      tolerance: self.tolerance.filter(|tolerance| tolerance.is_finite() && *tolerance >= 0.0),
+    }
+  }
+}
+
 /// The last sound answer of the sender to a request with a feature that is suspected of crashing
 /// targets.
 #[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
@@ -445,6 +478,9 @@
   /// Features of requests that are kept away from the targets.
   #[prost(message, repeated, tag = "22")]
   pub bans: Vec<Ban>,
+  /// Statements of brittle targets to the sender.
+  #[prost(message, repeated, tag = "30")]
+  pub brittle: Vec<Brittle>,
   /// Address at which callers reach the sender.
   #[prost(string, tag = "1")]
   pub callers: String,
--- a/yuccarudder/src/member/table.rs
+++ b/yuccarudder/src/member/table.rs
@@ -301,13 +301,19 @@
     if self.is_joining(now) {
       return None;
     }
-    let hash = |address: SocketAddr| {
-      let mut hasher = SipHasher13::new();
-      (seed, address).hash(&mut hasher);
-      hasher.finish()
-    };
-    let own_hash = hash(self.own_address);
-    Some(self.members.keys().filter(|address| hash(**address) < own_hash).count())
+    let own_hash = position_hash(seed, self.own_address);
+    let preceding = self.members.keys().filter(|address| position_hash(seed, **address) < own_hash);
+    Some(preceding.count())
+  }
+
+  /// Returns the other hosts among the first `count` of the order of `position`.
+  pub fn first(&self, seed: u64, count: usize) -> Vec<SocketAddr> {
+    let known = self.members.keys().copied().chain([self.own_address]);
+    let mut ordered: Vec<SocketAddr> = known.collect();
+    ordered.sort_by_key(|address| position_hash(seed, *address));
+    ordered.truncate(count);
+    ordered.retain(|address| *address != self.own_address);
+    ordered
   }
 
   /// Returns the live hosts with more capacity, or as much and a lower address.
@@ -357,3 +363,9 @@
     self.seeds = seeds;
   }
 }
+
+fn position_hash(seed: u64, address: SocketAddr) -> u64 {
+  let mut hasher = SipHasher13::new();
+  (seed, address).hash(&mut hasher);
+  hasher.finish()
+}
--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -43,6 +43,7 @@
     sequence,
     sounds: Vec::new(),
     targets_digest: None,
+    brittle: Vec::new(),
     unreachable_services: Vec::new(),
     versions: Vec::new(),
     versions_known_for_ms: None,
--- a/yuccarudder/src/placement/choose.rs
+++ b/yuccarudder/src/placement/choose.rs
@@ -31,6 +31,8 @@
   pub local: bool,
   /// Until when it wants no request from this host, if it asked for a pause.
   pub paused_until: Option<Instant>,
+  /// How many further requests this host may send to it; `None` if it is not brittle.
+  pub room: Option<u32>,
   /// Maximum number of requests that it runs concurrently.
   pub slots: u32,
   /// Whether the request has already been sent to it.
@@ -123,7 +125,7 @@
 }
 
 fn has_capacity(candidate: &Candidate, demand: &Demand) -> bool {
-  if candidate.cold_limited {
+  if candidate.cold_limited || candidate.room == Some(0) {
     return false;
   }
   let load = &candidate.load;
@@ -131,7 +133,8 @@
     let prefill_allowed = load.prefill_tokens as f64 <= MAX_PREFILL_FRACTION * capacity as f64;
     prefill_allowed && load.expected_tokens + demand.expected_tokens <= capacity
   });
-  memory_suffices && load.requests < candidate.slots
+  // The places of a brittle target are shared out, so reports of its load, which are late, don't matter.
+  memory_suffices && (candidate.room.is_some() || load.requests < candidate.slots)
 }
 
 /// Returns whether a request may queue at a target that seems full.
@@ -142,6 +145,7 @@
   let max_requests = candidate.slots.saturating_mul(MAX_REQUESTS_PER_SLOT);
   demand.capacity_tokens.is_none()
     && !candidate.cold_limited
+    && candidate.room.is_none()
     && candidate.load.requests < max_requests
 }
 
--- a/yuccarudder/src/placement/mod.rs
+++ b/yuccarudder/src/placement/mod.rs
@@ -1,5 +1,6 @@
 //! Tracks the load that all hosts place on targets and selects a target for each request.
 
+mod brittleness;
 mod choose;
 mod health;
 mod length_model;
@@ -11,6 +12,7 @@
 mod scheduler;
 mod throttle;
 
+pub use brittleness::{BrittleStatement, Brittleness, PlaceShare};
 pub use choose::{Candidate, Choice, Demand, choose, sample_fraction};
 pub use health::{Health, Outcome};
 pub use length_model::LengthModel;
@@ -22,6 +24,8 @@
 pub use scheduler::{Reservation, Scheduler, Waiter};
 pub use throttle::{ColdLimit, Throttle};
 
+#[cfg(test)]
+mod brittleness_tests;
 #[cfg(test)]
 mod rate_limit_tests;
 #[cfg(test)]
--- a/yuccarudder/src/placement/tests.rs
+++ b/yuccarudder/src/placement/tests.rs
@@ -36,6 +36,7 @@
     load,
     local: true,
     paused_until: None,
+    room: None,
     slots: 24,
     tried: false,
   }
@@ -121,6 +122,7 @@
       let requests: &[u32] = &$requests;
       let keys = keys(requests.len());
       let with_requests = |(key, requests): (&Key, &u32)| Candidate {
+        room: None,
         slots: 6,
         ..candidate(*key, load(0, *requests, 0))
       };
