--- a/yuccarudder/src/dialect.rs
+++ b/yuccarudder/src/dialect.rs
@@ -13,6 +13,8 @@
 /// What a host did for a request that it passes on to another host.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Forwarded {
+  /// Whether a third host counts the request for the retry budget of its service.
+  pub is_counted: bool,
   /// Number of targets that may have run the request.
   pub possible_runs: u32,
   /// Time since the caller's first attempt, estimated from its deadline.
--- a/yuccarudder/src/gateway/call.rs
+++ b/yuccarudder/src/gateway/call.rs
@@ -9,7 +9,7 @@
   },
   hyper::{HeaderMap, Method, Uri},
   std::{
-    sync::Arc,
+    sync::{Arc, atomic::AtomicBool},
     time::{Duration, Instant},
   },
   tokio::sync::OwnedSemaphorePermit,
@@ -37,6 +37,8 @@
   pub metadata: RequestMetadata,
   pub body: BufferedBody,
   pub catalog: Arc<Catalog>,
+  /// Whether another host counts the request for the retry budget.
+  pub counted_elsewhere: AtomicBool,
   /// What the request has in common with its repeats and with other requests.
   pub features: Vec<Feature>,
   pub deadline: Instant,
--- a/yuccarudder/src/gateway/forwarding.rs
+++ b/yuccarudder/src/gateway/forwarding.rs
@@ -24,6 +24,7 @@
   std::{
     collections::{HashMap, HashSet},
     net::SocketAddr,
+    sync::atomic::Ordering,
     time::{Duration, Instant},
   },
   tokio::time,
@@ -178,7 +179,8 @@
     if result.is_err() {
       state.drop_helper(host);
     }
-    if outcome != Outcome::NotSent.name() {
+    let is_received = outcome != Outcome::NotSent.name();
+    if is_received && !self.counted_elsewhere.swap(true, Ordering::Relaxed) {
       // The other host counts the request.
       state.retry_budget.withdraw_request(&self.service_name);
     }
@@ -219,6 +221,7 @@
     headers.remove(CONTENT_LENGTH);
     let metadata = HandoverMetadata {
       forwarded: Forwarded {
+        is_counted: self.counted_elsewhere.load(Ordering::Relaxed),
         possible_runs: history.possible_runs,
         since_first_attempt: self.since_first_attempt + self.elapsed(),
       },
--- a/yuccarudder/src/gateway/ingress.rs
+++ b/yuccarudder/src/gateway/ingress.rs
@@ -11,6 +11,7 @@
   siphasher::sip::SipHasher13,
   std::{
     hash::{Hash, Hasher},
+    sync::atomic::AtomicBool,
     time::Duration,
   },
   tokio::time,
@@ -101,8 +102,10 @@
     Some(_) => Some(gateway.reserve_forwarded()?),
     None => None,
   };
-  let budget = gateway.settings().guarantees.retry_budget;
-  gateway.lock().retry_budget.record_request(&service_name, &budget, arrived);
+  if !metadata.forwarded.is_some_and(|forwarded| forwarded.is_counted) {
+    let budget = gateway.settings().guarantees.retry_budget;
+    gateway.lock().retry_budget.record_request(&service_name, &budget, arrived);
+  }
   let buffered_body = gateway.memory.read_body(&parts.headers, body, catalog.limits.max_body_bytes);
   let body = time::timeout(timeout, buffered_body).await;
   let body = body.map_err(|_| Refusal::not_run(Reason::DeadlinePassed))??;
@@ -118,6 +121,7 @@
     account_key: admission.account,
     since_first_attempt,
     arrived,
+    counted_elsewhere: AtomicBool::new(false),
     features,
     metadata,
     body,
--- a/yuccarudder/src/limit/tests.rs
+++ b/yuccarudder/src/limit/tests.rs
@@ -122,6 +122,19 @@
   assert!(quota.try_acquire("s", &BUDGET, 6, now + seconds(10)));
 }
 
+/// Guards against requests that are passed on and raise the quota at both hosts.
+#[test]
+fn request_that_another_host_counts_raises_no_quota() {
+  let start = Instant::now();
+  let mut quota = RetryQuota::new(start);
+  for _ in 0..100 {
+    quota.record_request("s", &BUDGET, start);
+    quota.withdraw_request("s");
+  }
+  quota.withdraw_request("t");
+  assert!(!quota.try_acquire("s", &BUDGET, 6, start));
+}
+
 #[test]
 fn services_have_separate_quotas() {
   let start = Instant::now();
