Keep ejections when links were suspected and proved sound

Two targets that crash put the links in doubt until a probe of a third is answered. That answer ended the ejections of the crashed ones too, so that requests were sent to them again, failed, and put the links in doubt once more. Only a loss that probes confirmed ends the ejections now.

--- a/yuccarudder/src/gateway/reachability.rs
+++ b/yuccarudder/src/gateway/reachability.rs
@@ -46,12 +46,15 @@
   /// Records that a target of a service answered an attempt that began at `began_at`.
   pub(super) fn record_reached(&self, service: &str, began_at: Instant) {
     let mut state = self.lock();
-    if !state.links.record_answer(service, began_at) {
+    let Some(status) = state.links.record_answer(service, began_at) else {
       return;
-    }
-    let keys: Vec<Key> = state.roster.accepting(service).map(|(key, _)| key).collect();
-    for key in keys {
-      state.health.forget_unreachable(key);
+    };
+    // If the links were only suspected, the targets that failed are likely to be down.
+    if status == Status::Lost {
+      let keys: Vec<Key> = state.roster.accepting(service).map(|(key, _)| key).collect();
+      for key in keys {
+        state.health.forget_unreachable(key);
+      }
     }
     drop(state);
     log::info!(target: PREFIX, service; "Targets of a service answer this host again.");
--- a/yuccarudder/src/links/table.rs
+++ b/yuccarudder/src/links/table.rs
@@ -3,6 +3,7 @@
   crate::roster::Key,
   std::{
     collections::HashMap,
+    mem,
     time::{Duration, Instant},
   },
 };
@@ -99,19 +100,17 @@
     self.records.get_mut(service)
   }
 
-  /// Records that an attempt, begun at `began_at`, was answered by a target; returns whether the links
-  /// were in doubt until now.
-  pub fn record_answer(&mut self, service: &str, began_at: Instant) -> bool {
-    let Some(record) = self.record(service) else {
-      return false;
-    };
+  /// Records that an attempt, begun at `began_at`, was answered by a target; returns the status of the
+  /// links until now if they were in doubt and are not any more.
+  pub fn record_answer(&mut self, service: &str, began_at: Instant) -> Option<Status> {
+    let record = self.record(service)?;
     record.answered = record.answered.max(Some(began_at));
     record.failures.retain(|failed| failed.began_at > began_at);
-    let was_doubtful = record.status.is_doubtful();
-    if record.failures.is_empty() {
-      record.status = Status::Sound;
+    if !record.failures.is_empty() {
+      return None;
     }
-    was_doubtful && !record.status.is_doubtful()
+    let previous = mem::take(&mut record.status);
+    previous.is_doubtful().then_some(previous)
   }
 
   /// Records that an attempt at a target, begun at `began_at`, failed or has been silent for some time.
--- a/yuccarudder/src/links/tests.rs
+++ b/yuccarudder/src/links/tests.rs
@@ -187,7 +187,8 @@
   assert!(table.record_failed_probes(SERVICE, now));
   assert_eq!(table.lost().collect::<Vec<_>>(), [SERVICE]);
   assert_eq!(table.due_probes(later(500)), vec![probe]);
-  assert!(table.record_answer(SERVICE, later(500)));
+  assert_eq!(table.record_answer(SERVICE, later(500)), Some(Status::Lost));
+  assert_eq!(table.record_answer(SERVICE, later(600)), None);
   assert_eq!(table.lost().count(), 0);
   assert!(!table.has_doubts());
   assert!(table.due_probes(later(2_000)).is_empty());
