--- a/yuccarudder/src/links/tests.rs
+++ b/yuccarudder/src/links/tests.rs
@@ -194,6 +194,18 @@
   assert!(table.due_probes(later(2_000)).is_empty());
 }
 
+/// Guards against targets that are down and count as reachable again once a suspicion proves unfounded.
+#[test]
+fn end_of_a_suspicion_is_no_end_of_a_loss() {
+  let now = Instant::now();
+  let mut keys: SlotMap<Key, ()> = SlotMap::with_key();
+  let mut table = Table::default();
+  for _ in 0..2 {
+    table.record_failure(SERVICE, keys.insert(()), Failure::Disconnected, now, 3, now);
+  }
+  assert_eq!(table.record_answer(SERVICE, now), Some(Status::Suspected));
+}
+
 #[test]
 fn state_stays_bounded() {
   let now = Instant::now();
--- a/yuccarudder/src/placement/tests.rs
+++ b/yuccarudder/src/placement/tests.rs
@@ -372,3 +372,20 @@
   pauses.record(key, Duration::MAX, now);
   assert_eq!(pauses.end(key, now + Duration::from_secs(300)), None);
 }
+
+/// Guards against targets that stay passed over after a host has its links back, and against crashed ones
+/// that do not.
+#[test]
+fn ejections_end_with_lost_links_except_those_of_crashed_targets() {
+  let now = Instant::now();
+  let keys = keys(3);
+  let outcomes = [Outcome::Unreachable, Outcome::Crashed, Outcome::Unreachable];
+  let mut health = Health::default();
+  for (key, outcome) in keys.iter().zip(outcomes) {
+    health.record(*key, outcome, now);
+  }
+  health.forget_unreachable(keys[0]);
+  health.forget_unreachable(keys[1]);
+  let ejected: Vec<bool> = keys.iter().map(|key| health.is_ejected(*key, now)).collect();
+  assert_eq!(ejected, [false, true, true]);
+}
