Log what a host that shuts down bases the admission of a request on

One line for each request that arrives during a shutdown has the expected duration, the timeout, the time left until the process ends and the other hosts that are ready.

--- a/yuccarudder/src/gateway/ingress.rs
+++ b/yuccarudder/src/gateway/ingress.rs
@@ -92,11 +92,18 @@
     .to_owned();
   let timeout = metadata.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
   let max_duration = shutdown::max_response_duration(&metadata, route, timeout);
-  if gateway
-    .shutdown_progress()
-    .is_some_and(|progress| !shutdown::accepts(&progress, max_duration))
-  {
-    return Err(Refusal::not_run(Reason::HostLeaving).with_retry_after(SHUTDOWN_RETRY_AFTER));
+  if let Some(progress) = gateway.shutdown_progress() {
+    let is_accepted = shutdown::accepts(&progress, max_duration);
+    log::info!(
+      target: PREFIX, id = metadata.request_id.as_deref().unwrap_or("-"), accepted = is_accepted,
+      duration_ms = max_duration.as_millis() as u64, timeout_ms = timeout.as_millis() as u64,
+      elapsed_ms = progress.elapsed.as_millis() as u64, remaining_ms = progress.remaining.as_millis() as u64,
+      ready_peers = progress.ready_peers, hosts = progress.hosts;
+      "Decided whether to accept a request while shutting down."
+    );
+    if !is_accepted {
+      return Err(Refusal::not_run(Reason::HostLeaving).with_retry_after(SHUTDOWN_RETRY_AFTER));
+    }
   }
   let forwarding_permit = match &metadata.forwarded {
     Some(_) => Some(gateway.reserve_forwarded()?),
