Decide again before a request is sent whether a stopping host can finish it

Requests that waited for capacity when their host got SIGTERM, and those that a target rejected after it, were sent to a target whatever time was left, and were cut when the process ended. Cause: the decision was made once, on arrival. It is now part of the wait for a target, for first and further attempts and resumptions: what has not run is refused at once, so that the caller has time for another host.

host_that_shuts_down_refuses_waiting_streams_that_it_cannot_finish: before, waiting streams were sent to the engine or ended 429 after their whole wait; now all that had not begun 100 ms after the signal are refused with 503, and none of them runs.

--- a/yuccarudder/src/gateway/assignment.rs
+++ b/yuccarudder/src/gateway/assignment.rs
@@ -58,13 +58,14 @@
   /// # Errors
   ///
   /// Fails when all targets are still full after the wait, when there is no target, or at once
-  /// when all targets asked for a pause that ends after the wait or when targets crash under the
-  /// request.
+  /// when all targets asked for a pause that ends after the wait, when targets crash under the
+  /// request or when this host shuts down and may not finish it.
   pub async fn assign(&self, tried_targets: &[Key]) -> Result<Assignment, Refusal> {
     let is_trial = self.check_features()?;
     let rank = self.queue_rank();
     let waiter = self.gateway.scheduler.enqueue(&self.queue_name(), rank);
     loop {
+      self.check_shutdown()?;
       let capacity_freed = self.gateway.scheduler.capacity_freed();
       let result = if waiter.is_first() {
         self.try_assign(tried_targets, false)
@@ -98,6 +99,15 @@
     }
   }
 
+  /// Refuses the request if this host is shutting down and may not finish it.
+  fn check_shutdown(&self) -> Result<(), Refusal> {
+    let Some(progress) = self.gateway.shutdown_progress() else {
+      return Ok(());
+    };
+    let time = self.gateway.response_time(&self.metadata, self.route(), self.time_left());
+    progress.check(&time)
+  }
+
   /// Returns the name of the queue that the request waits in. Streams that only one version can
   /// continue wait by themselves, so that they do not hold up the others when that version is full.
   fn queue_name(&self) -> String {
