Answer requests without a response before the process ends

A request that waited at its target when a stopping host ended got a closed connection, and the log had nothing of it nor of the streams that were cut. Cause: the process ended with its tasks in the middle of requests. 100 ms before that, requests without a response are now answered: 502 if a target may run them, otherwise 503; callers of idempotent ones repeat them elsewhere. Streams end with an abort and a log line (host_stopped) that has their target, events and duration.

--- a/yuccarudder/src/gateway/call.rs
+++ b/yuccarudder/src/gateway/call.rs
@@ -45,6 +45,8 @@
   /// The place that the request takes among those that other hosts pass on to this one.
   pub _forwarding_permit: Option<OwnedSemaphorePermit>,
   pub gateway: Gateway,
+  /// Whether a target may run the request or have run it, as far as is known.
+  pub may_have_run: Arc<AtomicBool>,
   pub headers: HeaderMap,
   pub method: Method,
   pub route_key: RouteKey,
--- a/yuccarudder/src/gateway/forwarding.rs
+++ b/yuccarudder/src/gateway/forwarding.rs
@@ -166,6 +166,7 @@
       .pool
       .send(upstream::Call::new(host, CONNECT_TIMEOUT, request).on_dedicated_connection());
     let timeout = self.time_left() + ANSWER_MARGIN;
+    self.may_have_run.store(true, Ordering::Relaxed);
     let result = match time::timeout(timeout, response).await {
       Ok(Ok(response)) => self.classify(response),
       Ok(Err(Error::Denied(_) | Error::NotSent { .. })) => Err(Outcome::NotSent.into()),
--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -35,6 +35,7 @@
     time::{Duration, Instant},
   },
   tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch},
+  tokio_util::sync::CancellationToken,
 };
 
 /// Share of the memory of the host that buffered request bodies may take.
@@ -120,6 +121,8 @@
 pub struct Gateway {
   /// The clock of the host.
   pub clock: Clock,
+  /// Cancelled shortly before the process ends: requests that have no answer get their last one.
+  pub(super) closing: CancellationToken,
   pub(super) dialect: Dialect,
   /// The memory budget for buffered request bodies.
   pub(super) memory: Memory,
@@ -290,6 +293,7 @@
     Self {
       pool,
       clock,
+      closing: CancellationToken::new(),
       dialect,
       memory: Memory::new(body_bytes as u64),
       instruments: Arc::default(),
--- a/yuccarudder/src/gateway/ingress.rs
+++ b/yuccarudder/src/gateway/ingress.rs
@@ -1,5 +1,5 @@
 use {
-  super::{Gateway, buffered, call::Call, response, stream},
+  super::{Gateway, buffered, call::Call, response, shutdown, stream},
   crate::{
     dialect::RequestMetadata,
     http::{Body, LingeringBody},
@@ -11,7 +11,10 @@
   siphasher::sip::SipHasher13,
   std::{
     hash::{Hash, Hasher},
-    sync::atomic::AtomicBool,
+    sync::{
+      Arc,
+      atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
   },
   tokio::time,
@@ -52,9 +55,17 @@
   body: LingeringBody,
 ) -> Result<Response<Body>, Refusal> {
   let call = admit(gateway, metadata, parts, body).await?;
-  match call.route().kind {
-    Kind::Stream { .. } => stream::serve(call).await,
-    Kind::AtMostOnce | Kind::Idempotent => buffered::serve(call).await,
+  let may_have_run = Arc::clone(&call.may_have_run);
+  let response = async {
+    match call.route().kind {
+      Kind::Stream { .. } => stream::serve(call).await,
+      Kind::AtMostOnce | Kind::Idempotent => buffered::serve(call).await,
+    }
+  };
+  tokio::select! {
+    biased;
+    response = response => response,
+    () = gateway.closing.cancelled() => Err(shutdown::last_refusal(may_have_run.load(Ordering::Relaxed))),
   }
 }
 
@@ -125,12 +136,15 @@
     arrived,
     counted_elsewhere: AtomicBool::new(false),
     features,
-    metadata,
     body,
     deadline: arrived + timeout,
     _forwarding_permit: forwarding_permit,
     gateway: gateway.clone(),
+    may_have_run: Arc::new(AtomicBool::new(
+      metadata.forwarded.is_some_and(|forwarded| forwarded.possible_runs > 0),
+    )),
     headers: parts.headers,
+    metadata,
     method: parts.method,
     route_key: admission.route,
     service_name,
--- a/yuccarudder/src/gateway/retrying.rs
+++ b/yuccarudder/src/gateway/retrying.rs
@@ -6,7 +6,7 @@
     refusal::{Reason, Refusal},
     roster::Key,
   },
-  std::{net::SocketAddr, time::Duration},
+  std::{net::SocketAddr, sync::atomic::Ordering, time::Duration},
 };
 
 const PREFIX: &str = "retrying";
@@ -70,6 +70,7 @@
   /// Records the outcome of a failed attempt; returns whether another one follows.
   pub fn record_failure(&mut self, call: &Call, outcome: Outcome) -> bool {
     self.history.possible_runs += u32::from(!outcome.is_not_run());
+    call.may_have_run.store(self.history.possible_runs > 0, Ordering::Relaxed);
     call.grant_retry(&self.history, outcome)
   }
 
--- a/yuccarudder/src/gateway/sending.rs
+++ b/yuccarudder/src/gateway/sending.rs
@@ -14,6 +14,7 @@
   },
   std::{
     pin::pin,
+    sync::atomic::Ordering,
     time::{Duration, Instant},
   },
   tokio::time,
@@ -73,6 +74,7 @@
       .on_dedicated_connection(),
     );
     let began_at = self.gateway.clock.now();
+    self.may_have_run.store(true, Ordering::Relaxed);
     let mut error = None;
     let result = match self.await_response(assignment, began_at, timeout, response).await {
       Ok(Ok(response)) => {
--- a/yuccarudder/src/gateway/serve.rs
+++ b/yuccarudder/src/gateway/serve.rs
@@ -22,6 +22,8 @@
 const LATE_CALLER_PERIOD: Duration = Duration::from_millis(6500);
 /// Time before the end of the grace period at which the process ends even with open requests.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
+/// Time before the process ends at which requests without an answer get their last one.
+const LAST_ANSWER_PERIOD: Duration = Duration::from_millis(100);
 /// Interval between checks whether all requests have finished.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(50);
 const PREFIX: &str = "serve";
@@ -135,21 +137,25 @@
 async fn drain(
   gateway: &Gateway,
   stop_accepting: CancellationToken,
-  serving: tokio::task::JoinHandle<()>,
+  mut serving: tokio::task::JoinHandle<()>,
 ) {
   let started_at = Instant::now();
   let deadline =
     started_at + gateway.settings().guarantees.termination_grace.saturating_sub(GRACE_MARGIN);
   log::info!(target: PREFIX, in_hand = gateway.scheduler.lock().len(); "Shutting down; the directory no longer lists this host.");
   gateway.begin_shutdown(deadline.into_std());
-  time::sleep_until(deadline.min(started_at + LATE_CALLER_PERIOD)).await;
-  while !gateway.scheduler.lock().is_empty() && Instant::now() < deadline {
+  let closing_at = deadline - LAST_ANSWER_PERIOD;
+  time::sleep_until(closing_at.min(started_at + LATE_CALLER_PERIOD)).await;
+  while !gateway.scheduler.lock().is_empty() && Instant::now() < closing_at {
     time::sleep(IDLE_POLL_INTERVAL).await;
   }
   log::info!(target: PREFIX, in_hand = gateway.scheduler.lock().len(); "Closing.");
   stop_accepting.cancel();
   // Connections close after their last response; those left at the deadline are cut.
-  let _ = time::timeout_at(deadline, serving).await;
+  if time::timeout_at(closing_at, &mut serving).await.is_err() {
+    gateway.closing.cancel();
+    let _ = time::timeout_at(deadline, serving).await;
+  }
 }
 
 /// Returns the functions that answer the calls of other hosts.
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -53,6 +53,7 @@
   CallerDisconnected,
   Complete,
   DeadlinePassed,
+  HostStopped,
   InvalidEvents,
   TargetLost,
 }
@@ -63,6 +64,7 @@
       Self::CallerDisconnected => "caller_gone",
       Self::Complete => "complete",
       Self::DeadlinePassed => "deadline",
+      Self::HostStopped => "host_stopped",
       Self::InvalidEvents => "disordered",
       Self::TargetLost => "lost",
     }
@@ -154,6 +156,7 @@
       }
       End::CallerDisconnected => return,
       End::DeadlinePassed => Reason::DeadlinePassed,
+      End::HostStopped => Reason::HostLeaving,
       End::InvalidEvents | End::TargetLost => Reason::GenerationLost,
     };
     let refusal = Refusal::failed(reason);
@@ -219,12 +222,14 @@
     let mut departures = self.call.gateway.departures.subscribe();
     let mut link_losses = self.call.gateway.link_losses.subscribe();
     let mut deadline = Box::pin(time::sleep_until(self.call.deadline.into()));
+    let mut closing = Box::pin(self.call.gateway.closing.clone().cancelled_owned());
     self.migrate_if_leaving();
     loop {
       let end = tokio::select! {
         biased;
         () = self.chunk_sender.closed() => Some(End::CallerDisconnected),
         () = &mut deadline => Some(End::DeadlinePassed),
+        () = &mut closing => Some(End::HostStopped),
         step = self.migration.next() => self.handle_step(step).await,
         frame = next_frame(&mut self.target_body) => self.handle_frame(frame).await,
         changed = departures.changed() => {
--- a/yuccarudder/src/gateway/shutdown.rs
+++ b/yuccarudder/src/gateway/shutdown.rs
@@ -90,3 +90,12 @@
     2 * self.ready_peers < self.hosts
   }
 }
+
+/// Returns the answer to a request that has none when the process is about to end.
+pub fn last_refusal(may_have_run: bool) -> Refusal {
+  if may_have_run {
+    Refusal::unknown(Reason::HostLeaving)
+  } else {
+    Refusal::not_run(Reason::HostLeaving).with_retry_after(RETRY_AFTER)
+  }
+}
