Flush the log within the time that a shutdown leaves to the end of the process

A host whose standard output nobody reads ended 15 to 17 ms after its grace period, at which it would be killed. The drain ends 300 ms before the grace period does, and the flush of the log then waited up to 300 ms for a write that could not end.

The flush now waits 100 ms at most, and the writer does not delay the lines of a flush to batch them.

--- a/yuccarudder/src/logs/appender.rs
+++ b/yuccarudder/src/logs/appender.rs
@@ -10,9 +10,10 @@
 };
 
 /// Longest time that a flush at the end of the process waits for the last lines to be written: a
-/// reader that stalls must not keep the process from exiting. Once standard output is closed,
-/// buffered lines are discarded at this interval.
-const FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
+/// reader that stalls must not keep the process from exiting. It is a part of the time that a shutdown
+/// leaves to the end of the process. Once standard output is closed, buffered lines are discarded at
+/// this interval.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Limits the rate of log lines and buffers them for a thread that writes them.
 #[derive(Debug)]
--- a/yuccarudder/src/logs/buffer.rs
+++ b/yuccarudder/src/logs/buffer.rs
@@ -7,7 +7,7 @@
 
 /// Size beyond which lines are dropped when the reader is slow.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
-/// Delay before each write, so that the lines added meanwhile are written together.
+/// Delay before each write that no flush waits for, so that the lines added meanwhile are written together.
 const BATCH_DELAY: Duration = Duration::from_millis(100);
 
 #[derive(Debug, Default)]
@@ -15,6 +15,8 @@
   bytes: Vec<u8>,
   /// Number of lines dropped since the last write.
   dropped: u64,
+  /// Whether a flush waits, so that lines are written without the delay.
+  flushing: bool,
   /// Whether lines that were taken are not written yet.
   writing: bool,
 }
@@ -32,10 +34,12 @@
 impl Buffer {
   /// Waits until all lines are written, for `timeout` at most.
   pub fn flush(&self, timeout: Duration) {
-    let state = self.lock();
+    let mut state = self.lock();
     let is_pending = |state: &mut State| !state.bytes.is_empty() || state.writing;
+    state.flushing = true;
     self.not_empty.notify_all();
     drop(self.written.wait_timeout_while(state, timeout, is_pending));
+    self.lock().flushing = false;
   }
 
   fn lock(&self) -> MutexGuard<'_, State> {
@@ -69,9 +73,12 @@
   /// Returns the error of the writer.
   pub fn write_to(&self, mut writer: impl Write) -> io::Result<()> {
     loop {
-      let state = self.lock();
-      drop(self.not_empty.wait_while(state, |state| state.bytes.is_empty()));
-      std::thread::sleep(BATCH_DELAY);
+      let state = self
+        .not_empty
+        .wait_while(self.lock(), |state| state.bytes.is_empty())
+        .unwrap_or_else(PoisonError::into_inner);
+      let is_delayed = |state: &mut State| !state.flushing;
+      drop(self.not_empty.wait_timeout_while(state, BATCH_DELAY, is_delayed));
       self.lock().writing = true;
       let (bytes, dropped) = self.take();
       let result =
