Believe only responses that name the request

Callers were told that a booking had not run, to try again, while a target ran it, and other targets ran it, too: a faulty target wrote an earlier refusal once more, when the connection was opened, when the request arrived or 250 ms later. Every attempt has a connection of its own, so the refusal was the first response on it, and a refusal counted whatever request it named. Only other responses had to name theirs.

Now the ID is compared first, in one pure function (gateway/verdict.rs); a response that names another request or none counts as lost, and what it states of its target (limits, pauses, departure) is ignored. The log of an attempt says what was wrong with its response.

A refusal behind the answer did no harm before. Refusals that name the request move it to another target as before.

--- a/yuccarudder/src/gateway/mod.rs
+++ b/yuccarudder/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 mod stream;
 mod timing;
 mod updates;
+mod verdict;
 
 pub use directory::Directory;
 pub use gateway::Gateway;
@@ -37,3 +38,5 @@
 
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod verdict_tests;
--- a/yuccarudder/src/gateway/sending.rs
+++ b/yuccarudder/src/gateway/sending.rs
@@ -1,5 +1,5 @@
 use {
-  super::{assignment::Assignment, breaks::Cause, call::Call},
+  super::{assignment::Assignment, breaks::Cause, call::Call, verdict::Verdict},
   crate::{
     attempt::Outcome,
     dialect::{ForwardingMetadata, Resume},
@@ -8,7 +8,7 @@
     upstream::{self, Error},
   },
   hyper::{
-    Request, Response, StatusCode, Uri,
+    Request, Response, Uri,
     body::Incoming,
     header::{CONTENT_ENCODING, HOST},
   },
@@ -77,7 +77,9 @@
     let result = match self.await_response(assignment, began_at, timeout, response).await {
       Ok(Ok(response)) => {
         self.gateway.record_reached(&self.service_name, began_at);
-        self.validate(assignment, response)
+        let (result, fault) = self.validate(assignment, response);
+        error = fault.map(str::to_owned);
+        result
       }
       Ok(Err(Error::Denied(_))) => Err(Outcome::NotSent.into()),
       Ok(Err(Error::NotSent { cause, .. })) => {
@@ -141,29 +143,33 @@
     self.gateway.record_unreached(&self.service_name, assignment.key, failure, began_at);
   }
 
+  /// Returns the response if it can be relayed, and what is wrong with an invalid one.
   fn validate(
     &self,
     assignment: &Assignment,
     response: Response<Incoming>,
-  ) -> Result<Response<Incoming>, Failure> {
+  ) -> (Result<Response<Incoming>, Failure>, Option<&'static str>) {
     let status = response.status();
     let metadata = (self.gateway.dialect.read_response)(status, response.headers());
-    self.gateway.record_statements(assignment.key, &metadata);
-    if metadata.not_run {
-      return Err(Outcome::NotRun.into());
-    }
-    let is_mismatched = metadata.request_id.as_deref() != self.metadata.request_id.as_deref();
-    let is_unsigned = status.is_success() && !metadata.signed;
-    if is_mismatched || is_unsigned || response.headers().contains_key(CONTENT_ENCODING) {
-      return Err(Outcome::Lost.into());
+    let verdict = Verdict::of_target(status, &metadata, self.metadata.request_id.as_deref());
+    if !matches!(verdict, Verdict::Invalid(_)) {
+      self.gateway.record_statements(assignment.key, &metadata);
     }
-    if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
-      return Err(Failure {
-        outcome: Outcome::Failed,
-        response: Some(Box::new(response)),
-      });
+    match verdict {
+      Verdict::NotRun => (Err(Outcome::NotRun.into()), None),
+      Verdict::Invalid(fault) => (Err(Outcome::Lost.into()), Some(fault)),
+      _ if response.headers().contains_key(CONTENT_ENCODING) => {
+        (Err(Outcome::Lost.into()), Some("the body has an encoding"))
+      }
+      Verdict::Failed => {
+        let failure = Failure {
+          outcome: Outcome::Failed,
+          response: Some(Box::new(response)),
+        };
+        (Err(failure), None)
+      }
+      Verdict::Answered => (Ok(response), None),
     }
-    Ok(response)
   }
 
   fn record_outcome(
