Relay no status of a target that reads as a promise which it did not make

Callers got a target's own 408 although the target had run the request: they take 408, 421, 429 and 503 as a promise that it has not run and will not. Two lists of these statuses differed: one had all four, but was asked only about failures, to which 408 did not belong; the other one, for responses of other hosts, had two.

There is one list now, beside the verdict on a response. A status on it without a promise is a failure of the target, and none from another host that a target has signed is believed. Another host's success has to name the request and carry a signature, and none of its responses may name another request.

--- a/yuccarudder/src/gateway/buffered.rs
+++ b/yuccarudder/src/gateway/buffered.rs
@@ -1,6 +1,7 @@
 use {
   super::{
     assignment::Assignment, breaks::Cause, call::Call, forwarding, retrying::Attempts, sending,
+    verdict,
   },
   crate::{
     attempt::{History, Outcome},
@@ -8,7 +9,7 @@
     plain,
     refusal::Refusal,
   },
-  hyper::{Response, StatusCode, body::Incoming},
+  hyper::{Response, body::Incoming},
   std::{net::SocketAddr, time::Duration},
 };
 
@@ -94,23 +95,14 @@
 /// Ends a request without another attempt: the caller gets the response of the target, unless
 /// its status would state that the request did not run.
 fn give_up(call: &Call, history: &History, failure: Failure) -> Result<Response<Body>, Refusal> {
-  if let Some(response) = failure.response.filter(|response| !means_not_run(response.status())) {
+  if let Some(response) =
+    failure.response.filter(|response| !verdict::means_not_run(response.status()))
+  {
     return Ok(finish(call, response));
   }
   Err(call.final_refusal(history, failure.outcome))
 }
 
-/// Returns whether callers take a status as a guarantee that the request did not run.
-fn means_not_run(status: StatusCode) -> bool {
-  matches!(
-    status,
-    StatusCode::REQUEST_TIMEOUT
-      | StatusCode::MISDIRECTED_REQUEST
-      | StatusCode::SERVICE_UNAVAILABLE
-      | StatusCode::TOO_MANY_REQUESTS
-  )
-}
-
 /// Returns how long the next attempt may take.
 fn attempt_timeout(call: &Call, history: &History) -> Duration {
   let remaining = call.time_left();
--- a/yuccarudder/src/gateway/forwarding.rs
+++ b/yuccarudder/src/gateway/forwarding.rs
@@ -5,7 +5,7 @@
 //! limits and budgets, and retries it. It does not pass it on again.
 
 use {
-  super::{call::Call, directory, gateway::State, ingress, sending::Failure},
+  super::{call::Call, directory, gateway::State, ingress, sending::Failure, verdict::Verdict},
   crate::{
     attempt::{History, Outcome},
     dialect::{Forwarded, HandoverMetadata},
@@ -16,7 +16,7 @@
     upstream::{self, Error},
   },
   hyper::{
-    Request, Response, StatusCode, Uri,
+    Request, Response, Uri,
     body::Incoming,
     header::{CONTENT_LENGTH, HeaderMap},
   },
@@ -198,17 +198,15 @@
   /// request has not run.
   fn classify(&self, response: Response<Incoming>) -> Result<Response<Incoming>, Failure> {
     let metadata = (self.gateway.dialect.read_response)(response.status(), response.headers());
-    let is_not_run = matches!(
-      response.status(),
-      StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
-    );
-    if is_not_run && !metadata.signed {
-      return Err(Failure {
+    let request_id = self.metadata.request_id.as_deref();
+    match Verdict::of_host(response.status(), &metadata, request_id) {
+      Verdict::Answered => Ok(response),
+      Verdict::NotRun => Err(Failure {
         outcome: Outcome::NotRun,
         response: Some(Box::new(response)),
-      });
+      }),
+      Verdict::Failed | Verdict::Invalid(_) => Err(Outcome::Lost.into()),
     }
-    Ok(response)
   }
 
   fn build_handover(&self, history: &History, last_event_id: Option<u64>) -> Request<Body> {
--- a/yuccarudder/src/gateway/verdict.rs
+++ b/yuccarudder/src/gateway/verdict.rs
@@ -32,9 +32,43 @@
     if status.is_success() && !metadata.signed {
       return Self::Invalid("the response has no signature");
     }
-    if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
+    if status.is_server_error() || means_not_run(status) {
       return Self::Failed;
     }
     Self::Answered
   }
+
+  /// Judges the response of another host to the request with an ID, which this host passed on to it.
+  ///
+  /// The other host relays responses of targets that name the request and have a signature; its own
+  /// refusals have neither.
+  pub fn of_host(
+    status: StatusCode,
+    metadata: &ResponseMetadata,
+    request_id: Option<&str>,
+  ) -> Self {
+    let is_named = metadata.request_id.as_deref() == request_id;
+    if metadata.request_id.is_some() && !is_named {
+      return Self::Invalid("the response names another request");
+    }
+    if status.is_success() && !(metadata.signed && is_named) {
+      return Self::Invalid("the response has no signature");
+    }
+    match means_not_run(status) {
+      true if metadata.signed => Self::Invalid("a target's status would be taken for a promise"),
+      true => Self::NotRun,
+      false => Self::Answered,
+    }
+  }
+}
+
+/// Returns whether callers take a status as a guarantee that the request did not run.
+pub fn means_not_run(status: StatusCode) -> bool {
+  matches!(
+    status,
+    StatusCode::REQUEST_TIMEOUT
+      | StatusCode::MISDIRECTED_REQUEST
+      | StatusCode::SERVICE_UNAVAILABLE
+      | StatusCode::TOO_MANY_REQUESTS
+  )
 }
--- a/yuccarudder/src/gateway/verdict_tests.rs
+++ b/yuccarudder/src/gateway/verdict_tests.rs
@@ -43,3 +43,87 @@
     assert_eq!(of_target(status, &metadata), Verdict::NotRun);
   }
 }
+
+/// Guards against a target's own status that its caller would take for a promise.
+#[test]
+fn status_without_a_promise_counts_as_a_failure() {
+  for signed in [true, false] {
+    let metadata = ResponseMetadata {
+      signed,
+      ..metadata(Some("a"))
+    };
+    for status in [408, 421, 429, 500, 503, 504] {
+      assert_eq!(of_target(status, &metadata), Verdict::Failed, "{status}");
+    }
+  }
+}
+
+/// Defines a test: the status, the request that it names and whether it has a signature, of a response of
+/// another host, and what it says.
+macro_rules! host_test {
+  ($name:ident, $status:expr, $id:expr, $signed:expr, $verdict:pat) => {
+    #[test]
+    fn $name() {
+      let metadata = ResponseMetadata {
+        signed: $signed,
+        ..metadata($id)
+      };
+      let status = StatusCode::from_u16($status).unwrap();
+      let verdict = Verdict::of_host(status, &metadata, Some("a"));
+      assert!(matches!(verdict, $verdict), "{verdict:?}");
+    }
+  };
+}
+
+host_test!(
+  host_relays_an_answer,
+  200,
+  Some("a"),
+  true,
+  Verdict::Answered
+);
+host_test!(
+  host_relays_a_failure,
+  500,
+  Some("a"),
+  true,
+  Verdict::Answered
+);
+host_test!(host_fails, 502, None, false, Verdict::Answered);
+host_test!(host_refuses, 503, None, false, Verdict::NotRun);
+host_test!(
+  host_refuses_for_an_account,
+  429,
+  None,
+  false,
+  Verdict::NotRun
+);
+host_test!(
+  host_refuses_another_request,
+  503,
+  Some("b"),
+  false,
+  Verdict::Invalid(_)
+);
+host_test!(
+  host_relays_a_status_that_reads_as_a_promise,
+  408,
+  Some("a"),
+  true,
+  Verdict::Invalid(_)
+);
+host_test!(
+  host_sends_no_signature,
+  200,
+  Some("a"),
+  false,
+  Verdict::Invalid(_)
+);
+host_test!(host_names_no_request, 200, None, true, Verdict::Invalid(_));
+host_test!(
+  host_answers_another_request,
+  200,
+  Some("b"),
+  true,
+  Verdict::Invalid(_)
+);
