End a stream at a line that is none of an event

Callers found the text of an error, and at times its whole head, in the middle of their stream, which then ended as if it were whole: a target that failed wrote its error where its next event was due, in a chunk, in a response that ends with its connection or in one of known length. The events of a stream were split at blank lines and checked for their IDs only; whatever had none was relayed.

Lines have to be comments or fields now, with names in lower case; other lines end the stream like an event out of order.

Measured: six texts in three framings, in chunks and behind them: 24 of 36 were relayed before, 0 now. Lines that look like fields still pass.

--- a/yuccarudder/src/relay/cursor.rs
+++ b/yuccarudder/src/relay/cursor.rs
@@ -12,6 +12,8 @@
 /// The reason why a stream cannot be relayed any further.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Error {
+  /// A line is none of an event, so the bytes are not those of a stream.
+  Malformed,
   /// The id of an event is not the one after the id of the previous event.
   OutOfOrder {
     /// The expected id.
@@ -27,6 +29,7 @@
 impl fmt::Display for Error {
   fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
     match self {
+      Self::Malformed => f.write_str("received a line that is none of an event"),
       Self::OutOfOrder { expected, found } => {
         write!(f, "received event {found} instead of event {expected}")
       }
@@ -59,13 +62,16 @@
   ///
   /// # Errors
   ///
-  /// Returns an error if an event is missing, repeated or too large.
+  /// Returns an error if an event is missing, repeated, malformed or too large.
   pub fn feed(&mut self, bytes: &[u8]) -> Result<Bytes, Error> {
     self.buffer.extend_from_slice(bytes);
     self.bytes_since_event += bytes.len();
     let mut complete_len = 0;
     while let Some(length) = memmem::find(&self.buffer[complete_len..], b"\n\n") {
       let event = &self.buffer[complete_len..complete_len + length];
+      if !event.split(|byte| *byte == b'\n').all(is_field) {
+        return Err(Error::Malformed);
+      }
       if let Some(id) = event_id(event) {
         if let Some(last_id) = self.last_event_id
           && id != last_id + 1
@@ -121,6 +127,19 @@
   }
 }
 
+/// Returns whether a line of an event is a comment or a field. The names of fields are in lower case.
+///
+/// Text that a failing target writes into its stream is not.
+fn is_field(line: &[u8]) -> bool {
+  let line = line.strip_suffix(b"\r").unwrap_or(line);
+  let is_name_byte =
+    |byte: &u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || *byte == b'-';
+  match memchr::memchr(b':', line) {
+    Some(length) => line[..length].iter().all(is_name_byte),
+    None => line.is_empty() || line == b"data",
+  }
+}
+
 /// Returns the value of the last `id` field of an event, if it is a number.
 fn event_id(event: &[u8]) -> Option<u64> {
   let lines = event.split(|byte| *byte == b'\n');
--- a/yuccarudder/src/relay/tests.rs
+++ b/yuccarudder/src/relay/tests.rs
@@ -31,6 +31,45 @@
   assert_eq!(cursor.last_event_id(), Some(4));
 }
 
+/// Defines a test: a line of an event, and whether the event is relayed. Guards against errors that a target
+/// writes into its own stream.
+macro_rules! line_test {
+  ($name:ident, $line:expr, $is_relayed:expr) => {
+    #[test]
+    fn $name() {
+      for event in [
+        format!("{}\n\n", $line),
+        format!("id: 4\n{}\n\n", $line),
+        format!("id: 4\ndata: a\n{}\n\n", $line),
+      ] {
+        let result = Cursor::new(Some(3)).feed(event.as_bytes());
+        let expected = if $is_relayed {
+          Ok(event.into())
+        } else {
+          Err(Error::Malformed)
+        };
+        assert_eq!(result, expected);
+      }
+    }
+  };
+}
+
+line_test!(comment, ": note", true);
+line_test!(data_with_colons, "data: {\"a\": 1}", true);
+line_test!(empty_data, "data", true);
+line_test!(field_of_a_version, "x-weight-versions:3", true);
+line_test!(line_with_a_carriage_return, "data: a\r", true);
+line_test!(status_line, "HTTP/1.1 500 Internal Server Error\r", false);
+line_test!(
+  data_cut_by_a_status_line,
+  "daHTTP/1.1 500 Internal Server Error",
+  false
+);
+line_test!(header, "Content-Length: 5\r", false);
+line_test!(text, "upstream failed", false);
+line_test!(json, "{\"error\": \"failed\"}", false);
+line_test!(markup, "<html>", false);
+
 /// Defines a test: the id of an event that is fed after event 3, and the result.
 macro_rules! order_test {
   ($name:ident, $id:expr, $expected:expr) => {
