Do not promise the length of a stream that another target may continue

A caller got a stream that was cut inside an event and ended as if it were whole. The first target had named the length of its response, and broke off; the second one continued with more bytes than were left, of which the caller's connection took as many as the first head had named.

The head for the caller names no length now, so that its stream is chunked.

Measured: with the length 10 bytes beyond the first part, the caller's stream ended inside event 3 of 5 as whole before; it has all 5 events now.

--- a/yuccarudder/src/gateway/stream.rs
+++ b/yuccarudder/src/gateway/stream.rs
@@ -9,7 +9,7 @@
     plain,
     refusal::{Reason, Refusal},
   },
-  hyper::{Response, StatusCode, body::Incoming},
+  hyper::{Response, StatusCode, body::Incoming, header::CONTENT_LENGTH},
 };
 
 const PREFIX: &str = "stream";
@@ -90,6 +90,8 @@
   let is_framed = http::is_framed(response.headers());
   let (mut head, target_body) = response.into_parts();
   plain::strip_response(&mut head.headers);
+  // Another target may continue the stream with more bytes or fewer.
+  head.headers.remove(CONTENT_LENGTH);
   let body = Session::start(call, attempts.history, assignment, target_body, is_framed);
   Response::from_parts(head, body)
 }
