Relay no switch of protocols

A caller got 101 from a target: an interim response that is not skipped like the others, as it ends the exchange in HTTP. Requests that are passed on ask for no other protocol, so it is an invalid response.

Other interim responses were skipped before.

--- a/yuccarudder/src/gateway/verdict.rs
+++ b/yuccarudder/src/gateway/verdict.rs
@@ -26,6 +26,9 @@
     if metadata.request_id.as_deref() != request_id {
       return Self::Invalid("the response does not name the request");
     }
+    if status.is_informational() {
+      return Self::Invalid("the response switches protocols");
+    }
     if metadata.not_run {
       return Self::NotRun;
     }
--- a/yuccarudder/src/gateway/verdict_tests.rs
+++ b/yuccarudder/src/gateway/verdict_tests.rs
@@ -58,6 +58,16 @@
   }
 }
 
+/// Guards against a switch of protocols, which no caller can ask for.
+#[test]
+fn switch_of_protocols_is_invalid() {
+  let metadata = ResponseMetadata {
+    signed: true,
+    ..metadata(Some("a"))
+  };
+  assert!(matches!(of_target(101, &metadata), Verdict::Invalid(_)));
+}
+
 /// Defines a test: the status, the request that it names and whether it has a signature, of a response of
 /// another host, and what it says.
 macro_rules! host_test {
