Reject a head inside which another response begins

Callers got a 200 with an empty body, framed as whole. A target had stopped inside the head of its answer and wrote an error instead: from a cut in the reason phrase or in a value, the status line of the error reads as the end of that value, and its headers and length as those of the first head. A head that is only cut never counted: the connection ends before the head does.

A response is invalid now if its reason phrase or a value contains a status line.

Measured: heads cut at each of 121 bytes and followed by an error, for bookings and streams: 14 gave a 200 with an empty body before, or 21 if the error was signed; 0 now, also with the two other framings. Heads cut at each byte and followed by nothing gave none before.

--- a/yuccarudder/src/gateway/sending.rs
+++ b/yuccarudder/src/gateway/sending.rs
@@ -151,7 +151,11 @@
   ) -> (Result<Response<Incoming>, Failure>, Option<&'static str>) {
     let status = response.status();
     let metadata = (self.gateway.dialect.read_response)(status, response.headers());
-    let verdict = Verdict::of_target(status, &metadata, self.metadata.request_id.as_deref());
+    let verdict = if http::has_nested_head(&response) {
+      Verdict::Invalid("another response begins inside the head")
+    } else {
+      Verdict::of_target(status, &metadata, self.metadata.request_id.as_deref())
+    };
     if !matches!(verdict, Verdict::Invalid(_)) {
       self.gateway.record_statements(assignment.key, &metadata);
     }
--- a/yuccarudder/src/http/mod.rs
+++ b/yuccarudder/src/http/mod.rs
@@ -11,8 +11,10 @@
   hyper::{
     HeaderMap, Request, Response, StatusCode,
     body::Incoming,
+    ext::ReasonPhrase,
     header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING},
   },
+  memchr::memmem,
   std::time::Duration,
 };
 
@@ -39,6 +41,24 @@
   length.unwrap_or(default)
 }
 
+/// Returns whether another response begins inside the head of a response: its server failed before the end
+/// of the head, so that the values are those of both.
+pub fn has_nested_head<B>(response: &Response<B>) -> bool {
+  let reason = response.extensions().get::<ReasonPhrase>().map(ReasonPhrase::as_bytes);
+  let values = response.headers().values().map(HeaderValue::as_bytes);
+  values.chain(reason).any(contains_status_line)
+}
+
+/// Returns whether a text contains the version and the status with which a response begins.
+fn contains_status_line(text: &[u8]) -> bool {
+  memmem::find_iter(text, b"HTTP/1.").any(|at| match &text[at + b"HTTP/1.".len()..] {
+    [b'0' | b'1', b' ', status @ ..] => {
+      status.len() >= 3 && status[..3].iter().all(u8::is_ascii_digit)
+    }
+    _ => false,
+  })
+}
+
 /// Returns an empty body.
 pub fn empty() -> Body {
   Empty::new().map_err(|never| match never {}).boxed_unsync()
@@ -115,3 +135,6 @@
   *response.status_mut() = status;
   response
 }
+
+#[cfg(test)]
+mod tests;
