Count a body as framed only by a length or by chunks

A caller's stream ended as whole without any event: its target had named a transfer coding other than chunks and closed the connection. Any transfer coding counted as one that tells where the body ends, though without chunks the connection does.

--- a/yuccarudder/src/http/mod.rs
+++ b/yuccarudder/src/http/mod.rs
@@ -75,9 +75,13 @@
 }
 
 /// Returns whether the headers of a response state where its body ends; otherwise the body ends with
-/// its connection.
+/// its connection, as it also does if the last transfer coding is not `chunked`.
 pub fn is_framed(headers: &HeaderMap) -> bool {
-  headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+  let Some(codings) = headers.get_all(TRANSFER_ENCODING).iter().next_back() else {
+    return headers.contains_key(CONTENT_LENGTH);
+  };
+  let last = codings.to_str().ok().and_then(|codings| codings.rsplit(',').next());
+  last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
 }
 
 /// Returns a JSON response.
