Start generations on new connections

A generation could run at two engines: the refusal of an earlier request, written once more on a kept connection when the next generation arrives, reads as the refusal of that one, which goes to another engine while the first one runs it. Events carry their generation's ID and a status does not, so only a connection on which nothing was answered tells to which request it belongs. Bookings of plain services have had new connections before; resumptions and cancellations still reuse idle ones.

Measured: the second of two generations arrived on the connection of the first one before; on one of its own now. The cost of the connections was not measured.

--- a/yuccarudder/src/generation/engine.rs
+++ b/yuccarudder/src/generation/engine.rs
@@ -1,7 +1,7 @@
 use {
   super::{Event, Id, Input},
   crate::{
-    http::{self, Body, BodyError},
+    http::{self, BodyError},
     tree::Settings,
     upstream::{Admission, Call, Error, Pool, SendCheck},
   },
@@ -109,18 +109,7 @@
 }
 
 impl Engine<'_> {
-  async fn open_stream(
-    &self,
-    request: Request<Body>,
-    admission: Option<Admission>,
-    send_check: SendCheck,
-    timeout: Duration,
-  ) -> OpenOutcome {
-    let call = Call {
-      admission,
-      send_check,
-      ..Call::new(self.address, self.settings.connect_timeout, request)
-    };
+  async fn open_stream(&self, call: Call, timeout: Duration) -> OpenOutcome {
     match time::timeout(timeout, self.pool.send(call)).await {
       Ok(Ok(response)) => open_outcome(response),
       Ok(Err(error)) => OpenOutcome::Failed(error),
@@ -132,14 +121,8 @@
   pub async fn resume(&self, generation: Id, from: u64) -> OpenOutcome {
     let uri = format!("/v1/generations/{generation}?from={from}");
     let request = Request::get(uri).body(http::empty()).expect("the request is valid");
-    self
-      .open_stream(
-        request,
-        None,
-        Box::new(|| Ok(())),
-        self.settings.stall_timeout,
-      )
-      .await
+    let call = Call::new(self.address, self.settings.connect_timeout, request);
+    self.open_stream(call, self.settings.stall_timeout).await
   }
 
   /// Starts a generation and requests its events.
@@ -160,14 +143,14 @@
       .header(CONTENT_TYPE, "application/json")
       .body(http::full(bytes))
       .expect("the request is valid");
-    self
-      .open_stream(
-        request,
-        admission,
-        send_check,
-        self.settings.first_token_timeout,
-      )
-      .await
+    let call = Call {
+      admission,
+      // The response to an earlier request might refuse this one.
+      new_connection: true,
+      send_check,
+      ..Call::new(self.address, self.settings.connect_timeout, request)
+    };
+    self.open_stream(call, self.settings.first_token_timeout).await
   }
 }
 
--- a/yuccarudder/src/generation/tests.rs
+++ b/yuccarudder/src/generation/tests.rs
@@ -4,7 +4,7 @@
     clock::Clock,
     http,
     refusal::{Execution, Reason},
-    tree::Tree,
+    tree::{Settings, Tree},
     upstream,
   },
   proptest::prelude::*,
@@ -305,3 +305,37 @@
   drop(events);
   sending.await.unwrap();
 }
+
+/// Guards against a refusal that an engine writes once more when the next generation arrives on a kept
+/// connection: the engine runs the generation, and another one gets it, too.
+#[tokio::test]
+async fn generation_starts_on_a_connection_without_earlier_responses() {
+  let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+  let address = listener.local_addr().unwrap();
+  let (connection_sender, mut connections) = tokio::sync::mpsc::unbounded_channel();
+  tokio::spawn(async move {
+    while let Ok((mut stream, _)) = listener.accept().await {
+      connection_sender.send(()).unwrap();
+      tokio::spawn(async move {
+        let refusal = b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n";
+        while stream.read(&mut [0; 4096]).await.is_ok_and(|count| count > 0) {
+          stream.write_all(refusal).await.unwrap();
+        }
+      });
+    }
+  });
+  let pool = upstream::Pool::new(Clock::system());
+  let engine = engine::Engine {
+    address,
+    settings: Settings::default(),
+    pool: &pool,
+  };
+  for generation in [FIRST, OTHER] {
+    let body = serde_json::Map::new();
+    let outcome = engine.start(generation, &body, None, Box::new(|| Ok(()))).await;
+    assert!(matches!(outcome, OpenOutcome::Busy));
+    // A background task returns the connection to the pool.
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    connections.try_recv().expect("a connection of its own");
+  }
+}
