Pass requests that may have run on to no host that does not know of it

What callers saw: nothing yet. While hosts of two builds run side by side, a host that has lost its links passes requests on to hosts of older builds too. These take the request for one of their own callers, so one that targets may have run already ran at as many more targets as its route allows, and a request that a third host counts was counted twice for the retry budget.

Cause: the absence of a statement was read as the ability to help.

Change: heartbeats state a protocol. A host that states none, and has not shown otherwise that it knows requests which are passed on, gets only those that are like requests of callers.

--- a/yuccarudder/src/gateway/forwarding.rs
+++ b/yuccarudder/src/gateway/forwarding.rs
@@ -10,7 +10,7 @@
     attempt::{History, Outcome},
     dialect::{Forwarded, HandoverMetadata},
     http::{self, Body},
-    member::Phase,
+    member::{Member, Phase},
     plain,
     routing::Kind,
     upstream::{self, Error},
@@ -52,12 +52,21 @@
   NoPlace,
 }
 
+/// A host that was chosen to help.
+#[derive(Clone, Copy, Debug)]
+struct Helper {
+  address: SocketAddr,
+  /// Whether it takes a request that is passed on for what it is. To an older build it is one of a
+  /// caller, of which no target has run any.
+  knows_handovers: bool,
+}
+
 /// Hosts that were chosen to help, when, and why.
 #[derive(Debug)]
 struct Selection {
   at: Instant,
   cause: Cause,
-  hosts: Vec<SocketAddr>,
+  hosts: Vec<Helper>,
 }
 
 /// The hosts to which requests are passed on, by service.
@@ -68,10 +77,13 @@
 
 impl State {
   /// Chooses a host that can help with a service as far as is known, in proportion to its capacity.
+  ///
+  /// Only a request that `is_untouched`, which is like that of a caller, goes to a host of an older build.
   fn choose_helper(
     &mut self,
     service: &str,
     cause: Cause,
+    is_untouched: bool,
     tried_hosts: &[SocketAddr],
     now: Instant,
     since_boot: Duration,
@@ -88,11 +100,14 @@
       self.helpers.by_service.insert(service.to_owned(), selection);
     }
     let helpers = &self.helpers.by_service[service].hosts;
-    let untried: Vec<_> = helpers.iter().filter(|host| !tried_hosts.contains(host)).collect();
-    untried.choose(&mut rand::rng()).map(|host| **host)
+    let is_suitable = |helper: &&Helper| {
+      (is_untouched || helper.knows_handovers) && !tried_hosts.contains(&helper.address)
+    };
+    let suitable: Vec<&Helper> = helpers.iter().filter(is_suitable).collect();
+    suitable.choose(&mut rand::rng()).map(|helper| helper.address)
   }
 
-  fn select_helpers(&self, service: &str, cause: Cause, since_boot: Duration) -> Vec<SocketAddr> {
+  fn select_helpers(&self, service: &str, cause: Cause, since_boot: Duration) -> Vec<Helper> {
     let hash = ingress::hash(service);
     let with_places: Option<HashSet<SocketAddr>> = (cause == Cause::NoPlace).then(|| {
       let targets = self.roster.accepting(service).map(|(_, target)| target);
@@ -105,14 +120,20 @@
         && !member.unreachable_services.contains(&hash)
         && with_places.as_ref().is_none_or(|hosts| hosts.contains(address))
     });
-    let hosts = reaching.map(|(_, member)| (member.callers, member.weight)).collect();
-    directory::sample(hosts, HELPERS, || rand::random_range(0.0..1.0))
+    let reaching: Vec<&Member> = reaching.map(|(_, member)| member).collect();
+    let hosts = reaching.iter().map(|member| (member.callers, member.weight)).collect();
+    let sample = directory::sample(hosts, HELPERS, || rand::random_range(0.0..1.0));
+    let helper = |address| Helper {
+      address,
+      knows_handovers: reaching.iter().any(|member| member.callers == address && member.can_assist),
+    };
+    sample.into_iter().map(helper).collect()
   }
 
   /// Passes nothing on to a host for some time.
   fn drop_helper(&mut self, host: SocketAddr) {
     for selection in self.helpers.by_service.values_mut() {
-      selection.hosts.retain(|helper| *helper != host);
+      selection.hosts.retain(|helper| helper.address != host);
     }
   }
 }
@@ -145,7 +166,9 @@
     } else {
       return None;
     };
-    state.choose_helper(service, cause, tried_hosts, now, since_boot)
+    let is_untouched =
+      history.possible_runs == 0 && !self.counted_elsewhere.load(Ordering::Relaxed);
+    state.choose_helper(service, cause, is_untouched, tried_hosts, now, since_boot)
   }
 
   /// Passes the request on to another host and waits for the head of its response. `last_event_id` is
--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -140,6 +140,7 @@
       .collect(),
     origins: origins(&state, clock_now),
     phase: phase.number(),
+    protocol: member::PROTOCOL,
     reads: state.reads_platform(),
     restore_age_ms: state.era.restore_age(now).map(milliseconds),
     sender: state.settings.peers.to_string(),
--- a/yuccarudder/src/member/heartbeat.rs
+++ b/yuccarudder/src/member/heartbeat.rs
@@ -10,6 +10,12 @@
 /// Largest age in a message; a larger one counts as this.
 const MAX_AGE: Duration = Duration::from_secs(24 * 3600);
 
+/// Protocol that this build speaks.
+pub const PROTOCOL: u32 = 1;
+/// Lowest protocol of hosts that know requests which other hosts pass on, and questions whether a target
+/// listens.
+const ASSISTING_PROTOCOL: u32 = 1;
+
 /// The newest heartbeat of the recipient that the sender has received.
 #[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
 pub struct Echo {
@@ -541,6 +547,9 @@
   /// Number of the sender's phase.
   #[prost(uint32, tag = "9")]
   pub phase: u32,
+  /// Protocol that the sender speaks; 0 if its build does not state it.
+  #[prost(uint32, tag = "31")]
+  pub protocol: u32,
   /// Whether the sender has listed the targets and its last reads of the platform succeeded.
   #[prost(bool, tag = "10")]
   pub reads: bool,
@@ -568,3 +577,14 @@
   #[prost(uint32, tag = "13")]
   pub weight: u32,
 }
+
+impl Heartbeat {
+  /// Returns whether the sender knows requests that other hosts pass on, and questions whether a target
+  /// listens.
+  ///
+  /// The last build that states no protocol knows them, too; it alone of those sends
+  /// `versions_known_for_ms`, to processes that have just started.
+  pub fn can_assist(&self) -> bool {
+    self.protocol >= ASSISTING_PROTOCOL || self.versions_known_for_ms.is_some()
+  }
+}
--- a/yuccarudder/src/member/table.rs
+++ b/yuccarudder/src/member/table.rs
@@ -35,6 +35,8 @@
 /// Another host, as its last heartbeat described it.
 #[derive(Clone, Debug)]
 pub struct Member {
+  /// Whether its build knows requests that other hosts pass on, and questions whether a target listens.
+  pub can_assist: bool,
   /// Address at which callers reach it.
   pub callers: SocketAddr,
   catalog_version: u64,
@@ -221,10 +223,13 @@
     if known.is_none_or(|known| known.incarnation != heartbeat.incarnation) {
       self.last_start = Some(now);
     }
+    let could_assist =
+      known.is_some_and(|known| known.incarnation == heartbeat.incarnation && known.can_assist);
     self.candidates.remove(&sender);
     self.members.insert(
       sender,
       Member {
+        can_assist: could_assist || heartbeat.can_assist(),
         callers,
         catalog_version: heartbeat.catalog_version,
         last_heard: now,
--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -38,6 +38,7 @@
     members: Vec::new(),
     origins: Vec::new(),
     phase: Phase::Ready.number(),
+    protocol: PROTOCOL,
     reads: true,
     sender: address(host).to_string(),
     sequence,
@@ -586,3 +587,26 @@
   fleet.run(ms(5_000));
   assert_eq!(fleet.turns.iter().sum::<usize>(), 0, "{:?}", fleet.turns);
 }
+
+/// Guards against help that is not asked of hosts of the last build that states no protocol.
+#[test]
+fn host_of_an_older_build_can_assist_once_it_said_for_how_long_it_knows_versions() {
+  let older = |sequence, versions_known_for_ms| Heartbeat {
+    protocol: 0,
+    versions_known_for_ms,
+    ..heartbeat(2, sequence)
+  };
+  let mut table = table();
+  let mut can_assist = |heartbeat| {
+    table.receive(&heartbeat, ms(0)).unwrap();
+    table.live(ms(0)).all(|(_, member)| member.can_assist)
+  };
+  assert!(!can_assist(older(1, None)));
+  assert!(can_assist(older(2, Some(0))));
+  assert!(can_assist(older(3, None)));
+  let restarted = Heartbeat {
+    incarnation: 7,
+    ..older(1, None)
+  };
+  assert!(!can_assist(restarted));
+}
