Ask hosts that know the question whether a target crashed

What callers saw: nothing yet. While hosts of two builds run side by side, a host whose links break takes targets for crashed, and may ban sound requests, although other hosts reach them.

Cause: it asks four hosts at random whether they reach the target. Older builds read the question as one for a catalog and answer nothing, which counted like a target that is not reached.

Change: hosts whose builds know the question are asked first.

--- a/yuccarudder/src/gateway/breaks.rs
+++ b/yuccarudder/src/gateway/breaks.rs
@@ -4,14 +4,14 @@
 use {
   super::{Gateway, assignment::Assignment, call::Call, ingress},
   crate::{
-    member::{self, Heartbeat},
+    member::{self, Heartbeat, Member},
     placement::Outcome,
     quarantine::{Ban, Crash, Feature, SOUND_AFTER, Verdict},
     refusal::{Reason, Refusal},
     roster::{Key, Status},
   },
   futures::{StreamExt, stream::FuturesUnordered},
-  rand::seq::IteratorRandom,
+  rand::seq::SliceRandom,
   std::{
     net::SocketAddr,
     sync::Arc,
@@ -256,7 +256,12 @@
       let state = self.lock();
       let live = state.members.live(self.clock.since_boot());
       let sound = live.filter(|(_, member)| member.unreachable_services.is_empty());
-      sound.map(|(address, _)| address).sample(&mut rand::rng(), MAX_ASKED_HOSTS)
+      let mut sound: Vec<(SocketAddr, &Member)> = sound.collect();
+      sound.shuffle(&mut rand::rng());
+      // Older builds do not know the question.
+      sound.sort_by_key(|(_, member)| !member.can_assist);
+      sound.truncate(MAX_ASKED_HOSTS);
+      sound.into_iter().map(|(address, _)| address).collect::<Vec<_>>()
     };
     let questions = hosts.into_iter().map(|host| async move {
       let answer = time::timeout(ASK_TIMEOUT, member::ask_is_listening(host, target)).await;
