Take no target from an announcement of a build that states no software version

What callers saw: nothing yet. Beside hosts of builds before that read the targets for the others, a target that they announce got the empty version. Two targets of different versions then looked alike, and a stream could be continued at either.

Cause: the absent field was read as a version.

Change: an announcement without a version counts only from hosts whose builds state versions; otherwise the host lists the targets itself, as it does when they differ from a reader's.

--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -4,7 +4,7 @@
     gateway::{EVACUATION_HOLD, HOST_SOURCE, State},
   },
   crate::{
-    member::{self, Codec, Heartbeat, Phase, Recipient, Sent},
+    member::{self, Announcement, Codec, Heartbeat, Phase, Recipient, Sent},
     quarantine::Ledger,
     reader,
     roster::{self, Roster},
@@ -304,9 +304,12 @@
     .filter_map(|departure| state.roster.merge_departure(&(*departure).into(), received_at))
     .collect();
   if is_current && state.targets_listed_at.is_some() {
-    for announcement in
-      heartbeat.announcements.iter().filter_map(|announcement| announcement.target())
-    {
+    // The first builds that announce targets do not state their versions; those targets are listed.
+    let states_versions = state.members.get(received.sender).is_some_and(|host| host.can_assist);
+    let is_complete =
+      |announcement: &&Announcement| states_versions || !announcement.version.is_empty();
+    let announcements = heartbeat.announcements.iter().filter(is_complete);
+    for announcement in announcements.filter_map(|announcement| announcement.target()) {
       let roster::Announcement {
         id,
         listing,
--- a/yuccarudder/src/member/table.rs
+++ b/yuccarudder/src/member/table.rs
@@ -116,6 +116,11 @@
       .filter(move |(_, member)| is_live(member))
   }
 
+  /// Returns another host, whether or not it is live.
+  pub fn get(&self, address: SocketAddr) -> Option<&Member> {
+    self.members.get(&address)
+  }
+
   /// Returns how many members a heartbeat lists: many while the fleet changes and hosts have
   /// yet to find each other, few when it is stable.
   pub fn members_per_heartbeat(&self, now: Duration) -> usize {
