--- a/yuccarudder/src/upstream/tests.rs
+++ b/yuccarudder/src/upstream/tests.rs
@@ -197,3 +197,55 @@
   ];
   assert_eq!(requests, expected);
 }
+
+/// Defines a test: the time before a target writes its response once more on the connection, and the time
+/// before the next request. Guards against the response to an earlier request that lies in a kept connection.
+macro_rules! repeated_response_test {
+  ($name:ident, $repeated_after_ms:expr, $next_after_ms:expr) => {
+    #[tokio::test]
+    async fn $name() {
+      let (listener, address) = listen().await;
+      let response = |body: &str| format!("HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n{body}");
+      tokio::spawn(async move {
+        let (mut first, _) = listener.accept().await.unwrap();
+        let mut bytes = [0; 1024];
+        assert!(first.read(&mut bytes).await.unwrap() > 0);
+        let once_more = match $repeated_after_ms {
+          0 => {
+            first.write_all(response("one").repeat(2).as_bytes()).await.unwrap();
+            None
+          }
+          delay => {
+            first.write_all(response("one").as_bytes()).await.unwrap();
+            Some(tokio::time::sleep(Duration::from_millis(delay)))
+          }
+        };
+        if let Some(pause) = once_more {
+          pause.await;
+          first.write_all(response("one").as_bytes()).await.unwrap();
+        }
+        let (mut second, _) = listener.accept().await.unwrap();
+        assert!(second.read(&mut bytes).await.unwrap() > 0);
+        second.write_all(response("two").as_bytes()).await.unwrap();
+        tokio::time::sleep(Duration::from_secs(5)).await;
+      });
+      let pool = Pool::new(Clock::system());
+      for expected in ["one", "two"] {
+        let call = Call {
+          new_connection: false,
+          ..call(address, Box::new(|| Ok(())))
+        };
+        let response = pool.send(call).await.unwrap();
+        assert_eq!(
+          http::collect(response.into_body(), 10).await.unwrap(),
+          expected
+        );
+        tokio::time::sleep(Duration::from_millis($next_after_ms)).await;
+      }
+    }
+  };
+}
+
+repeated_response_test!(response_repeated_at_once_is_not_read, 0, 0);
+repeated_response_test!(response_repeated_at_once_is_not_read_later, 0, 100);
+repeated_response_test!(response_repeated_on_an_idle_connection_is_not_read, 50, 150);
