Close kept connections with the answers of a leaving host

A host of the own interface that got SIGTERM kept its callers' connections open and closed them at the end of its drain, so that a request on its way was cut off there and its caller could not know whether it had run. Answers now carry Connection: close from the start of the drain, as those of the gateway do.

--- a/yuccarudder/src/gateway/response.rs
+++ b/yuccarudder/src/gateway/response.rs
@@ -1,3 +1,5 @@
+pub use crate::http::close_connection;
+
 use {
   crate::{
     http::{self, Body},
@@ -5,7 +7,7 @@
   },
   hyper::{
     Response, StatusCode,
-    header::{CONNECTION, HeaderValue, RETRY_AFTER},
+    header::{HeaderValue, RETRY_AFTER},
   },
   std::time::Duration,
 };
@@ -51,8 +53,3 @@
   }
   response
 }
-
-/// Tells the caller to open another connection for its next request.
-pub fn close_connection(response: &mut Response<Body>) {
-  response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-}
--- a/yuccarudder/src/http/mod.rs
+++ b/yuccarudder/src/http/mod.rs
@@ -12,7 +12,9 @@
     HeaderMap, Request, Response, StatusCode,
     body::Incoming,
     ext::ReasonPhrase,
-    header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING},
+    header::{
+      CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING,
+    },
   },
   memchr::memmem,
   std::time::Duration,
@@ -24,6 +26,11 @@
 /// A body of any source: empty, complete in memory, or streamed.
 pub type Body = UnsyncBoxBody<Bytes, BodyError>;
 
+/// Tells the caller to open another connection for its next request.
+pub fn close_connection(response: &mut Response<Body>) {
+  response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
 /// Reads a body of up to `limit` bytes; `None` if it is larger or cannot be read to its end.
 pub async fn collect<B>(body: B, limit: u64) -> Option<Bytes>
 where
--- a/yuccarudder/src/server/callers.rs
+++ b/yuccarudder/src/server/callers.rs
@@ -1,6 +1,7 @@
 use {
   super::models,
   crate::{
+    drain::Phase,
     entries,
     generation::{self, Call, Endpoint, REATTACH_HEADER},
     host::Host,
@@ -22,13 +23,17 @@
 pub async fn handle(host: Host, request: Request<Incoming>) -> Response<Body> {
   let request = request.map(LingeringBody::new);
   let has_key = plain::has_idempotency_key(request.headers());
-  match route(&host, request, has_key).await {
+  let mut response = match route(&host, request, has_key).await {
     Ok(response) => response,
     Err(refusal) => {
       host.metrics.count_refusal(&refusal);
       http::refusal_response(&refusal)
     }
+  };
+  if host.drain.phase(host.clock.now()) > Phase::Serving {
+    http::close_connection(&mut response);
   }
+  response
 }
 
 async fn route(
