Handle SIGTERM from the start of a host of the own interface

A host that got SIGTERM before it had bound its addresses was ended by the signal, as the handlers were installed afterwards. They are now installed before the settings are read. The test holds a process in the reading of its settings and sends it SIGTERM: it failed before (signal: 15) and passes.

--- a/yuccarudder/src/command/serve.rs
+++ b/yuccarudder/src/command/serve.rs
@@ -29,34 +29,39 @@
 
 impl Serve {
   pub(super) fn run(self) -> anyhow::Result<()> {
+    block_on(self.serve())
+  }
+
+  async fn serve(self) -> anyhow::Result<()> {
+    // Until they are handled, both signals end the process at once.
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let settings = self.load_settings()?;
+    start_logs(settings.log);
+    let server = Server::bind(settings, Clock::system()).await?;
+    let stop = async {
+      tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+      }
+    };
+    server::run(server, stop).await;
+    Ok(())
+  }
+
+  /// Reads and parses the settings file; prints each fault of an invalid file.
+  fn load_settings(&self) -> anyhow::Result<settings::Host> {
     let source = self.settings.display().to_string();
     let text = fs::read_to_string(&self.settings)
       .with_context(|| format!("cannot read {source}; name the settings file of this host"))?;
-    let settings = match settings::Host::parse(&source, &text) {
-      Ok(settings) => settings,
-      Err(faults) => {
-        for fault in &faults {
-          eprintln!("{fault}");
-        }
-        bail!(
-          "{source} has {} faults; correct them and start again",
-          faults.len()
-        );
+    settings::Host::parse(&source, &text).or_else(|faults| {
+      for fault in &faults {
+        eprintln!("{fault}");
       }
-    };
-    start_logs(settings.log);
-    block_on(async {
-      let server = Server::bind(settings, Clock::system()).await?;
-      let mut interrupt = signal(SignalKind::interrupt())?;
-      let mut terminate = signal(SignalKind::terminate())?;
-      let stop = async {
-        tokio::select! {
-          _ = interrupt.recv() => {}
-          _ = terminate.recv() => {}
-        }
-      };
-      server::run(server, stop).await;
-      Ok(())
+      bail!(
+        "{source} has {} faults; correct them and start again",
+        faults.len()
+      );
     })
   }
 }
--- a/yuccarudder/tests/stops.rs
+++ b/yuccarudder/tests/stops.rs
@@ -4,19 +4,30 @@
 
 use {
   hyper::{Request, Response, body::Incoming},
-  nix::sys::signal::Signal,
+  nix::{
+    sys::{
+      signal::{self, Signal},
+      stat::Mode,
+    },
+    unistd::{Pid, mkfifo},
+  },
   rig::{
+    address,
     fleet::{CREDENTIAL, Options, SERVICE},
     plain,
   },
   serde_json::Value,
   std::{
-    io,
+    fs::OpenOptions,
+    io::{self, Write},
     net::SocketAddr,
+    path::Path,
+    process::{Child, Command, Stdio},
     sync::{
       Arc,
       atomic::{AtomicUsize, Ordering},
     },
+    thread,
     time::{Duration, Instant},
   },
   support::Processes,
@@ -188,6 +199,61 @@
   )
 }
 
+/// Returns the settings of a host without a platform.
+fn lone_host() -> String {
+  let [callers, operators, peers, platform] = [(); 4].map(|()| address::unused());
+  format!(
+    "callers: \"{callers}\"\ndata_centre: xiangshan\noperators: \"{operators}\"\npeers: \"{peers}\"\n\
+     platform: \"{platform}\"\npoll: 2s\n"
+  )
+}
+
+fn spawn(settings: &Path, log: impl Into<Stdio>) -> Child {
+  Command::new(env!("CARGO_BIN_EXE_yuccarudder"))
+    .args(["serve", "--settings"])
+    .arg(settings)
+    .stderr(log)
+    .spawn()
+    .unwrap()
+}
+
+fn terminate(child: &Child) {
+  signal::kill(
+    Pid::from_raw(child.id().try_into().unwrap()),
+    Signal::SIGTERM,
+  )
+  .unwrap();
+}
+
+fn assert_exits(mut child: Child) {
+  let started_at = Instant::now();
+  while started_at.elapsed() < CLOSE_TIMEOUT {
+    if let Some(status) = child.try_wait().unwrap() {
+      assert!(status.success(), "{status}");
+      return;
+    }
+    thread::sleep(Duration::from_millis(10));
+  }
+  child.kill().unwrap();
+  child.wait().unwrap();
+  panic!("the process did not exit");
+}
+
+/// Guards against a signal that ends a host at once as it does not handle it yet.
+#[test]
+fn process_that_starts_handles_sigterm() {
+  let folder = tempfile::tempdir().unwrap();
+  let path = folder.path().join("host.yaml");
+  mkfifo(&path, Mode::S_IRWXU).unwrap();
+  let child = spawn(&path, Stdio::null());
+  // Opens once the process opens its settings, which it reads until the pipe is closed.
+  let mut writer = OpenOptions::new().write(true).open(&path).unwrap();
+  terminate(&child);
+  writer.write_all(lone_host().as_bytes()).unwrap();
+  drop(writer);
+  assert_exits(child);
+}
+
 /// Guards against kept connections that a host closes while the next request is on its way, as its
 /// answers after SIGTERM did not tell callers to leave.
 #[tokio::test(flavor = "multi_thread")]
