Write the log of a host of the own interface outside of requests

A host whose standard error nobody reads stopped serving once the pipe was full, and did not end after SIGTERM: each line was written by the task that logged it. It now logs as the gateway does, by a bounded buffer and a thread of its own, and drops lines that are not read.

--- a/yuccarudder/src/command/serve.rs
+++ b/yuccarudder/src/command/serve.rs
@@ -2,22 +2,16 @@
   super::command::block_on,
   crate::{
     clock::Clock,
+    logs,
     server::{self, Server},
-    settings::{self, LogFormat},
+    settings,
   },
   anyhow::{Context, bail},
   argh::FromArgs,
-  logforth::{
-    append::Stderr,
-    filter::rustlog::RustLogFilterBuilder,
-    layout::{JsonLayout, TextLayout},
-  },
-  std::{fs, path::PathBuf},
+  std::{fs, io, path::PathBuf},
   tokio::signal::unix::{SignalKind, signal},
 };
 
-const DEFAULT_LOG_FILTER: &str = "info,tarpc=warn";
-
 /// serve callers as an entry host until SIGTERM or until the host list marks it as leaving
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "serve")]
@@ -37,7 +31,7 @@
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut terminate = signal(SignalKind::terminate())?;
     let settings = self.load_settings()?;
-    start_logs(settings.log);
+    logs::start(settings.log, io::stderr());
     let server = Server::bind(settings, Clock::system()).await?;
     let stop = async {
       tokio::select! {
@@ -46,6 +40,7 @@
       }
     };
     server::run(server, stop).await;
+    logs::flush();
     Ok(())
   }
 
@@ -65,15 +60,3 @@
     })
   }
 }
-
-/// Starts logging to standard error; `RUST_LOG` sets the level of each logger.
-fn start_logs(format: LogFormat) {
-  let append = match format {
-    LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
-    LogFormat::Text => Stderr::default().with_layout(TextLayout::default().no_color()),
-  };
-  let filter = RustLogFilterBuilder::from_default_env_or(DEFAULT_LOG_FILTER).build();
-  logforth::starter_log::builder()
-    .dispatch(|dispatch| dispatch.filter(filter).append(append))
-    .apply();
-}
--- a/yuccarudder/src/logs/appender.rs
+++ b/yuccarudder/src/logs/appender.rs
@@ -2,7 +2,7 @@
   super::{Buffer, RateLimiter},
   logforth::{Diagnostic, Error, Layout, append, record::Record},
   std::{
-    io,
+    io::Write,
     sync::{Arc, Mutex, PoisonError},
     thread,
     time::{Duration, Instant},
@@ -11,7 +11,7 @@
 
 /// Longest time that a flush at the end of the process waits for the last lines to be written: a
 /// reader that stalls must not keep the process from exiting. It is a part of the time that a shutdown
-/// leaves to the end of the process. Once standard output is closed, buffered lines are discarded at
+/// leaves to the end of the process. Once the output is closed, buffered lines are discarded at
 /// this interval.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -25,12 +25,12 @@
 
 impl Appender {
   /// Creates the appender and starts its writer thread.
-  pub fn new(layout: impl Into<Box<dyn Layout>>) -> Self {
+  pub fn new(layout: impl Into<Box<dyn Layout>>, output: impl Write + Send + 'static) -> Self {
     let buffer = Arc::<Buffer>::default();
     let thread_buffer = Arc::clone(&buffer);
     thread::spawn(move || {
-      // Standard output is closed, so lines can only be discarded.
-      if thread_buffer.write_to(io::stdout()).is_err() {
+      // The output is closed, so lines can only be discarded.
+      if thread_buffer.write_to(output).is_err() {
         loop {
           thread::sleep(FLUSH_TIMEOUT);
           drop(thread_buffer.take());
--- a/yuccarudder/src/logs/buffer.rs
+++ b/yuccarudder/src/logs/buffer.rs
@@ -95,7 +95,7 @@
   if dropped > 0 {
     writeln!(
       writer,
-      "{{\"target\":\"logs\",\"message\":\"Dropped lines because standard output is read too slowly.\",\"kvs\":{{\"count\":{dropped}}}}}"
+      "{{\"target\":\"logs\",\"message\":\"Dropped lines because the log is read too slowly.\",\"kvs\":{{\"count\":{dropped}}}}}"
     )?;
   }
   writer.flush()
--- a/yuccarudder/src/logs/mod.rs
+++ b/yuccarudder/src/logs/mod.rs
@@ -1,4 +1,4 @@
-//! Structured logs on standard output; lines are dropped rather than block a request.
+//! Structured logs; lines are dropped rather than block a request.
 
 mod appender;
 mod buffer;
@@ -17,15 +17,16 @@
     filter::rustlog::RustLogFilterBuilder,
     layout::{JsonLayout, TextLayout},
   },
+  std::io::Write,
 };
 
 const DEFAULT_FILTER: &str = "info,tarpc=warn";
 
-/// Installs the global logger; `RUST_LOG` sets the level of each logger.
-pub fn start(format: LogFormat) {
+/// Installs the global logger, which writes to `output`; `RUST_LOG` sets the level of each logger.
+pub fn start(format: LogFormat, output: impl Write + Send + 'static) {
   let appender = match format {
-    LogFormat::Json => Appender::new(JsonLayout::default()),
-    LogFormat::Text => Appender::new(TextLayout::default().no_color()),
+    LogFormat::Json => Appender::new(JsonLayout::default(), output),
+    LogFormat::Text => Appender::new(TextLayout::default().no_color(), output),
   };
   let filter = RustLogFilterBuilder::from_default_env_or(DEFAULT_FILTER).build();
   logforth::starter_log::builder()
@@ -33,7 +34,7 @@
     .apply();
 }
 
-/// Writes buffered lines to standard output, waiting a bounded time.
+/// Writes buffered lines, waiting a bounded time.
 pub fn flush() {
   log::logger().flush();
 }
--- a/yuccarudder/tests/stops.rs
+++ b/yuccarudder/tests/stops.rs
@@ -18,7 +18,7 @@
   },
   serde_json::Value,
   std::{
-    fs::OpenOptions,
+    fs::{self, OpenOptions},
     io::{self, Write},
     net::SocketAddr,
     path::Path,
@@ -47,6 +47,8 @@
 const ANSWER_BYTES: usize = 150_000;
 /// Time in which connections without a request in progress are closed.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Size of a pipe's buffer.
+const PIPE_BYTES: usize = 64 << 10;
 /// Number of times that a request crosses the close of its connection.
 const CROSSINGS: u64 = 60;
 const GET: &str = "GET / HTTP/1.1\r\nhost: test\r\n\r\n";
@@ -254,6 +256,20 @@
   assert_exits(child);
 }
 
+/// Guards against a log that keeps a host from serving and from ending as nobody reads it.
+#[test]
+fn process_ends_if_nobody_reads_its_log() {
+  let folder = tempfile::tempdir().unwrap();
+  let path = folder.path().join("host.yaml");
+  fs::write(&path, lone_host()).unwrap();
+  let (_reader, mut writer) = io::pipe().unwrap();
+  writer.write_all(&[b'x'; PIPE_BYTES]).unwrap();
+  let child = spawn(&path, writer);
+  thread::sleep(Duration::from_secs(1));
+  terminate(&child);
+  assert_exits(child);
+}
+
 /// Guards against kept connections that a host closes while the next request is on its way, as its
 /// answers after SIGTERM did not tell callers to leave.
 #[tokio::test(flavor = "multi_thread")]
