--- a/yuccarudder/src/command/serve.rs
+++ b/yuccarudder/src/command/serve.rs
@@ -2,22 +2,16 @@
   super::command::block_on,
   crate::{
     clock::Clock,
+    logs,
     server::{self, Server},
-    settings::{self, LogFormat},
+    settings,
   },
   anyhow::{Context, bail},
   argh::FromArgs,
-  logforth::{
-    append::Stderr,
-    filter::rustlog::RustLogFilterBuilder,
-    layout::{JsonLayout, TextLayout},
-  },
-  std::{fs, path::PathBuf},
+  std::{fs, io, path::PathBuf},
   tokio::signal::unix::{SignalKind, signal},
 };
 
-const DEFAULT_LOG_FILTER: &str = "info,tarpc=warn";
-
 /// serve callers as an entry host until SIGTERM or until the host list marks it as leaving
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "serve")]
@@ -29,46 +23,40 @@
 
 impl Serve {
   pub(super) fn run(self) -> anyhow::Result<()> {
+    block_on(self.serve())
+  }
+
+  async fn serve(self) -> anyhow::Result<()> {
+    // Until they are handled, both signals end the process at once.
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let settings = self.load_settings()?;
+    logs::start(settings.log, io::stderr());
+    let server = Server::bind(settings, Clock::system()).await?;
+    let stop = async {
+      tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+      }
+    };
+    server::run(server, stop).await;
+    logs::flush();
+    Ok(())
+  }
+
+  /// Reads and parses the settings file; prints each fault of an invalid file.
+  fn load_settings(&self) -> anyhow::Result<settings::Host> {
     let source = self.settings.display().to_string();
     let text = fs::read_to_string(&self.settings)
       .with_context(|| format!("cannot read {source}; name the settings file of this host"))?;
-    let settings = match settings::Host::parse(&source, &text) {
-      Ok(settings) => settings,
-      Err(faults) => {
-        for fault in &faults {
-          eprintln!("{fault}");
-        }
-        bail!(
-          "{source} has {} faults; correct them and start again",
-          faults.len()
-        );
+    settings::Host::parse(&source, &text).or_else(|faults| {
+      for fault in &faults {
+        eprintln!("{fault}");
       }
-    };
-    start_logs(settings.log);
-    block_on(async {
-      let server = Server::bind(settings, Clock::system()).await?;
-      let mut interrupt = signal(SignalKind::interrupt())?;
-      let mut terminate = signal(SignalKind::terminate())?;
-      let stop = async {
-        tokio::select! {
-          _ = interrupt.recv() => {}
-          _ = terminate.recv() => {}
-        }
-      };
-      server::run(server, stop).await;
-      Ok(())
+      bail!(
+        "{source} has {} faults; correct them and start again",
+        faults.len()
+      );
     })
   }
 }
-
-/// Starts logging to standard error; `RUST_LOG` sets the level of each logger.
-fn start_logs(format: LogFormat) {
-  let append = match format {
-    LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
-    LogFormat::Text => Stderr::default().with_layout(TextLayout::default().no_color()),
-  };
-  let filter = RustLogFilterBuilder::from_default_env_or(DEFAULT_LOG_FILTER).build();
-  logforth::starter_log::builder()
-    .dispatch(|dispatch| dispatch.filter(filter).append(append))
-    .apply();
-}
