Continue streams that have begun while their host shuts down

A stream whose engine broke off, or left while its run could not be moved, was given up when its host was shutting down and its deadline came after the end of the process, although it usually ends in time; the platform counts that as a loss where the host itself closed the run. Only requests without a response are refused now. The end of the process interrupts a stream also while it waits for another run or for its caller, so that its end is logged then, too.

--- a/yuccarudder/src/gateway/assignment.rs
+++ b/yuccarudder/src/gateway/assignment.rs
@@ -45,6 +45,16 @@
   pub target: Target,
 }
 
+/// For what a target is chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Purpose {
+  /// The rest of a stream that has begun. It is not refused when this host shuts down, since it may still
+  /// end in time.
+  Continue,
+  /// A request without a response.
+  Start,
+}
+
 fn targets_paused(until: Instant, now: Instant) -> Refusal {
   Refusal::not_run(Reason::TargetsPaused).with_retry_after(until.saturating_duration_since(now))
 }
@@ -60,12 +70,18 @@
   /// Fails when all targets are still full after the wait, when there is no target, or at once
   /// when all targets asked for a pause that ends after the wait, when targets crash under the
   /// request or when this host shuts down and may not finish it.
-  pub async fn assign(&self, tried_targets: &[Key]) -> Result<Assignment, Refusal> {
+  pub async fn assign(
+    &self,
+    tried_targets: &[Key],
+    purpose: Purpose,
+  ) -> Result<Assignment, Refusal> {
     let is_trial = self.check_features()?;
     let rank = self.queue_rank();
     let waiter = self.gateway.scheduler.enqueue(&self.queue_name(), rank);
     loop {
-      self.check_shutdown()?;
+      if purpose == Purpose::Start {
+        self.check_shutdown()?;
+      }
       let capacity_freed = self.gateway.scheduler.capacity_freed();
       let result = if waiter.is_first() {
         self.try_assign(tried_targets, false)
@@ -100,7 +116,7 @@
   }
 
   /// Refuses the request if this host is shutting down and may not finish it.
-  fn check_shutdown(&self) -> Result<(), Refusal> {
+  pub fn check_shutdown(&self) -> Result<(), Refusal> {
     let Some(progress) = self.gateway.shutdown_progress() else {
       return Ok(());
     };
--- a/yuccarudder/src/gateway/retrying.rs
+++ b/yuccarudder/src/gateway/retrying.rs
@@ -1,5 +1,8 @@
 use {
-  super::{assignment::Assignment, call::Call},
+  super::{
+    assignment::{Assignment, Purpose},
+    call::Call,
+  },
   crate::{
     attempt::{self, Decision, History, Outcome},
     metrics::RetryReason,
@@ -105,7 +108,7 @@
   /// Fails when there is none; if an earlier attempt may have run the request, the refusal says
   /// so.
   pub async fn assign_next(&mut self, call: &Call) -> Result<Assignment, Refusal> {
-    let assignment = call.assign(&self.tried_targets).await.map_err(|refusal| {
+    let assignment = call.assign(&self.tried_targets, Purpose::Start).await.map_err(|refusal| {
       if self.history.possible_runs > 0 {
         refusal.with_unknown_execution()
       } else {
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -1,6 +1,6 @@
 use {
   super::{
-    assignment::Assignment,
+    assignment::{Assignment, Purpose},
     breaks::{Cause, SILENCE},
     call::Call,
     migration::{self, Migration, Step},
@@ -133,7 +133,12 @@
   }
 
   async fn run(mut self) {
-    let end = self.relay().await;
+    let closing = self.call.gateway.closing.clone();
+    let end = tokio::select! {
+      biased;
+      end = self.relay() => end,
+      () = closing.cancelled() => End::HostStopped,
+    };
     log::info!(
       target: PREFIX, id = self.call.id(), target:% = self.assignment.target.id, end = end.name(),
       events = self.cursor.event_count(), moves = self.migrations, runs = self.history.possible_runs,
@@ -222,14 +227,12 @@
     let mut departures = self.call.gateway.departures.subscribe();
     let mut link_losses = self.call.gateway.link_losses.subscribe();
     let mut deadline = Box::pin(time::sleep_until(self.call.deadline.into()));
-    let mut closing = Box::pin(self.call.gateway.closing.clone().cancelled_owned());
     self.migrate_if_leaving();
     loop {
       let end = tokio::select! {
         biased;
         () = self.chunk_sender.closed() => Some(End::CallerDisconnected),
         () = &mut deadline => Some(End::DeadlinePassed),
-        () = &mut closing => Some(End::HostStopped),
         step = self.migration.next() => self.handle_step(step).await,
         frame = next_frame(&mut self.target_body) => self.handle_frame(frame).await,
         changed = departures.changed() => {
@@ -528,7 +531,7 @@
     if self.resume_at_other_host().await {
       return None;
     }
-    let Ok(assignment) = self.call.assign(&[self.assignment.key]).await else {
+    let Ok(assignment) = self.call.assign(&[self.assignment.key], Purpose::Continue).await else {
       return Some(End::TargetLost);
     };
     self.history.attempts += 1;
