Pass on no request that a stopping host cannot finish

Found by a review: a request that was to go through another host was sent on whatever time was left until the end of the process, and was cut then instead of being refused as not run. The decision before each send is now made for both ways. By reading; no test of its own, as the way through a target has one.

--- a/yuccarudder/src/gateway/retrying.rs
+++ b/yuccarudder/src/gateway/retrying.rs
@@ -95,6 +95,7 @@
 
   /// Returns the host to which the request is passed on instead of a target, if it is.
   pub fn next_helper(&mut self, call: &Call) -> Option<SocketAddr> {
+    call.check_shutdown().ok()?;
     let host = call.helper(&self.history, &self.tried_hosts)?;
     self.history.attempts += 1;
     self.tried_hosts.push(host);
