--- a/yuccarudder/src/gateway/forwarding.rs
+++ b/yuccarudder/src/gateway/forwarding.rs
@@ -191,7 +191,7 @@
     let timeout = self.time_left() + ANSWER_MARGIN;
     self.may_have_run.store(true, Ordering::Relaxed);
     let result = match time::timeout(timeout, response).await {
-      Ok(Ok(response)) => self.classify(response),
+      Ok(Ok(response)) => self.classify(host, response),
       Ok(Err(Error::Denied(_) | Error::NotSent { .. })) => Err(Outcome::NotSent.into()),
       Ok(Err(Error::Sent(_))) | Err(_) => Err(Outcome::Lost.into()),
     };
@@ -220,10 +220,19 @@
 
   /// Distinguishes responses of targets and final ones of the other host from its promises that the
   /// request has not run.
-  fn classify(&self, response: Response<Incoming>) -> Result<Response<Incoming>, Failure> {
+  fn classify(
+    &self,
+    host: SocketAddr,
+    response: Response<Incoming>,
+  ) -> Result<Response<Incoming>, Failure> {
     let metadata = (self.gateway.dialect.read_response)(response.status(), response.headers());
     let request_id = self.metadata.request_id.as_deref();
-    match Verdict::of_host(response.status(), &metadata, request_id) {
+    let is_leaving = {
+      let state = self.gateway.lock();
+      let mut members = state.members.live(self.gateway.clock.since_boot());
+      members.any(|(_, member)| member.callers == host && member.phase == Phase::Leaving)
+    };
+    match Verdict::of_host(response.status(), &metadata, request_id, is_leaving) {
       Verdict::Answered => Ok(response),
       Verdict::NotRun => Err(Failure {
         outcome: Outcome::NotRun,
--- a/yuccarudder/src/gateway/verdict.rs
+++ b/yuccarudder/src/gateway/verdict.rs
@@ -44,11 +44,13 @@
   /// Judges the response of another host to the request with an ID, which this host passed on to it.
   ///
   /// The other host relays responses of targets that name the request and have a signature; its own
-  /// refusals have neither.
+  /// refusals have neither. Its failure is final unless it `is_leaving`: it then ends with the requests
+  /// that it has in hand.
   pub fn of_host(
     status: StatusCode,
     metadata: &ResponseMetadata,
     request_id: Option<&str>,
+    is_leaving: bool,
   ) -> Self {
     let is_named = metadata.request_id.as_deref() == request_id;
     if metadata.request_id.is_some() && !is_named {
@@ -60,6 +62,7 @@
     match means_not_run(status) {
       true if metadata.signed => Self::Invalid("a target's status would be taken for a promise"),
       true => Self::NotRun,
+      false if is_leaving && status.is_server_error() && !metadata.signed => Self::Failed,
       false => Self::Answered,
     }
   }
--- a/yuccarudder/src/gateway/verdict_tests.rs
+++ b/yuccarudder/src/gateway/verdict_tests.rs
@@ -79,7 +79,7 @@
         ..metadata($id)
       };
       let status = StatusCode::from_u16($status).unwrap();
-      let verdict = Verdict::of_host(status, &metadata, Some("a"));
+      let verdict = Verdict::of_host(status, &metadata, Some("a"), false);
       assert!(matches!(verdict, $verdict), "{verdict:?}");
     }
   };
@@ -137,3 +137,22 @@
   true,
   Verdict::Invalid(_)
 );
+
+/// Guards against the last answer of a host that stops, which is relayed although another host can serve the
+/// request.
+#[test]
+fn failure_of_a_leaving_host_is_not_final() {
+  let verdict = |status: u16, signed| {
+    let metadata = ResponseMetadata {
+      signed,
+      ..metadata(signed.then_some("a"))
+    };
+    let status = StatusCode::from_u16(status).unwrap();
+    Verdict::of_host(status, &metadata, Some("a"), true)
+  };
+  assert_eq!(verdict(502, false), Verdict::Failed);
+  assert_eq!(verdict(504, false), Verdict::Failed);
+  assert_eq!(verdict(500, true), Verdict::Answered);
+  assert_eq!(verdict(503, false), Verdict::NotRun);
+  assert_eq!(verdict(404, false), Verdict::Answered);
+}
