Relay no promise of a second host for a request that may have run

Only repeatable requests come that far, but the statement was untrue. It is relayed only if no target may have run the request. By reading; no test of its own.

--- a/yuccarudder/src/gateway/buffered.rs
+++ b/yuccarudder/src/gateway/buffered.rs
@@ -50,9 +50,8 @@
         Err(failure) => failure,
       };
       if !attempts.record_failure(&call, failure.outcome) {
-        return failure
-          .response
-          .ok_or_else(|| call.final_refusal(&attempts.history, failure.outcome));
+        let promise = failure.response.filter(|_| attempts.history.possible_runs == 0);
+        return promise.ok_or_else(|| call.final_refusal(&attempts.history, failure.outcome));
       }
       continue;
     }
--- a/yuccarudder/src/gateway/stream.rs
+++ b/yuccarudder/src/gateway/stream.rs
@@ -35,7 +35,8 @@
         Err(failure) => failure,
       };
       if !attempts.record_failure(&call, failure.outcome) {
-        let refusal = failure.response.map(|response| forwarding::relay(*response));
+        let promise = failure.response.filter(|_| attempts.history.possible_runs == 0);
+        let refusal = promise.map(|response| forwarding::relay(*response));
         return refusal.ok_or_else(|| call.final_refusal(&attempts.history, failure.outcome));
       }
       continue;
