--- a/yuccarudder/src/gateway/shutdown.rs
+++ b/yuccarudder/src/gateway/shutdown.rs
@@ -72,11 +72,12 @@
     if time.max <= available || (self.has_few_ready_peers() && is_likely) {
       return Ok(());
     }
-    let retry_after = if self.has_few_ready_peers() {
+    let retry_after = match self.ready_peers {
+      // The hosts that replace those which are shutting down start then.
+      0 => self.remaining,
       // By then, callers have asked for the hosts that are ready.
-      directory::MAX_TIME_TO_LIVE
-    } else {
-      RETRY_AFTER
+      _ if self.has_few_ready_peers() => directory::MAX_TIME_TO_LIVE,
+      _ => RETRY_AFTER,
     };
     let detail = format!(
       "the response may take {} ms, and this host ends in {} ms",
--- a/yuccarudder/src/gateway/tests.rs
+++ b/yuccarudder/src/gateway/tests.rs
@@ -221,6 +221,7 @@
   };
   assert_eq!(retry_after(4), Duration::from_millis(50));
   assert_eq!(retry_after(3), directory::MAX_TIME_TO_LIVE);
+  assert_eq!(retry_after(0), Duration::from_millis(6_700));
 }
 
 proptest! {
