--- a/yuccarudder/src/gateway/buffered.rs
+++ b/yuccarudder/src/gateway/buffered.rs
@@ -155,7 +155,7 @@
       whole.ok_or_else(|| Outcome::Lost.into())
     }
     Err(failure) => Err(Failure {
-      response: failure.response.map(|response| forwarding::relay(*response)),
+      response: failure.response.map(|response| forwarding::relay(call, *response)),
       outcome: failure.outcome,
     }),
   }
--- a/yuccarudder/src/gateway/forwarding.rs
+++ b/yuccarudder/src/gateway/forwarding.rs
@@ -12,6 +12,7 @@
     http::{self, Body},
     member::{Member, Phase},
     plain,
+    refusal::{Reason, Refusal},
     routing::Kind,
     upstream::{self, Error},
   },
@@ -268,9 +269,21 @@
   }
 }
 
-/// Returns the response of another host for the caller; it breaks off if the other host does.
-pub fn relay(response: Response<Incoming>) -> Response<Body> {
+/// Returns the response of another host for the caller; it breaks off if the other host does, at the
+/// deadline of the request and when this process ends.
+pub fn relay(call: &Call, response: Response<Incoming>) -> Response<Body> {
   let (mut head, body) = response.into_parts();
   plain::strip_response(&mut head.headers);
-  Response::from_parts(head, http::incoming(body))
+  let deadline = time::sleep_until(call.deadline.into());
+  let closing = call.gateway.closing.clone().cancelled_owned();
+  let id = call.id().to_owned();
+  let interruption = async move {
+    let reason = tokio::select! {
+      () = deadline => Reason::DeadlinePassed,
+      () = closing => Reason::HostLeaving,
+    };
+    log::info!(target: PREFIX, id, reason = reason.name(); "Broke off the response of another host.");
+    Refusal::failed(reason)
+  };
+  Response::from_parts(head, http::interruptible(body, interruption))
 }
--- a/yuccarudder/src/gateway/stream.rs
+++ b/yuccarudder/src/gateway/stream.rs
@@ -31,12 +31,12 @@
   loop {
     if let Some(host) = attempts.next_helper(&call) {
       let failure = match call.hand_over(host, &attempts.history, None).await {
-        Ok(response) => return Ok(forwarding::relay(response)),
+        Ok(response) => return Ok(forwarding::relay(&call, response)),
         Err(failure) => failure,
       };
       if !attempts.record_failure(&call, failure.outcome) {
         let promise = failure.response.filter(|_| attempts.history.possible_runs == 0);
-        let refusal = promise.map(|response| forwarding::relay(*response));
+        let refusal = promise.map(|response| forwarding::relay(&call, *response));
         return refusal.ok_or_else(|| call.final_refusal(&attempts.history, failure.outcome));
       }
       continue;
--- a/yuccarudder/src/http/mod.rs
+++ b/yuccarudder/src/http/mod.rs
@@ -7,7 +7,8 @@
 use {
   crate::refusal::{Execution, Refusal},
   bytes::Bytes,
-  http_body_util::{BodyExt, Empty, Full, Limited, combinators::UnsyncBoxBody},
+  futures::stream,
+  http_body_util::{BodyExt, Empty, Full, Limited, StreamBody, combinators::UnsyncBoxBody},
   hyper::{
     HeaderMap, Request, Response, StatusCode,
     body::Incoming,
@@ -81,6 +82,30 @@
   body.map_err(Into::into).boxed_unsync()
 }
 
+/// Returns a body that fails with the error of `interruption` if that is earlier than its end.
+pub fn interruptible<B>(
+  body: B,
+  interruption: impl Future<Output: Into<BodyError>> + Send + 'static,
+) -> Body
+where
+  B: hyper::body::Body<Data = Bytes> + Send + Unpin + 'static,
+  B::Error: Into<BodyError>,
+{
+  let begun = Some((body, Box::pin(interruption)));
+  let frames = stream::unfold(begun, |state| async move {
+    let (mut body, mut interruption) = state?;
+    tokio::select! {
+      biased;
+      frame = body.frame() => {
+        let frame = frame?.map_err(Into::into);
+        Some((frame, Some((body, interruption))))
+      }
+      error = &mut interruption => Some((Err(error.into()), None)),
+    }
+  });
+  StreamBody::new(frames).boxed_unsync()
+}
+
 /// Returns whether the headers of a response state where its body ends; otherwise the body ends with
 /// its connection, as it also does if the last transfer coding is not `chunked`.
 pub fn is_framed(headers: &HeaderMap) -> bool {
--- a/yuccarudder/src/http/tests.rs
+++ b/yuccarudder/src/http/tests.rs
@@ -61,3 +61,32 @@
   [(TRANSFER_ENCODING, "gzip"), (CONTENT_LENGTH, "3")],
   false
 );
+
+/// Returns a body of one frame that ends, or never does.
+fn body(ends: bool) -> Body {
+  let first = stream::once(async { Ok(hyper::body::Frame::data(Bytes::from_static(b"a"))) });
+  if ends {
+    StreamBody::new(Box::pin(first)).boxed_unsync()
+  } else {
+    StreamBody::new(Box::pin(futures::StreamExt::chain(
+      first,
+      stream::pending(),
+    )))
+    .boxed_unsync()
+  }
+}
+
+/// Guards against responses of other hosts that outlast the request, and against ends that look whole.
+#[tokio::test]
+async fn interrupted_body_fails_after_what_has_arrived() {
+  let mut interrupted = interruptible(body(false), async { "stop" });
+  let first = interrupted.frame().await.unwrap().unwrap();
+  assert_eq!(first.into_data().unwrap(), "a");
+  assert_eq!(
+    interrupted.frame().await.unwrap().unwrap_err().to_string(),
+    "stop"
+  );
+  assert!(interrupted.frame().await.is_none());
+  let whole = interruptible(body(true), std::future::pending::<&str>());
+  assert_eq!(collect(whole, 10).await.unwrap(), "a");
+}
