Take silent links for lost by what targets usually need, not after fixed seconds

Callers of hosts cut off in silence got 504 for bookings and 502 for reads for two to three seconds, where hosts have little traffic. Silence counted only after a second or the route's objective, at two targets; the probe took another second; and other cut hosts accepted requests that they could not serve.

Hosts in doubt give requests of other hosts back as not sent.

--- a/yuccarudder/src/gateway/forwarding.rs
+++ b/yuccarudder/src/gateway/forwarding.rs
@@ -41,7 +41,7 @@
 /// How long the same hosts are used; their states are as old as their heartbeats.
 const HELPERS_LIFETIME: Duration = Duration::from_millis(500);
 /// Maximum number of hosts that a request is passed on to, one after the other.
-const MAX_HANDOVERS: usize = 2;
+const MAX_HANDOVERS: usize = 3;
 
 /// Why requests for a service are passed on to another host.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -87,8 +87,17 @@
       };
       self.helpers.by_service.insert(service.to_owned(), selection);
     }
-    let helpers = &self.helpers.by_service[service].hosts;
-    let untried: Vec<_> = helpers.iter().filter(|host| !tried_hosts.contains(host)).collect();
+    // Hosts may have lost their links since they were chosen.
+    let hash = ingress::hash(service);
+    let cut: HashSet<SocketAddr> = self
+      .members
+      .live(since_boot)
+      .filter(|(_, member)| member.unreachable_services.contains(&hash))
+      .map(|(_, member)| member.callers)
+      .collect();
+    let helpers = self.helpers.by_service[service].hosts.iter();
+    let untried: Vec<_> =
+      helpers.filter(|host| !tried_hosts.contains(host) && !cut.contains(host)).collect();
     untried.choose(&mut rand::rng()).map(|host| **host)
   }
 
@@ -179,7 +188,10 @@
     if result.is_err() {
       state.drop_helper(host);
     }
-    let is_received = outcome != Outcome::NotSent.name();
+    let is_received = match &result {
+      Ok(_) => true,
+      Err(failure) => failure.outcome != Outcome::NotSent || failure.response.is_some(),
+    };
     if is_received && !self.counted_elsewhere.swap(true, Ordering::Relaxed) {
       // The other host counts the request.
       state.retry_budget.withdraw_request(&self.service_name);
@@ -203,8 +215,14 @@
       StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
     );
     if is_not_run && !metadata.signed {
+      // A host that has lost its links as well offers the request to no target, and asks for no pause.
+      let is_offered = metadata.retry_after != Some(Duration::ZERO);
       return Err(Failure {
-        outcome: Outcome::NotRun,
+        outcome: if is_offered {
+          Outcome::NotRun
+        } else {
+          Outcome::NotSent
+        },
         response: Some(Box::new(response)),
       });
     }
--- a/yuccarudder/src/gateway/retrying.rs
+++ b/yuccarudder/src/gateway/retrying.rs
@@ -104,6 +104,13 @@
   /// Fails when there is none; if an earlier attempt may have run the request, the refusal says
   /// so.
   pub async fn assign_next(&mut self, call: &Call) -> Result<Assignment, Refusal> {
+    if call.metadata.forwarded.is_some()
+      && self.history.possible_runs == 0
+      && call.gateway.has_doubtful_links(&call.service_name)
+    {
+      // The host that passed the request on finds another one.
+      return Err(Refusal::not_run(Reason::CutOff).with_retry_after(Duration::ZERO));
+    }
     let assignment = call.assign(&self.tried_targets).await.map_err(|refusal| {
       if self.history.possible_runs > 0 {
         refusal.with_unknown_execution()
--- a/yuccarudder/src/gateway/sending.rs
+++ b/yuccarudder/src/gateway/sending.rs
@@ -103,7 +103,7 @@
   }
 
   /// Waits for the head of a response, but no longer than useful: a request that may be repeated is
-  /// given up when this host has lost its links to the targets.
+  /// given up when it has been silent and this host has lost its links to the targets.
   async fn await_response(
     &self,
     assignment: &Assignment,
@@ -111,23 +111,38 @@
     timeout: Duration,
     response: impl Future<Output = Result<Response<Incoming>, Error>>,
   ) -> Result<Result<Response<Incoming>, Error>, Unanswered> {
-    let mut link_losses = self.gateway.link_losses.subscribe();
+    let gateway = &self.gateway;
+    let mut link_losses = gateway.link_losses.subscribe();
     let mut response = pin!(response);
-    let deadline = time::Instant::from_std(began_at + timeout);
-    let silent_from = began_at + MIN_SILENCE.max(self.route().latency_objective);
-    if let Ok(response) = time::timeout_at(deadline.min(silent_from.into()), &mut response).await {
-      return Ok(response);
-    }
-    self.record_unreached(assignment, links::Failure::Silent, began_at);
+    let deadline = began_at + timeout;
+    let max_silence = MIN_SILENCE.max(self.route().latency_objective);
+    let silent_from = || gateway.silent_from(&self.service_name, began_at, max_silence);
+    let mut check_at = Some(silent_from());
+    let mut is_silent = false;
     loop {
-      if self.is_repeatable() && self.gateway.has_lost_links(&self.service_name) {
-        return Err(Unanswered);
-      }
+      let wake_at = check_at.map_or(deadline, |at| at.min(deadline));
       tokio::select! {
         response = &mut response => return Ok(response),
-        () = time::sleep_until(deadline) => return Err(Unanswered),
+        () = time::sleep_until(wake_at.into()) => {
+          let now = gateway.clock.now();
+          if now >= deadline {
+            return Err(Unanswered);
+          }
+          check_at = match silent_from() {
+            // Other attempts have been answered meanwhile.
+            later if later > now => Some(later),
+            _ => {
+              is_silent = true;
+              self.record_unreached(assignment, links::Failure::Silent, began_at);
+              Some(began_at + max_silence).filter(|at| *at > now)
+            }
+          };
+        }
         Ok(()) = link_losses.changed() => {}
       }
+      if is_silent && self.is_repeatable() && gateway.has_lost_links(&self.service_name) {
+        return Err(Unanswered);
+      }
     }
   }
 
