Do not let cut hosts confirm that targets refuse connections

A host asks up to four others whether a target refuses connections before that counts as a crash. Asked hosts that were cut as well confirmed it, so that targets could count as crashed at all hosts although only links had broken. A host whose links are in doubt now tells nothing about targets that refuse it, and a host in doubt that none of the others can tell anything records no crash.

cut_host_does_not_tell_others_that_targets_refuse_connections: Some(false) before, None now. crashes (10) and crashing_requests (8) pass.

--- a/yuccarudder/src/gateway/breaks.rs
+++ b/yuccarudder/src/gateway/breaks.rs
@@ -215,7 +215,7 @@
     }
     let listening = self.pool.is_listening(run.address, PROBE_TIMEOUT).await;
     if listening == Some(false) && !is_leaving {
-      if self.is_reached_by_others(run.fingerprint).await {
+      if self.is_reached_by_others(run.fingerprint).await == Some(true) {
         return Some(false);
       }
       let interval = {
@@ -229,7 +229,7 @@
       // The asked hosts may have lost their links at the same moment; by then they have announced it,
       // and others are asked.
       time::sleep(interval).await;
-      return Some(!self.is_reached_by_others(run.fingerprint).await);
+      return self.is_reached_by_others(run.fingerprint).await.map(|is_reached| !is_reached);
     }
     let polls = if listening.is_none() {
       REPLACEMENT_POLLS
@@ -248,38 +248,44 @@
     listening.map(|_| false)
   }
 
-  /// Asks some of the other hosts whether a target that refuses connections of this host accepts theirs.
+  /// Asks some of the other hosts whether a target that refuses connections of this host accepts theirs;
+  /// returns `None` if there are some and none of them can tell.
   ///
   /// Links that break look like crashes of all targets from here; from elsewhere they do not.
-  async fn is_reached_by_others(&self, target: u64) -> bool {
+  async fn is_reached_by_others(&self, target: u64) -> Option<bool> {
     let hosts = {
       let state = self.lock();
       let live = state.members.live(self.clock.since_boot());
       let sound = live.filter(|(_, member)| member.unreachable_services.is_empty());
       sound.map(|(address, _)| address).sample(&mut rand::rng(), MAX_ASKED_HOSTS)
     };
+    let mut is_reached = hosts.is_empty().then_some(false);
     let questions = hosts.into_iter().map(|host| async move {
       let answer = time::timeout(ASK_TIMEOUT, member::ask_is_listening(host, target)).await;
-      matches!(answer, Ok(Ok(Some(true))))
+      answer.ok()?.ok()?
     });
     let mut answers: FuturesUnordered<_> = questions.collect();
-    while let Some(is_reached) = answers.next().await {
-      if is_reached {
-        return true;
+    while let Some(answer) = answers.next().await {
+      is_reached = answer.or(is_reached);
+      if is_reached == Some(true) {
+        break;
       }
     }
-    false
+    is_reached
   }
 
   /// Returns whether a target, given by its fingerprint, accepts or refuses connections of this host;
-  /// `None` if neither happens or the target is unknown.
+  /// `None` if neither happens, the target is unknown, or it refuses them while the links of this host to
+  /// its service are in doubt.
   pub(super) async fn check_listening(self, target: u64) -> Option<bool> {
-    let address = {
+    let (address, service) = {
       let state = self.lock();
       let key = state.roster.keys_of(target).next()?;
-      state.roster.get(key)?.listing.address
+      let listing = &state.roster.get(key)?.listing;
+      (listing.address, listing.service.clone())
     };
-    self.pool.is_listening(address, ASK_TIMEOUT).await
+    let is_listening = self.pool.is_listening(address, ASK_TIMEOUT).await?;
+    (is_listening || !self.has_doubtful_links(&service)).then_some(is_listening)
   }
 
   /// Returns whether another process serves at the address of a target that did not say it leaves.
