--- a/yuccarudder/src/gateway/buffered.rs
+++ b/yuccarudder/src/gateway/buffered.rs
@@ -50,7 +50,8 @@
         Err(failure) => failure,
       };
       if !attempts.record_failure(&call, failure.outcome) {
-        let promise = failure.response.filter(|_| attempts.history.possible_runs == 0);
+        let is_promise = failure.outcome == Outcome::NotRun && attempts.history.possible_runs == 0;
+        let promise = failure.response.filter(|_| is_promise);
         return promise.ok_or_else(|| call.final_refusal(&attempts.history, failure.outcome));
       }
       continue;
--- a/yuccarudder/src/gateway/forwarding.rs
+++ b/yuccarudder/src/gateway/forwarding.rs
@@ -42,7 +42,7 @@
 /// How long the same hosts are used; their states are as old as their heartbeats.
 const HELPERS_LIFETIME: Duration = Duration::from_millis(500);
 /// Maximum number of hosts that a request is passed on to, one after the other.
-const MAX_HANDOVERS: usize = 2;
+const MAX_HANDOVERS: usize = 3;
 
 /// Why requests for a service are passed on to another host.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -100,9 +100,19 @@
       };
       self.helpers.by_service.insert(service.to_owned(), selection);
     }
+    // Hosts may have lost their links since they were chosen.
+    let hash = ingress::hash(service);
+    let cut: HashSet<SocketAddr> = self
+      .members
+      .live(since_boot)
+      .filter(|(_, member)| member.unreachable_services.contains(&hash))
+      .map(|(_, member)| member.callers)
+      .collect();
     let helpers = &self.helpers.by_service[service].hosts;
     let is_suitable = |helper: &&Helper| {
-      (is_untouched || helper.knows_handovers) && !tried_hosts.contains(&helper.address)
+      (is_untouched || helper.knows_handovers)
+        && !tried_hosts.contains(&helper.address)
+        && !cut.contains(&helper.address)
     };
     let suitable: Vec<&Helper> = helpers.iter().filter(is_suitable).collect();
     suitable.choose(&mut rand::rng()).map(|helper| helper.address)
@@ -204,7 +214,10 @@
     if result.is_err() {
       state.drop_helper(host);
     }
-    let is_received = outcome != Outcome::NotSent.name();
+    let is_received = match &result {
+      Ok(_) => true,
+      Err(failure) => failure.outcome != Outcome::NotSent || failure.response.is_some(),
+    };
     if is_received && !self.counted_elsewhere.swap(true, Ordering::Relaxed) {
       // The other host counts the request.
       state.retry_budget.withdraw_request(&self.service_name);
@@ -236,7 +249,12 @@
     match Verdict::of_host(response.status(), &metadata, request_id, is_leaving) {
       Verdict::Answered => Ok(response),
       Verdict::NotRun => Err(Failure {
-        outcome: Outcome::NotRun,
+        // A host that has lost its links as well offers the request to no target, and asks for no pause.
+        outcome: if metadata.retry_after == Some(Duration::ZERO) {
+          Outcome::NotSent
+        } else {
+          Outcome::NotRun
+        },
         response: Some(Box::new(response)),
       }),
       Verdict::Failed | Verdict::Invalid(_) => Err(Outcome::Lost.into()),
--- a/yuccarudder/src/gateway/stream.rs
+++ b/yuccarudder/src/gateway/stream.rs
@@ -4,6 +4,7 @@
     session::Session,
   },
   crate::{
+    attempt::Outcome,
     http::{self, Body},
     origin::Decision,
     plain,
@@ -35,7 +36,8 @@
         Err(failure) => failure,
       };
       if !attempts.record_failure(&call, failure.outcome) {
-        let promise = failure.response.filter(|_| attempts.history.possible_runs == 0);
+        let is_promise = failure.outcome == Outcome::NotRun && attempts.history.possible_runs == 0;
+        let promise = failure.response.filter(|_| is_promise);
         let refusal = promise.map(|response| forwarding::relay(&call, *response));
         return refusal.ok_or_else(|| call.final_refusal(&attempts.history, failure.outcome));
       }
