Learn the room at brittle targets from what they take and reject

Callers were turned away while targets with less room than they publish turned brittle: five targets that publish 24 slots and have room for four requests fell 42 times in 17 s at 60 requests a second through six hosts, and 48 of 1020 requests were served.

Cause: places were shared out by the published number, which no answer changed. Each fall left less room for the same load, and targets that came back fell again.

placement::Room decides how many places a plain target has: it starts at the rejections that the target bears in a second, grows by half of these beyond the largest number of requests that was taken at a time, and falls by one with a rejection. What is taken before the targets' notice ends does not count. Heartbeats carry what each host found in a new field, only while a service is brittle; hosts of older builds neither send nor read it. Engines keep the published number, as they also reject for want of memory.

--- a/yuccarudder/src/gateway/assignment.rs
+++ b/yuccarudder/src/gateway/assignment.rs
@@ -40,6 +40,8 @@
 pub struct Assignment {
   /// When the target was chosen, just before the request is sent.
   pub assigned_at: Instant,
+  /// Number of requests of all hosts at the target with this one, as far as known.
+  pub concurrent: u32,
   pub key: Key,
   pub reservation: Reservation,
   pub target: Target,
@@ -345,6 +347,7 @@
     }
     Assignment {
       assigned_at: now,
+      concurrent: load_before.requests.saturating_add(1),
       key,
       reservation,
       target,
--- a/yuccarudder/src/gateway/forwarding.rs
+++ b/yuccarudder/src/gateway/forwarding.rs
@@ -83,7 +83,7 @@
       let selection = Selection {
         at: now,
         cause,
-        hosts: self.select_helpers(service, cause, since_boot),
+        hosts: self.select_helpers(service, cause, now, since_boot),
       };
       self.helpers.by_service.insert(service.to_owned(), selection);
     }
@@ -92,12 +92,20 @@
     untried.choose(&mut rand::rng()).map(|host| **host)
   }
 
-  fn select_helpers(&self, service: &str, cause: Cause, since_boot: Duration) -> Vec<SocketAddr> {
+  fn select_helpers(
+    &self,
+    service: &str,
+    cause: Cause,
+    now: Instant,
+    since_boot: Duration,
+  ) -> Vec<SocketAddr> {
     let hash = ingress::hash(service);
     let with_places: Option<HashSet<SocketAddr>> = (cause == Cause::NoPlace).then(|| {
-      let targets = self.roster.accepting(service).map(|(_, target)| target);
-      let owners =
-        targets.map(|target| self.members.first(target.fingerprint, target.listing.slots as usize));
+      let targets = self.roster.accepting(service);
+      let owners = targets.map(|(key, target)| {
+        let places = self.place_limit(hash, key, target, now);
+        self.members.first(target.fingerprint, places as usize)
+      });
       owners.flatten().collect()
     });
     let reaching = self.members.live(since_boot).filter(|(address, member)| {
--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -335,13 +335,6 @@
     }
     self.record_limit(key, metadata.request_limit);
     self.record_tolerance(key, metadata.rejection_tolerance);
-    if metadata.not_run {
-      let mut state = self.lock();
-      let service = state.roster.get(key).map(|target| ingress::hash(&target.listing.service));
-      if let Some(service) = service {
-        state.brittleness.record_rejection(service, key, now);
-      }
-    }
     if metadata.leaving && self.lock().roster.record_own_statement(key, now) {
       self.announce_departures(&[key], "response");
     }
--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -141,6 +141,7 @@
     origins: origins(&state, clock_now),
     phase: phase.number(),
     reads: state.reads_platform(),
+    rooms: rooms(&state, clock_now),
     restore_age_ms: state.era.restore_age(now).map(milliseconds),
     sender: state.settings.peers.to_string(),
     sequence,
@@ -188,6 +189,15 @@
   messages.take(MAX_LIMITS).collect()
 }
 
+/// Returns what this host found of the room at brittle targets, or a random part of it.
+fn rooms(state: &State, now: Instant) -> Vec<member::Room> {
+  let rooms = state.brittle_rooms().filter_map(|(key, room)| {
+    let target = state.roster.get(key)?;
+    Some(member::Room::new(target.fingerprint, &room, now))
+  });
+  random_subset(rooms, MAX_LIMITS)
+}
+
 /// Returns the limits that targets named to this host.
 fn limits(state: &State, now: Instant) -> Vec<member::Limit> {
   let statements = state.rate_limits.own_statements(now);
--- a/yuccarudder/src/gateway/limits.rs
+++ b/yuccarudder/src/gateway/limits.rs
@@ -1,11 +1,11 @@
 //! Limits that targets name for the requests of all hosts together.
 
 use {
-  super::{Gateway, gateway::State, ingress},
+  super::{Gateway, assignment::Assignment, gateway::State, ingress},
   crate::{
     member::Heartbeat,
-    placement::{BrittleStatement, LimitShare, LimitStatement, PlaceShare},
-    roster::Key,
+    placement::{Attempt, BrittleStatement, LimitShare, LimitStatement, PlaceShare, Room},
+    roster::{Key, Target},
   },
   std::time::{Duration, Instant},
 };
@@ -59,15 +59,51 @@
     self.heartbeat_trigger.notify_one();
   }
 
+  /// Records whether a target took a request, for the room at brittle targets.
+  pub(super) fn record_room(&self, service: &str, assignment: &Assignment, is_taken: bool) {
+    let now = self.clock.now();
+    let mut state = self.lock();
+    if state.brittleness.is_empty() {
+      return;
+    }
+    let key = assignment.key;
+    let attempt = Attempt {
+      concurrent: assignment.concurrent,
+      sent_at: assignment.assigned_at,
+      service: ingress::hash(service),
+    };
+    let is_news = if is_taken {
+      state.brittleness.record_taken(key, attempt, now)
+    } else {
+      state.brittleness.record_rejection(key, attempt, now);
+      state.brittleness.tolerance(attempt.service).is_some()
+    };
+    if !is_news {
+      return;
+    }
+    if let Some(target) = state.roster.get(key) {
+      let room = state.place_limit(attempt.service, key, target, now);
+      log::info!(target: PREFIX, target:% = target.id, concurrent = attempt.concurrent, is_taken, room; "Learned of the room at a brittle target.");
+    }
+    drop(state);
+    self.heartbeat_trigger.notify_one();
+  }
+
   /// Merges the limits that targets named to another host.
   pub(super) fn merge_limits(&self, heartbeat: &Heartbeat, now: Instant) {
-    if heartbeat.limits.is_empty() && heartbeat.brittle.is_empty() {
+    if heartbeat.limits.is_empty() && heartbeat.brittle.is_empty() && heartbeat.rooms.is_empty() {
       return;
     }
     let mut state = self.lock();
     for brittle in &heartbeat.brittle {
       state.brittleness.record(brittle.service, brittle.statement(now), false);
     }
+    for room in &heartbeat.rooms {
+      let keys: Vec<Key> = state.roster.keys_of(room.target).collect();
+      for key in keys {
+        state.brittleness.merge_room(key, &room.room(now));
+      }
+    }
     for limit in &heartbeat.limits {
       let keys: Vec<Key> = state.roster.keys_of(limit.target).collect();
       for key in keys {
@@ -103,7 +139,8 @@
   /// Computes this host's shares of the places at the targets of a service anew, if it is brittle and
   /// they are out of date.
   pub(super) fn update_place_shares(&mut self, service: &str, now: Instant, since_boot: Duration) {
-    if self.brittleness.tolerance(ingress::hash(service)).is_none() {
+    let hash = ingress::hash(service);
+    if self.brittleness.tolerance(hash).is_none() {
       return;
     }
     let hosts = self.members.fleet_size();
@@ -116,7 +153,7 @@
         let share = PlaceShare {
           hosts,
           position: self.members.position(target.fingerprint, since_boot),
-          slots: target.listing.slots,
+          slots: self.place_limit(hash, key, target, now),
         };
         (key, share)
       })
@@ -126,6 +163,30 @@
     }
   }
 
+  /// Returns the number of requests that all hosts together may have at a target of a brittle service.
+  ///
+  /// Engines also reject requests for want of memory, which says nothing about their slots.
+  pub(super) fn place_limit(&self, service: u64, key: Key, target: &Target, now: Instant) -> u32 {
+    let published = target.listing.slots;
+    let has_engines = self.catalog.as_ref().is_some_and(|catalog| {
+      catalog.service(&target.listing.service).is_some_and(|service| service.engine.is_some())
+    });
+    if has_engines {
+      return published;
+    }
+    self.brittleness.limit(service, key, now).min(published)
+  }
+
+  /// Returns what this host found of the room at targets of brittle services.
+  pub(super) fn brittle_rooms(&self) -> impl Iterator<Item = (Key, Room)> {
+    self.brittleness.own_rooms().filter(|(key, _)| {
+      let target = self.roster.get(*key);
+      target.is_some_and(|target| {
+        self.brittleness.tolerance(ingress::hash(&target.listing.service)).is_some()
+      })
+    })
+  }
+
   /// Returns whether this host has no place at any target of a brittle service.
   pub(super) fn lacks_places(&mut self, service: &str, now: Instant, since_boot: Duration) -> bool {
     if self.brittleness.tolerance(ingress::hash(service)).is_none() {
--- a/yuccarudder/src/gateway/sending.rs
+++ b/yuccarudder/src/gateway/sending.rs
@@ -149,6 +149,7 @@
     let status = response.status();
     let metadata = (self.gateway.dialect.read_response)(status, response.headers());
     self.gateway.record_statements(assignment.key, &metadata);
+    self.gateway.record_room(&self.service_name, assignment, !metadata.not_run);
     if metadata.not_run {
       return Err(Outcome::NotRun.into());
     }
--- a/yuccarudder/src/member/heartbeat.rs
+++ b/yuccarudder/src/member/heartbeat.rs
@@ -376,6 +376,58 @@
   }
 }
 
+/// What the sender found of the number of requests that a target takes at the same time.
+#[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
+pub struct Room {
+  /// Fingerprint of the target, which identifies its process.
+  #[prost(fixed64, tag = "1")]
+  pub target: u64,
+  /// Largest number of requests that the target took; absent if unknown.
+  #[prost(uint32, optional, tag = "2")]
+  pub taken: Option<u32>,
+  /// Time since then, in milliseconds.
+  #[prost(uint64, tag = "3")]
+  pub taken_age_ms: u64,
+  /// Last number of requests that proved to be too many; absent if none did.
+  #[prost(uint32, optional, tag = "4")]
+  pub exceeded: Option<u32>,
+  /// Time since then, in milliseconds.
+  #[prost(uint64, tag = "5")]
+  pub exceeded_age_ms: u64,
+}
+
+impl Room {
+  /// Builds the message for the room at a target.
+  pub fn new(target: u64, room: &placement::Room, now: Instant) -> Self {
+    let age = |sighting: Option<placement::Sighting>| {
+      sighting.map_or(0, |sighting| age_ms(sighting.at, now))
+    };
+    Self {
+      target,
+      taken: room.taken().map(|taken| taken.places),
+      taken_age_ms: age(room.taken()),
+      exceeded: room.exceeded().map(|exceeded| exceeded.places),
+      exceeded_age_ms: age(room.exceeded()),
+    }
+  }
+
+  /// Returns the room, with its times on this host's clock.
+  pub fn room(&self, now: Instant) -> placement::Room {
+    let sighting = |places: u32, age_ms| placement::Sighting {
+      at: time_before(age_ms, now),
+      places,
+    };
+    let mut room = placement::Room::default();
+    if let Some(places) = self.exceeded {
+      room.record_exceeded(sighting(places, self.exceeded_age_ms));
+    }
+    if let Some(places) = self.taken {
+      room.record_taken(sighting(places, self.taken_age_ms));
+    }
+    room
+  }
+}
+
 /// The last sound answer of the sender to a request with a feature that is suspected of crashing
 /// targets.
 #[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
@@ -481,6 +533,9 @@
   /// Statements of brittle targets to the sender.
   #[prost(message, repeated, tag = "30")]
   pub brittle: Vec<Brittle>,
+  /// The room that the sender found at brittle targets.
+  #[prost(message, repeated, tag = "31")]
+  pub rooms: Vec<Room>,
   /// Address at which callers reach the sender.
   #[prost(string, tag = "1")]
   pub callers: String,
--- a/yuccarudder/src/member/mod.rs
+++ b/yuccarudder/src/member/mod.rs
@@ -16,8 +16,8 @@
 pub use catalog_source::CatalogSource;
 pub use codec::Codec;
 pub use heartbeat::{
-  Announcement, Ban, Brittle, Crash, Echo, Heartbeat, Leaving, Limit, Load, Origin, ServiceVersion,
-  Sound,
+  Announcement, Ban, Brittle, Crash, Echo, Heartbeat, Leaving, Limit, Load, Origin, Room,
+  ServiceVersion, Sound,
 };
 pub use phase::Phase;
 pub use table::{Member, Received, Recipient, Sent, Table};
--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -1,10 +1,13 @@
 use {
   super::*,
-  crate::{reader, roster},
+  crate::{placement, reader, roster},
   bytes::{Bytes, BytesMut},
   prost::Message,
   rand::{RngExt, SeedableRng, rngs::StdRng, seq::IndexedRandom},
-  std::{net::SocketAddr, time::Duration},
+  std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+  },
   tokio_util::codec::Decoder,
 };
 
@@ -39,6 +42,7 @@
     origins: Vec::new(),
     phase: Phase::Ready.number(),
     reads: true,
+    rooms: Vec::new(),
     sender: address(host).to_string(),
     sequence,
     sounds: Vec::new(),
@@ -586,3 +590,28 @@
   fleet.run(ms(5_000));
   assert_eq!(fleet.turns.iter().sum::<usize>(), 0, "{:?}", fleet.turns);
 }
+
+/// Guards against hosts of a build that does not know rooms, whose silence would count as a finding.
+#[test]
+fn room_is_told_as_it_was_found_and_its_absence_tells_nothing() {
+  let now = Instant::now();
+  let mut room = placement::Room::default();
+  room.record_exceeded(placement::Sighting {
+    at: now - ms(400),
+    places: 6,
+  });
+  room.record_taken(placement::Sighting {
+    at: now - ms(100),
+    places: 4,
+  });
+  let message = Room::decode(&*Room::new(1, &room, now).encode_to_vec()).unwrap();
+  assert_eq!(message.room(now), room);
+  let empty = Room::decode(&*Room::default().encode_to_vec()).unwrap();
+  assert_eq!(empty.room(now), placement::Room::default());
+  let older = Heartbeat {
+    rooms: Vec::new(),
+    ..heartbeat(2, 1)
+  };
+  let decoded = Heartbeat::decode(&*older.encode_to_vec()).unwrap();
+  assert!(decoded.rooms.is_empty());
+}
--- a/yuccarudder/src/placement/brittleness.rs
+++ b/yuccarudder/src/placement/brittleness.rs
@@ -1,4 +1,5 @@
 use {
+  super::{Room, Sighting},
   crate::roster::Key,
   slotmap::SecondaryMap,
   std::{
@@ -9,14 +10,20 @@
 
 /// How long the end of brittleness is announced to the other hosts: several heartbeats of a large fleet.
 const END_ANNOUNCEMENT_PERIOD: Duration = Duration::from_secs(5);
-/// Shortest time for which a rejected place stays unused; targets count rejections by the second.
-const MIN_REST: Duration = Duration::from_secs(1);
+/// Shortest time for which a rejected place stays unused; targets count rejections by the second, and
+/// requests are delayed on their way.
+const MIN_REST: Duration = Duration::from_millis(1_200);
 /// Longest time for which a rejected place stays unused.
 const MAX_REST: Duration = Duration::from_secs(60);
 /// How long a share is used before it is computed again from the known hosts.
 const SHARE_LIFETIME: Duration = Duration::from_millis(500);
 /// Maximum number of recent rejections that are kept of a target.
 const MAX_REJECTIONS: usize = 256;
+/// Time from the first statement of a service in which its targets may take more requests than later.
+const NOTICE_PERIOD: Duration = Duration::from_secs(4);
+/// Time after which all hosts know of a rejection, and the requests that they sent before have ended
+/// mostly.
+const NEWS_DELAY: Duration = Duration::from_secs(1);
 /// Maximum number of services whose statements are kept.
 const MAX_SERVICES: usize = 1024;
 
@@ -37,7 +44,7 @@
   /// Position of this host in an order of all hosts that is the same on all of them and differs from
   /// target to target; `None` if this host does not know the others yet.
   pub position: Option<usize>,
-  /// Number of requests that the target runs concurrently.
+  /// Number of requests that all hosts together may have at the target.
   pub slots: u32,
 }
 
@@ -54,8 +61,30 @@
   }
 }
 
+/// A request that this host sent to a target of a brittle service.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempt {
+  /// Number of requests of all hosts at the target when it was sent, as far as known, with this one.
+  pub concurrent: u32,
+  /// When it was sent.
+  pub sent_at: Instant,
+  /// Hash of the name of the service.
+  pub service: u64,
+}
+
+/// What is known of the room at a target.
+#[derive(Clone, Copy, Debug, Default)]
+struct RoomRecord {
+  /// What any host found.
+  all: Room,
+  /// What this host found.
+  own: Room,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Record {
+  /// When the first of the statements since the service has been brittle arrived.
+  began_at: Instant,
   /// The newest statement that this host received or another one reported.
   newest: BrittleStatement,
   /// The newest statement in a response to this host.
@@ -73,6 +102,8 @@
   shares: SecondaryMap<Key, (Instant, PlaceShare)>,
   /// When targets rejected recent requests of this host.
   rejections: SecondaryMap<Key, Vec<Instant>>,
+  /// The room at targets of brittle services.
+  rooms: SecondaryMap<Key, RoomRecord>,
   /// Statements by the hash of the name of the service.
   services: HashMap<u64, Record>,
 }
@@ -86,6 +117,7 @@
         return false;
       }
       let record = Record {
+        began_at: statement.at,
         newest: statement,
         own: own.then_some(statement),
       };
@@ -99,6 +131,9 @@
     if record.newest.at > statement.at {
       return false;
     }
+    if record.newest.tolerance.is_none() {
+      record.began_at = statement.at;
+    }
     record.newest = statement;
     changes
   }
@@ -108,6 +143,11 @@
     self.services.get(&service)?.newest.tolerance
   }
 
+  /// Returns whether no service has ever been brittle.
+  pub fn is_empty(&self) -> bool {
+    self.services.is_empty()
+  }
+
   /// Returns what targets stated to this host itself, for the other hosts.
   pub fn own_statements(&self, now: Instant) -> impl Iterator<Item = (u64, BrittleStatement)> {
     self.services.iter().filter_map(move |(service, record)| {
@@ -117,11 +157,57 @@
     })
   }
 
+  /// Records that a target of a service took a request of this host, if the service is brittle; returns
+  /// whether more of them may be sent to it now.
+  pub fn record_taken(&mut self, key: Key, attempt: Attempt, now: Instant) -> bool {
+    let Some(record) = self.services.get(&attempt.service) else {
+      return false;
+    };
+    let is_settled = attempt.sent_at >= record.began_at + NOTICE_PERIOD;
+    if record.newest.tolerance.is_none() || !is_settled {
+      return false;
+    }
+    let sighting = Sighting {
+      at: now,
+      places: attempt.concurrent,
+    };
+    let Some(entry) = self.rooms.entry(key) else {
+      return false;
+    };
+    let room = entry.or_default();
+    let before = room.all.taken().map(|taken| taken.places);
+    room.own.record_taken(sighting);
+    room.all.record_taken(sighting);
+    let has_grown = room.all.taken().map(|taken| taken.places) > before;
+    if has_grown {
+      self.shares.remove(key);
+    }
+    has_grown
+  }
+
   /// Records that a target of a service rejected a request of this host, if the service is brittle.
-  pub fn record_rejection(&mut self, service: u64, key: Key, now: Instant) {
-    if self.tolerance(service).is_none() {
+  pub fn record_rejection(&mut self, key: Key, attempt: Attempt, now: Instant) {
+    if self.tolerance(attempt.service).is_none() {
       return;
     }
+    if let Some(entry) = self.rooms.entry(key) {
+      let room = entry.or_default();
+      let last = room.all.exceeded();
+      let used = self.shares.get(key).map(|(_, share)| share.slots);
+      // Requests of hosts that have not heard of the last rejection yet may still take up places.
+      let places = match (last, used) {
+        (Some(last), _) if attempt.sent_at <= last.at + NEWS_DELAY => Some(last.places),
+        (last, used) => used.or(last.map(|last| last.places)),
+      };
+      if let Some(places) = places {
+        let sighting = Sighting { at: now, places };
+        room.own.record_exceeded(sighting);
+        room.all.record_exceeded(sighting);
+        if last.map(|last| last.places) != Some(places) {
+          self.shares.remove(key);
+        }
+      }
+    }
     if let Some(entry) = self.rejections.entry(key) {
       let times = entry.or_default();
       times.retain(|at| now.saturating_duration_since(*at) < MAX_REST);
@@ -148,6 +234,36 @@
     times.any(|at| now.saturating_duration_since(*at) < period)
   }
 
+  /// Returns the number of requests that all hosts together may have at a target of a service, as far as
+  /// its answers show; it begins with as many as the rejections that the target bears.
+  pub fn limit(&self, service: u64, key: Key, now: Instant) -> u32 {
+    let Some(record) = self.services.get(&service) else {
+      return u32::MAX;
+    };
+    let tolerance = record.newest.tolerance.unwrap_or_default();
+    let room = self.rooms.get(key).copied().unwrap_or_default();
+    let room = room.all.since(record.began_at + NOTICE_PERIOD);
+    room.limit(tolerance as u32, tolerance, now)
+  }
+
+  /// Adds what another host found of the room at a target.
+  pub fn merge_room(&mut self, key: Key, room: &Room) {
+    let Some(entry) = self.rooms.entry(key) else {
+      return;
+    };
+    let known = entry.or_default();
+    let before = known.all;
+    known.all.merge(room);
+    if known.all != before {
+      self.shares.remove(key);
+    }
+  }
+
+  /// Returns what this host found of the room at targets, for the other hosts.
+  pub fn own_rooms(&self) -> impl Iterator<Item = (Key, Room)> {
+    self.rooms.iter().map(|(key, record)| (key, record.own))
+  }
+
   /// Returns how many further requests this host may send to a target of a service now, given those that
   /// it has there; `None` if the service is not brittle. None without a share that is up to date.
   ///
--- a/yuccarudder/src/placement/brittleness_tests.rs
+++ b/yuccarudder/src/placement/brittleness_tests.rs
@@ -12,6 +12,14 @@
 
 const SERVICE: u64 = 1;
 
+fn attempt(sent_at: Instant) -> Attempt {
+  Attempt {
+    concurrent: 1,
+    sent_at,
+    service: SERVICE,
+  }
+}
+
 fn share(hosts: usize, position: Option<usize>, slots: u32) -> PlaceShare {
   PlaceShare {
     hosts,
@@ -77,7 +85,7 @@
   brittleness.record(SERVICE, statement, false);
   assert_eq!(room(&mut brittleness, 0, 0), Some(3));
   assert_eq!(room(&mut brittleness, 3, 0), Some(0));
-  brittleness.record_rejection(SERVICE, key, now);
+  brittleness.record_rejection(key, attempt(now), now);
   assert_eq!(room(&mut brittleness, 0, 1_999), Some(2));
   assert_eq!(room(&mut brittleness, 0, 2_000), Some(3));
 }
@@ -143,7 +151,7 @@
         // The target rejects everything.
         table.set_share(key, share(hosts, Some(host), slots), now);
         if table.room(SERVICE, key, 0, now).unwrap() > 0 {
-          table.record_rejection(SERVICE, key, now);
+          table.record_rejection(key, attempt(now), now);
           rejections += 1;
         }
       }
--- a/yuccarudder/src/placement/mod.rs
+++ b/yuccarudder/src/placement/mod.rs
@@ -9,10 +9,11 @@
 mod pauses;
 mod queue;
 mod rate_limits;
+mod room;
 mod scheduler;
 mod throttle;
 
-pub use brittleness::{BrittleStatement, Brittleness, PlaceShare};
+pub use brittleness::{Attempt, BrittleStatement, Brittleness, PlaceShare};
 pub use choose::{Candidate, Choice, Demand, choose, sample_fraction};
 pub use health::{Health, Outcome};
 pub use length_model::LengthModel;
@@ -21,6 +22,7 @@
 pub use pauses::Pauses;
 pub use queue::{Entry, Queue, Rank};
 pub use rate_limits::{LimitShare, LimitStatement, RateLimits};
+pub use room::{Room, Sighting};
 pub use scheduler::{Reservation, Scheduler, Waiter};
 pub use throttle::{ColdLimit, Throttle};
 
@@ -29,4 +31,6 @@
 #[cfg(test)]
 mod rate_limit_tests;
 #[cfg(test)]
+mod room_tests;
+#[cfg(test)]
 mod tests;
