Blame no request for a fall whose rejections only another host saw

Callers got 400 for sound requests after brittle targets had fallen: 21 of 1020 at 60 requests a second through six hosts, 192 of 2720 at 160.

Cause: a host excused the crash of a brittle target only if the target had rejected one of its own requests. The other hosts announced the same crash with the requests that ran there; those that were sent again were under three falls soon, and were banned.

The rejections that heartbeats now carry explain a crash at every host, whether the news of the rejection or that of the crash comes first (State::has_fallen, Ledger::excuse).

Measured: rejection_of_another_host_explains_a_fall failed before and passes.

--- a/yuccarudder/src/gateway/breaks.rs
+++ b/yuccarudder/src/gateway/breaks.rs
@@ -2,7 +2,7 @@
 //! crash away from the others.
 
 use {
-  super::{Gateway, assignment::Assignment, call::Call, ingress},
+  super::{Gateway, assignment::Assignment, call::Call, gateway::State, ingress},
   crate::{
     member::{self, Heartbeat},
     placement::Outcome,
@@ -175,6 +175,29 @@
   }
 }
 
+impl State {
+  /// Returns whether a target that crashed at some time is known to have rejected requests just before:
+  /// a brittle target falls over under the requests that it rejects, not under those that it runs.
+  fn has_fallen(&self, service: u64, key: Key, crashed_at: Instant) -> bool {
+    self.brittleness.tolerance(service).is_some()
+      && self.brittleness.has_rejected(key, FALL_PERIOD, crashed_at)
+  }
+
+  /// Clears the requests that were at a brittle target when it crashed, if rejections explain that.
+  pub(super) fn excuse_crash(&mut self, key: Key) {
+    let Some(target) = self.roster.get(key) else {
+      return;
+    };
+    let (fingerprint, service) = (target.fingerprint, ingress::hash(&target.listing.service));
+    let Some(crashed_at) = self.ledger.crash_time(fingerprint) else {
+      return;
+    };
+    if self.has_fallen(service, key, crashed_at) {
+      self.ledger.excuse(fingerprint);
+    }
+  }
+}
+
 impl Gateway {
   fn record_sound(&self, features: &[Feature], service: u64, answered_at: Instant) {
     let now = self.clock.now();
@@ -295,12 +318,7 @@
 
   fn record_crash(&self, run: Break) {
     let now = self.clock.now();
-    // A brittle target falls over under the requests that it rejects, not under those that it runs.
-    let has_fallen = {
-      let state = self.lock();
-      state.brittleness.tolerance(run.service).is_some()
-        && state.brittleness.has_rejected(run.key, FALL_PERIOD, now)
-    };
+    let has_fallen = self.lock().has_fallen(run.service, run.key, run.at);
     let crash = Crash {
       at: run.at,
       features: if run.is_suspect() && !has_fallen {
@@ -364,9 +382,14 @@
     let mut has_news = false;
     let mut crashed = Vec::new();
     for crash in &heartbeat.crashes {
-      if state.ledger.record_crash(crash.crash(now), false, now) {
+      let mut crash = crash.crash(now);
+      let keys: Vec<Key> = state.roster.keys_of(crash.target).collect();
+      if keys.iter().any(|key| state.has_fallen(crash.service, *key, crash.at)) {
+        crash.features.clear();
+      }
+      if state.ledger.record_crash(crash, false, now) {
         has_news = true;
-        crashed.extend(state.roster.keys_of(crash.target));
+        crashed.extend(keys);
       }
     }
     drop(state);
--- a/yuccarudder/src/gateway/limits.rs
+++ b/yuccarudder/src/gateway/limits.rs
@@ -102,6 +102,7 @@
       let keys: Vec<Key> = state.roster.keys_of(room.target).collect();
       for key in keys {
         state.brittleness.merge_room(key, &room.room(now));
+        state.excuse_crash(key);
       }
     }
     for limit in &heartbeat.limits {
--- a/yuccarudder/src/placement/brittleness.rs
+++ b/yuccarudder/src/placement/brittleness.rs
@@ -228,10 +228,13 @@
     self.shares.insert(key, (now, share));
   }
 
-  /// Returns whether a target rejected a request of this host within `period`.
-  pub fn has_rejected(&self, key: Key, period: Duration, now: Instant) -> bool {
-    let mut times = self.rejections.get(key).into_iter().flatten();
-    times.any(|at| now.saturating_duration_since(*at) < period)
+  /// Returns whether a target is known to have rejected a request, of any host, within `period` of a time.
+  pub fn has_rejected(&self, key: Key, period: Duration, time: Instant) -> bool {
+    let own = self.rejections.get(key).into_iter().flatten().copied();
+    let others = self.rooms.get(key).and_then(|record| record.all.exceeded());
+    own.chain(others.map(|exceeded| exceeded.at)).any(|at| {
+      time.saturating_duration_since(at) < period && at.saturating_duration_since(time) < period
+    })
   }
 
   /// Returns the number of requests that all hosts together may have at a target of a service, as far as
--- a/yuccarudder/src/placement/brittleness_tests.rs
+++ b/yuccarudder/src/placement/brittleness_tests.rs
@@ -90,6 +90,28 @@
   assert_eq!(room(&mut brittleness, 0, 2_000), Some(3));
 }
 
+/// Guards against requests that are blamed for the fall of a target because the rejections that caused it
+/// were those of another host.
+#[test]
+fn rejection_of_another_host_explains_a_fall() {
+  let now = Instant::now();
+  let at = |ms| now + Duration::from_millis(ms);
+  let mut keys: SlotMap<Key, ()> = SlotMap::with_key();
+  let key = keys.insert(());
+  let mut brittleness = Brittleness::default();
+  let mut room = Room::default();
+  room.record_exceeded(Sighting {
+    at: at(100),
+    places: 5,
+  });
+  let period = Duration::from_secs(2);
+  assert!(!brittleness.has_rejected(key, period, at(200)));
+  brittleness.merge_room(key, &room);
+  assert!(brittleness.has_rejected(key, period, at(200)));
+  assert!(brittleness.has_rejected(key, period, now));
+  assert!(!brittleness.has_rejected(key, period, at(2_200)));
+}
+
 proptest! {
   #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
 
--- a/yuccarudder/src/quarantine/ledger.rs
+++ b/yuccarudder/src/quarantine/ledger.rs
@@ -415,6 +415,19 @@
     self.crashes.iter().any(|record| record.crash.target == target)
   }
 
+  /// Returns when a target crashed first, as far as requests are suspected of it.
+  pub fn crash_time(&self, target: u64) -> Option<Instant> {
+    let crashes = self.crashes.iter().map(|record| &record.crash);
+    let suspected = crashes.filter(|crash| crash.target == target && !crash.features.is_empty());
+    suspected.map(|crash| crash.at).min()
+  }
+
+  /// Blames no request for the crash of a target.
+  pub fn excuse(&mut self, target: u64) {
+    let crashes = self.crashes.iter_mut().map(|record| &mut record.crash);
+    crashes.filter(|crash| crash.target == target).for_each(|crash| crash.features.clear());
+  }
+
   /// Returns the ban of the feature against which most crashes speak, if they suffice. If features of
   /// other requests explain the same crashes, returns uncertain bans of all of them.
   fn find_culprits(&self, news_delay: Duration, now: Instant) -> Vec<Ban> {
--- a/yuccarudder/src/quarantine/tests.rs
+++ b/yuccarudder/src/quarantine/tests.rs
@@ -262,6 +262,27 @@
   assert_eq!(banned(&ledger), Vec::<Vec<u64>>::new());
 }
 
+/// Guards against a content that is banned for crashes which turn out to have another cause before they
+/// are judged.
+#[test]
+fn excused_crashes_ban_nothing() {
+  for excused in [false, true] {
+    let (mut ledger, start) = ledger();
+    for (target, sent, at) in [(1, 0, 40), (2, 42, 80), (3, 85, 120)] {
+      let at = start + ms(at);
+      ledger.record_crash(crash_under(target, 1, start + ms(sent), at), true, at);
+      assert_eq!(ledger.crash_time(target), Some(at));
+      if excused {
+        ledger.excuse(target);
+        assert_eq!(ledger.crash_time(target), None);
+      }
+    }
+    ledger.judge(ms(600), start + ms(1_000));
+    assert_eq!(banned(&ledger).is_empty(), excused);
+    assert!(ledger.has_crashed(1));
+  }
+}
+
 /// Guards against a fatal request that is let through again because another one ran beside it at its
 /// first three crashes.
 #[test]
