--- a/yuccarudder/src/gateway/sending.rs
+++ b/yuccarudder/src/gateway/sending.rs
@@ -175,6 +175,7 @@
     };
     if !matches!(verdict, Verdict::Invalid(_)) {
       self.gateway.record_statements(assignment.key, &metadata);
+      self.gateway.record_room(&self.service_name, assignment, !metadata.not_run);
     }
     match verdict {
       Verdict::NotRun => (Err(Outcome::NotRun.into()), None),
--- a/yuccarudder/src/member/mod.rs
+++ b/yuccarudder/src/member/mod.rs
@@ -16,7 +16,7 @@
 pub use catalog_source::CatalogSource;
 pub use codec::Codec;
 pub use heartbeat::{
-  Announcement, Ban, Brittle, Crash, Echo, Heartbeat, Leaving, Limit, Load, Origin, PROTOCOL,
+  Announcement, Ban, Brittle, Crash, Echo, Heartbeat, Leaving, Limit, Load, Origin, PROTOCOL, Room,
   ServiceVersion, Sound,
 };
 pub use phase::Phase;
--- a/yuccarudder/src/placement/brittleness_tests.rs
+++ b/yuccarudder/src/placement/brittleness_tests.rs
@@ -12,6 +12,14 @@
 
 const SERVICE: u64 = 1;
 
+fn attempt(sent_at: Instant) -> Attempt {
+  Attempt {
+    concurrent: 1,
+    sent_at,
+    service: SERVICE,
+  }
+}
+
 fn share(hosts: usize, position: Option<usize>, slots: u32) -> PlaceShare {
   PlaceShare {
     hosts,
@@ -77,11 +85,33 @@
   brittleness.record(SERVICE, statement, false);
   assert_eq!(room(&mut brittleness, 0, 0), Some(3));
   assert_eq!(room(&mut brittleness, 3, 0), Some(0));
-  brittleness.record_rejection(SERVICE, key, now);
+  brittleness.record_rejection(key, attempt(now), now);
   assert_eq!(room(&mut brittleness, 0, 1_999), Some(2));
   assert_eq!(room(&mut brittleness, 0, 2_000), Some(3));
 }
 
+/// Guards against requests that are blamed for the fall of a target because the rejections that caused it
+/// were those of another host.
+#[test]
+fn rejection_of_another_host_explains_a_fall() {
+  let now = Instant::now();
+  let at = |ms| now + Duration::from_millis(ms);
+  let mut keys: SlotMap<Key, ()> = SlotMap::with_key();
+  let key = keys.insert(());
+  let mut brittleness = Brittleness::default();
+  let mut room = Room::default();
+  room.record_exceeded(Sighting {
+    at: at(100),
+    places: 5,
+  });
+  let period = Duration::from_secs(2);
+  assert!(!brittleness.has_rejected(key, period, at(200)));
+  brittleness.merge_room(key, &room);
+  assert!(brittleness.has_rejected(key, period, at(200)));
+  assert!(brittleness.has_rejected(key, period, now));
+  assert!(!brittleness.has_rejected(key, period, at(2_200)));
+}
+
 proptest! {
   #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
 
@@ -143,7 +173,7 @@
         // The target rejects everything.
         table.set_share(key, share(hosts, Some(host), slots), now);
         if table.room(SERVICE, key, 0, now).unwrap() > 0 {
-          table.record_rejection(SERVICE, key, now);
+          table.record_rejection(key, attempt(now), now);
           rejections += 1;
         }
       }
