Log how a response ended: its framing, how its connection ended it, and its size

Nothing told a short generation from one whose engine had been killed: 'A stream ended.' said complete for both. It now names what marks the end of the last run's response (length, last chunk, close) and whether it ended so or broke; 'Answered a request.' names the framing and the size. http::is_framed becomes http::Framing, whose tests compare the kind of framing and no longer only whether there is one. No decision changes.

--- a/yuccarudder/src/gateway/buffered.rs
+++ b/yuccarudder/src/gateway/buffered.rs
@@ -5,7 +5,7 @@
   },
   crate::{
     attempt::{History, Outcome},
-    http::{self, Body},
+    http::{self, Body, Framing},
     plain,
     refusal::Refusal,
   },
@@ -86,7 +86,9 @@
   call.gateway.metrics.completed_requests.inc();
   log::info!(
     target: PREFIX, id = call.id(), route = call.route().name.as_str(), version = call.catalog.version,
-    status = response.status().as_u16(), elapsed_ms = elapsed.as_millis() as u64;
+    status = response.status().as_u16(), elapsed_ms = elapsed.as_millis() as u64,
+    framing = response.extensions().get::<Framing>().map(|framing| framing.name()),
+    bytes = hyper::body::Body::size_hint(response.body()).exact();
     "Answered a request."
   );
   response
@@ -125,10 +127,10 @@
   let remaining = timeout.saturating_sub(answered_at.saturating_duration_since(started_at));
   match result {
     Ok(response) => {
-      let is_framed = http::is_framed(response.headers());
+      let framing = Framing::of(response.headers());
       let whole = read_body(response, remaining).await;
       match whole {
-        Some(_) if is_framed => call.report_sound(answered_at),
+        Some(_) if framing != Framing::Close => call.report_sound(answered_at),
         Some(_) => call.report_break(assignment, Some(answered_at), Cause::UnframedEnd).await,
         None => call.report_break(assignment, Some(answered_at), Cause::ConnectionLost).await,
       }
@@ -167,7 +169,9 @@
   response: Response<Incoming>,
   timeout: Duration,
 ) -> Option<Response<Body>> {
+  let framing = Framing::of(response.headers());
   let (mut head, body) = response.into_parts();
+  head.extensions.insert(framing);
   let bytes =
     tokio::time::timeout(timeout, http::collect(body, MAX_RESPONSE_BYTES)).await.ok()??;
   plain::strip_response(&mut head.headers);
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -10,7 +10,7 @@
   crate::{
     attempt::{History, Outcome},
     dialect::Resume,
-    http::{self, Body, BodyError},
+    http::{Body, BodyError, Framing},
     links,
     placement::Load,
     quarantine::SOUND_AFTER,
@@ -25,7 +25,7 @@
   http_body_util::{BodyExt, StreamBody},
   hyper::{
     Response,
-    body::{Frame, Incoming},
+    body::{self, Incoming},
   },
   std::{
     sync::Arc,
@@ -58,6 +58,24 @@
   TargetLost,
 }
 
+/// How the response of a run ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Ending {
+  /// Its connection broke before its end.
+  Broken,
+  /// It ended as its framing says.
+  Marked(Framing),
+}
+
+impl Ending {
+  fn name(self) -> &'static str {
+    match self {
+      Self::Broken => "broken",
+      Self::Marked(framing) => framing.name(),
+    }
+  }
+}
+
 impl End {
   fn name(self) -> &'static str {
     match self {
@@ -83,9 +101,10 @@
   earlier_events: u64,
   /// Whether another host relays the current run, as this one has lost its links to the targets.
   is_at_other_host: bool,
-  /// Whether the current response has a length or chunks, so that its end is distinguished from a broken
-  /// connection.
-  is_framed: bool,
+  /// How the response of the last run ended; `None` while it goes on.
+  ending: Option<Ending>,
+  /// What marks the end of the current response.
+  framing: Framing,
   /// Whether the current target has been answering long enough to count as sound.
   is_sound: bool,
   /// The response body of the current target; `None` while the connection is lost and a
@@ -105,7 +124,7 @@
     history: History,
     assignment: Assignment,
     target_body: Incoming,
-    is_framed: bool,
+    framing: Framing,
   ) -> Body {
     let (chunk_sender, mut chunk_receiver) = mpsc::channel(BODY_CHUNK_CAPACITY);
     let session = Self {
@@ -114,8 +133,9 @@
       call,
       chunk_sender,
       earlier_events: 0,
+      ending: None,
+      framing,
       is_at_other_host: false,
-      is_framed,
       is_sound: false,
       target_body: Some(target_body),
       migration: Migration::default(),
@@ -127,7 +147,7 @@
     tokio::spawn(session.run());
     let chunks = futures::stream::poll_fn(move |cx| chunk_receiver.poll_recv(cx));
     StreamBody::new(futures::StreamExt::map(chunks, |chunk| {
-      chunk.map(Frame::data)
+      chunk.map(body::Frame::data)
     }))
     .boxed_unsync()
   }
@@ -141,7 +161,7 @@
     };
     log::info!(
       target: PREFIX, id = self.call.id(), target:% = self.assignment.target.id, end = end.name(),
-      events = self.cursor.event_count(), moves = self.migrations, runs = self.history.possible_runs,
+      framing = self.framing.name(), ending = self.ending.map(Ending::name), events = self.cursor.event_count(), moves = self.migrations, runs = self.history.possible_runs,
       longest_pause_ms = self.timing.longest_pause.as_millis() as u64,
       first_event_ms = self.timing.first_event.map(|at| at.saturating_duration_since(self.call.arrived).as_millis() as u64),
       elapsed_ms = self.call.elapsed().as_millis() as u64;
@@ -252,8 +272,13 @@
   /// Handles the next frame, the end or the failure of the target's response body.
   async fn handle_frame(
     &mut self,
-    frame: Option<Result<Frame<Bytes>, hyper::Error>>,
+    frame: Option<Result<body::Frame<Bytes>, hyper::Error>>,
   ) -> Option<End> {
+    self.ending = match &frame {
+      Some(Ok(_)) => None,
+      Some(Err(_)) => Some(Ending::Broken),
+      None => Some(Ending::Marked(self.framing)),
+    };
     match frame {
       Some(Ok(frame)) => match frame.into_data() {
         Ok(bytes) => self.forward(&bytes).await,
@@ -262,7 +287,7 @@
       None if self.is_whole() => {
         if self.is_at_other_host {
           // The other host reports what it sees of the target.
-        } else if self.is_framed {
+        } else if self.framing != Framing::Close {
           self.call.report_sound(self.answered_at);
         } else {
           let answered_at = Some(self.answered_at);
@@ -292,7 +317,7 @@
   /// A response that is not framed ends in the same way if its target crashes.
   fn is_whole(&self) -> bool {
     let has_events = self.cursor.event_count() > self.earlier_events;
-    !self.cursor.has_partial_event() && (self.is_framed || has_events)
+    !self.cursor.has_partial_event() && (self.framing != Framing::Close || has_events)
   }
 
   /// Sends the complete events in a chunk of the response body to the caller.
@@ -496,7 +521,7 @@
 
   fn replace_body(&mut self, response: Response<Incoming>) {
     self.earlier_events = self.cursor.event_count();
-    self.is_framed = http::is_framed(response.headers());
+    self.framing = Framing::of(response.headers());
     self.is_sound = false;
     self.answered_at = self.call.gateway.clock.now();
     self.cursor.discard_partial_event();
@@ -560,7 +585,9 @@
 }
 
 /// Returns the next frame of a response body; never resolves without a body.
-async fn next_frame(body: &mut Option<Incoming>) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+async fn next_frame(
+  body: &mut Option<Incoming>,
+) -> Option<Result<body::Frame<Bytes>, hyper::Error>> {
   match body {
     Some(body) => body.frame().await,
     None => future::pending().await,
--- a/yuccarudder/src/gateway/stream.rs
+++ b/yuccarudder/src/gateway/stream.rs
@@ -5,7 +5,7 @@
   },
   crate::{
     attempt::Outcome,
-    http::{self, Body},
+    http::{Body, Framing},
     origin::Decision,
     plain,
     refusal::{Reason, Refusal},
@@ -90,11 +90,11 @@
   assignment: Assignment,
   response: Response<Incoming>,
 ) -> Response<Body> {
-  let is_framed = http::is_framed(response.headers());
+  let framing = Framing::of(response.headers());
   let (mut head, target_body) = response.into_parts();
   plain::strip_response(&mut head.headers);
   // Another target may continue the stream with more bytes or fewer.
   head.headers.remove(CONTENT_LENGTH);
-  let body = Session::start(call, attempts.history, assignment, target_body, is_framed);
+  let body = Session::start(call, attempts.history, assignment, target_body, framing);
   Response::from_parts(head, body)
 }
--- a/yuccarudder/src/http/mod.rs
+++ b/yuccarudder/src/http/mod.rs
@@ -1,8 +1,9 @@
 //! Bodies, headers and responses shared by the HTTP servers and clients.
 
+mod framing;
 mod lingering;
 
-pub use lingering::LingeringBody;
+pub use {framing::Framing, lingering::LingeringBody};
 
 use {
   crate::refusal::{Execution, Refusal},
@@ -13,9 +14,7 @@
     HeaderMap, Request, Response, StatusCode,
     body::Incoming,
     ext::ReasonPhrase,
-    header::{
-      CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING,
-    },
+    header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
   },
   memchr::memmem,
   std::time::Duration,
@@ -106,16 +105,6 @@
   StreamBody::new(frames).boxed_unsync()
 }
 
-/// Returns whether the headers of a response state where its body ends; otherwise the body ends with
-/// its connection, as it also does if the last transfer coding is not `chunked`.
-pub fn is_framed(headers: &HeaderMap) -> bool {
-  let Some(codings) = headers.get_all(TRANSFER_ENCODING).iter().next_back() else {
-    return headers.contains_key(CONTENT_LENGTH);
-  };
-  let last = codings.to_str().ok().and_then(|codings| codings.rsplit(',').next());
-  last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
-}
-
 /// Returns a JSON response.
 pub fn json(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
   let mut response = Response::new(full(text));
--- a/yuccarudder/src/http/tests.rs
+++ b/yuccarudder/src/http/tests.rs
@@ -1,4 +1,7 @@
-use super::*;
+use {
+  super::*,
+  hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+};
 
 /// Defines a test: the reason phrase and a header value of a response, and whether its head contains another
 /// one. Guards against heads of two responses that are taken for one.
@@ -31,35 +34,35 @@
 nested_head_test!(version_alone, b"Fine", "HTTP/1.1 proxy", false);
 nested_head_test!(cut_status, b"Fine", "HTTP/1.1 50", false);
 
-/// Defines a test: a header of a response, and whether it tells where the body ends. Guards against bodies
+/// Defines a test: a header of a response, and what marks the end of its body. Guards against bodies
 /// that count as whole although their connection broke.
 macro_rules! framing_test {
-  ($name:ident, $headers:expr, $is_framed:expr) => {
+  ($name:ident, $headers:expr, $framing:ident) => {
     #[test]
     fn $name() {
       let mut headers = HeaderMap::new();
       for (name, value) in $headers {
         headers.append(name, HeaderValue::from_static(value));
       }
-      assert_eq!(is_framed(&headers), $is_framed);
+      assert_eq!(Framing::of(&headers), Framing::$framing);
     }
   };
 }
 
-framing_test!(no_framing, [(CONTENT_TYPE, "text/plain")], false);
-framing_test!(length, [(CONTENT_LENGTH, "3")], true);
-framing_test!(chunks, [(TRANSFER_ENCODING, "chunked")], true);
-framing_test!(chunks_last, [(TRANSFER_ENCODING, "gzip, Chunked")], true);
+framing_test!(no_framing, [(CONTENT_TYPE, "text/plain")], Close);
+framing_test!(length, [(CONTENT_LENGTH, "3")], Length);
+framing_test!(chunks, [(TRANSFER_ENCODING, "chunked")], Chunks);
+framing_test!(chunks_last, [(TRANSFER_ENCODING, "gzip, Chunked")], Chunks);
 framing_test!(
   chunks_in_another_line,
   [(TRANSFER_ENCODING, "gzip"), (TRANSFER_ENCODING, "chunked")],
-  true
+  Chunks
 );
-framing_test!(another_coding, [(TRANSFER_ENCODING, "identity")], false);
+framing_test!(another_coding, [(TRANSFER_ENCODING, "identity")], Close);
 framing_test!(
   another_coding_beside_a_length,
   [(TRANSFER_ENCODING, "gzip"), (CONTENT_LENGTH, "3")],
-  false
+  Close
 );
 
 /// Returns a body of one frame that ends, or never does.
