Fix: an answer without a length or chunks is whole only if its target proves it

Callers saw streams end as complete after part of their events, and bookings with half of the answer as a signed 200. Cause: the end of a connection was taken for the end of the answer; the kernel of a process that is killed closes its connections in the same way. The question whether the target still ran was asked, but its answer decided only about bans.

Now the end waits for a sign of the target that is asked for after the end: an engine's report (the start of its process is the listed one, and it does not run the request any more), or a plain target's health check that names its ID. A target that is gone, replaced, or has more of the stream: cut. Silence for 1.2 s: not proven, so not complete. Streams that may be resumed go on elsewhere, plain requests that may be repeated run again, the others break off or get 502, as after any broken connection. The same holds for failures and other responses of targets that are passed on, and for responses of other hosts, which always have a length or chunks. Responses that end within 20 ms of each other share a question, and one question is asked at a time. A plain target that has no place for its health check counts as running while it accepts connections.

--- /dev/null
+++ b/yuccarudder/src/completion/mod.rs
@@ -0,0 +1,9 @@
+//! Decides whether a response is whole that ended with its connection, as it has neither a length nor
+//! chunks. The connection of a process that is killed ends in the same way.
+
+mod judge;
+
+pub use judge::{Sign, Verdict, judge};
+
+#[cfg(test)]
+mod tests;
--- a/yuccarudder/src/dialect.rs
+++ b/yuccarudder/src/dialect.rs
@@ -115,6 +115,10 @@
 pub struct Report {
   /// Time until the engine process ends; `None` when no shutdown is planned.
   pub shutdown_in: Option<Duration>,
+  /// When its process started, in milliseconds since the Unix epoch, if it tells.
+  pub started_ms: Option<u64>,
+  /// The requests that it runs, each with the number of events that it has produced.
+  pub runs: Vec<(String, u64)>,
 }
 
 /// Function that copies the KV cache of a run from one engine to another.
@@ -125,6 +129,10 @@
     + Send
     + Sync,
 >;
+/// Function that asks at an address and a path whether a target, given by its ID, serves there; returns
+/// `None` when there is no response.
+pub type IdentifyFn =
+  Arc<dyn Fn(SocketAddr, String, Arc<str>) -> BoxFuture<'static, Option<bool>> + Send + Sync>;
 /// Function that asks an engine for its status; returns `None` when there is no response.
 pub type InspectFn = Arc<dyn Fn(SocketAddr) -> BoxFuture<'static, Option<Report>> + Send + Sync>;
 /// Function that asks a target at a path whether it is healthy; returns whether there is any response.
@@ -135,6 +143,8 @@
 /// The translation functions of one platform.
 #[derive(Clone)]
 pub struct Dialect {
+  /// Asks whether a target serves at its address.
+  pub identify: IdentifyFn,
   /// Asks an engine for its status.
   pub inspect: InspectFn,
   /// Asks a target whether it is healthy.
--- a/yuccarudder/src/gateway/breaks.rs
+++ b/yuccarudder/src/gateway/breaks.rs
@@ -52,9 +52,6 @@
   ConnectionLost,
   /// The target sent nothing for some time.
   Silent,
-  /// The response ended with its connection, as it has neither a length nor chunks. That is its
-  /// whole if the target still runs.
-  UnframedEnd,
 }
 
 /// A run that ended without its whole response.
@@ -209,16 +206,10 @@
 
   /// Finds out whether the target of a run crashed, and records it.
   async fn inspect_break(self, run: Break) {
-    match (self.has_crashed(&run).await, run.cause, run.answered_at) {
-      (Some(false), Cause::UnframedEnd, Some(answered_at)) => {
-        self.record_sound(&run.features, run.service, answered_at);
-      }
-      (crashed, ..) => {
-        run.log(crashed);
-        if crashed == Some(true) {
-          self.record_crash(run);
-        }
-      }
+    let crashed = self.has_crashed(&run).await;
+    run.log(crashed);
+    if crashed == Some(true) {
+      self.record_crash(run);
     }
   }
 
--- a/yuccarudder/src/gateway/buffered.rs
+++ b/yuccarudder/src/gateway/buffered.rs
@@ -9,7 +9,10 @@
     plain,
     refusal::Refusal,
   },
-  hyper::{Response, body::Incoming},
+  hyper::{
+    Response,
+    body::{Body as _, Incoming},
+  },
   std::{net::SocketAddr, time::Duration},
 };
 
@@ -88,7 +91,7 @@
     target: PREFIX, id = call.id(), route = call.route().name.as_str(), version = call.catalog.version,
     status = response.status().as_u16(), elapsed_ms = elapsed.as_millis() as u64,
     framing = response.extensions().get::<Framing>().map(|framing| framing.name()),
-    bytes = hyper::body::Body::size_hint(response.body()).exact();
+    bytes = response.body().size_hint().exact();
     "Answered a request."
   );
   response
@@ -127,18 +130,16 @@
   let remaining = timeout.saturating_sub(answered_at.saturating_duration_since(started_at));
   match result {
     Ok(response) => {
-      let framing = Framing::of(response.headers());
-      let whole = read_body(response, remaining).await;
+      let whole = call.read_whole(assignment, response, remaining).await;
       match whole {
-        Some(_) if framing != Framing::Close => call.report_sound(answered_at),
-        Some(_) => call.report_break(assignment, Some(answered_at), Cause::UnframedEnd).await,
+        Some(_) => call.report_sound(answered_at),
         None => call.report_break(assignment, Some(answered_at), Cause::ConnectionLost).await,
       }
       whole.ok_or_else(|| Outcome::Lost.into())
     }
     Err(sending::Failure { outcome, response }) => {
       let response = match response {
-        Some(response) => read_body(*response, remaining).await,
+        Some(response) => call.read_whole(assignment, *response, remaining).await,
         None => None,
       };
       Err(Failure { response, outcome })
@@ -146,6 +147,27 @@
   }
 }
 
+impl Call {
+  /// Reads the response of a target to its end; returns `None` when it is cut off, is too large, takes too
+  /// long, or is not proven to be whole.
+  pub(super) async fn read_whole(
+    &self,
+    assignment: &Assignment,
+    response: Response<Incoming>,
+    timeout: Duration,
+  ) -> Option<Response<Body>> {
+    let deadline = self.gateway.clock.now() + timeout;
+    let response = read_body(response, timeout).await?;
+    if response.extensions().get() == Some(&Framing::Close) {
+      let remaining = deadline.saturating_duration_since(self.gateway.clock.now());
+      if !self.is_proven_whole(assignment, 0, remaining).await {
+        return None;
+      }
+    }
+    Some(response)
+  }
+}
+
 /// Passes a request on to another host and reads the response.
 async fn exchange_with_host(
   call: &Call,
@@ -155,6 +177,8 @@
   match call.hand_over(host, history, None).await {
     Ok(response) => {
       let whole = read_body(response, call.time_left()).await;
+      // Hosts send a length.
+      let whole = whole.filter(|whole| whole.extensions().get() != Some(&Framing::Close));
       whole.ok_or_else(|| Outcome::Lost.into())
     }
     Err(failure) => Err(Failure {
@@ -164,12 +188,14 @@
   }
 }
 
-/// Reads a response to its end; returns `None` when it is cut off, is too large or takes too long.
-pub(super) async fn read_body(
-  response: Response<Incoming>,
-  timeout: Duration,
-) -> Option<Response<Body>> {
-  let framing = Framing::of(response.headers());
+/// Reads a response to its end; returns `None` when it is cut off, is too large or takes too long. Its
+/// framing is among the extensions of the result.
+async fn read_body(response: Response<Incoming>, timeout: Duration) -> Option<Response<Body>> {
+  let framing = if response.body().is_end_stream() {
+    Framing::Length
+  } else {
+    Framing::of(response.headers())
+  };
   let (mut head, body) = response.into_parts();
   head.extensions.insert(framing);
   let bytes =
--- /dev/null
+++ b/yuccarudder/src/gateway/completion.rs
@@ -0,0 +1,161 @@
+//! Asks targets whether they still run after responses ended with their connections.
+//!
+//! A question proves only responses that had ended before it was asked. Those that end while a target is
+//! being asked share the next question.
+
+use {
+  super::{Gateway, assignment::Assignment, call::Call},
+  crate::{
+    completion::{self, Sign, Verdict},
+    roster::Key,
+  },
+  std::{net::SocketAddr, sync::Arc, time::Duration},
+  tokio::{sync::oneshot, time},
+};
+
+/// Time during which responses end that share a question.
+const GATHER_TIME: Duration = Duration::from_millis(20);
+/// Time for a target to accept the connection that shows whether it still runs.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for a target to answer that has no place for a question while it is busy.
+const IDENTIFY_TIMEOUT: Duration = Duration::from_millis(150);
+const PREFIX: &str = "completion";
+/// Longest wait for proof that a response is whole: an engine's report is late by `REPORT_LAG`, and a lost
+/// packet delays a question.
+const PROOF_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Pause between two questions about a response.
+const ASK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The process of a target to ask.
+struct Process {
+  address: SocketAddr,
+  /// The path of its health check; `None` for an engine, which reports its status.
+  health_path: Option<String>,
+  id: Arc<str>,
+  key: Key,
+  started_ms: Option<u64>,
+}
+
+impl Call {
+  /// Returns whether a response is whole that has just ended with its connection, after asking its target.
+  /// `events` is the number of events that were received of it, if it is a stream.
+  ///
+  /// It takes a round trip if the target answers, and `timeout` or `PROOF_TIMEOUT` at most.
+  pub(super) async fn is_proven_whole(
+    &self,
+    assignment: &Assignment,
+    events: u64,
+    timeout: Duration,
+  ) -> bool {
+    let clock = &self.gateway.clock;
+    let ended_at = clock.now();
+    let deadline = ended_at + timeout.min(PROOF_TIMEOUT);
+    let mut sign = Sign::Silent;
+    let mut verdict = Verdict::Open;
+    let mut questions = 0_u32;
+    while verdict == Verdict::Open && clock.now() < deadline {
+      if questions > 0 {
+        time::sleep_until((clock.now() + ASK_INTERVAL).min(deadline).into()).await;
+      }
+      questions += 1;
+      let answer = self.gateway.ask_for_sign(self.process_of(assignment));
+      match time::timeout_at(deadline.into(), answer).await {
+        Ok(Some(answer)) => sign = answer,
+        Ok(None) | Err(_) => sign = Sign::Silent,
+      }
+      verdict = completion::judge(&sign, self.id(), events);
+    }
+    let elapsed = clock.now().saturating_duration_since(ended_at);
+    self.gateway.instruments.unframed_ends.with_label_values(&[verdict.name()]).inc();
+    log::info!(
+      target: PREFIX, id = self.id(), target:% = assignment.target.id, verdict = verdict.name(), sign = sign.name(),
+      questions, events, elapsed_ms = elapsed.as_millis() as u64;
+      "Asked whether a response is whole that ended with its connection."
+    );
+    verdict == Verdict::Whole
+  }
+
+  fn process_of(&self, assignment: &Assignment) -> Process {
+    let service = self.service().filter(|service| service.engine.is_none());
+    let listing = &assignment.target.listing;
+    Process {
+      address: listing.address,
+      health_path: service.map(|service| service.health_path.clone()),
+      id: Arc::clone(&assignment.target.id),
+      key: assignment.key,
+      started_ms: listing.started_ms,
+    }
+  }
+}
+
+impl Gateway {
+  /// Asks a process for a sign that it runs, together with other tasks that wait for one.
+  async fn ask_for_sign(&self, process: Process) -> Option<Sign> {
+    let (sender, receiver) = oneshot::channel();
+    let is_first = {
+      let mut state = self.lock();
+      let is_first = !state.sign_waiters.contains_key(&process.key);
+      state.sign_waiters.entry(process.key).or_default().push(sender);
+      is_first
+    };
+    if is_first {
+      tokio::spawn(self.clone().keep_asking(process));
+    }
+    receiver.await.ok()
+  }
+
+  /// Asks a process as long as tasks wait for a sign of it.
+  async fn keep_asking(self, process: Process) {
+    loop {
+      time::sleep(GATHER_TIME).await;
+      let waiters = {
+        let mut state = self.lock();
+        let waiters = state.sign_waiters.get_mut(&process.key).map(std::mem::take);
+        let waiters = waiters.unwrap_or_default();
+        if waiters.is_empty() {
+          state.sign_waiters.remove(&process.key);
+          return;
+        }
+        waiters
+      };
+      let sign = self.find_sign(&process).await;
+      for waiter in waiters {
+        // The task may have given up.
+        let _ = waiter.send(sign.clone());
+      }
+    }
+  }
+
+  async fn find_sign(&self, process: &Process) -> Sign {
+    if self.is_paused(process.key) || !self.try_take_calls(process.key, 1.0) {
+      return self.find_listener(process, Sign::Listens).await;
+    }
+    let Some(health_path) = process.health_path.clone() else {
+      return match (self.dialect.inspect)(process.address).await {
+        Some(report) if has_other_start(process.started_ms, report.started_ms) => Sign::Gone,
+        Some(report) => Sign::Runs(report.runs),
+        None => self.find_listener(process, Sign::Silent).await,
+      };
+    };
+    let answer = (self.dialect.identify)(process.address, health_path, Arc::clone(&process.id));
+    match time::timeout(IDENTIFY_TIMEOUT, answer).await {
+      Ok(Some(true)) => Sign::Runs(Vec::new()),
+      Ok(Some(false)) => Sign::Gone,
+      Ok(None) | Err(_) => self.find_listener(process, Sign::Listens).await,
+    }
+  }
+
+  /// Returns `sign` if a process listens at the address of the one that does not answer.
+  async fn find_listener(&self, process: &Process, sign: Sign) -> Sign {
+    match self.pool.is_listening(process.address, CONNECT_TIMEOUT).await {
+      Some(true) => sign,
+      Some(false) => Sign::Gone,
+      None => Sign::Silent,
+    }
+  }
+}
+
+/// Returns whether two start times are those of different processes, as far as they are known.
+fn has_other_start(started_ms: Option<u64>, reported_ms: Option<u64>) -> bool {
+  started_ms.zip(reported_ms).is_some_and(|(started, reported)| started != reported)
+}
--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -8,6 +8,7 @@
   },
   crate::{
     clock::Clock,
+    completion::Sign,
     dialect::{Dialect, RequestMetadata, ResponseMetadata},
     limit::{Memory, RetryQuota},
     links,
@@ -34,7 +35,7 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
   },
-  tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch},
+  tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, oneshot, watch},
   tokio_util::sync::CancellationToken,
 };
 
@@ -104,6 +105,8 @@
   pub(super) settings: Arc<settings::Gateway>,
   /// Number of copies that this host has planned, by the engine that leaves service.
   pub(super) planned_copies: SecondaryMap<Key, u32>,
+  /// Tasks that wait for a sign that a target runs; there is an entry while the target is being asked.
+  pub(super) sign_waiters: HashMap<Key, Vec<oneshot::Sender<Sign>>>,
   /// Since when the known targets differ from those of all hosts that read them for the others.
   pub(super) targets_differ_since: Option<Instant>,
   /// When the targets were last listed; `None` if they have not been.
@@ -262,6 +265,7 @@
     let state = State {
       catalog: None,
       planned_copies: SecondaryMap::new(),
+      sign_waiters: HashMap::new(),
       longest_timeouts: HashMap::new(),
       freshness: Freshness::default(),
       health: Health::default(),
--- a/yuccarudder/src/gateway/instruments.rs
+++ b/yuccarudder/src/gateway/instruments.rs
@@ -46,6 +46,8 @@
   pub active_requests: IntGauge,
   /// Finished streams, by how they ended.
   pub finished_streams: IntCounterVec,
+  /// Responses that ended with their connections, by whether they were whole.
+  pub unframed_ends: IntCounterVec,
   /// Targets that accept requests.
   pub available_targets: IntGauge,
 }
@@ -113,6 +115,11 @@
       registry: Registry::new(),
       active_requests: IntGauge::new("yuccarudder_runs", "Requests at targets").expect(VALID_NAMES),
       finished_streams: counter("yuccarudder_streams_total", "Streams by their end", "end"),
+      unframed_ends: counter(
+        "yuccarudder_unframed_ends_total",
+        "Responses without a length or chunks by what is known of their end",
+        "verdict",
+      ),
       available_targets: IntGauge::new("yuccarudder_targets", "Targets that take work")
         .expect(VALID_NAMES),
     };
@@ -137,6 +144,7 @@
       Box::new(self.queue_wait.clone()),
       Box::new(self.active_requests.clone()),
       Box::new(self.finished_streams.clone()),
+      Box::new(self.unframed_ends.clone()),
       Box::new(self.available_targets.clone()),
     ];
     for collector in collectors {
--- a/yuccarudder/src/gateway/mod.rs
+++ b/yuccarudder/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod breaks;
 mod buffered;
 mod call;
+mod completion;
 mod directory;
 mod engine_polling;
 mod forwarding;
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -284,14 +284,10 @@
         Ok(bytes) => self.forward(&bytes).await,
         Err(_) => None,
       },
-      None if self.is_whole() => {
-        if self.is_at_other_host {
-          // The other host reports what it sees of the target.
-        } else if self.framing != Framing::Close {
+      None if self.is_whole().await => {
+        // Another host reports what it sees of the target.
+        if !self.is_at_other_host {
           self.call.report_sound(self.answered_at);
-        } else {
-          let answered_at = Some(self.answered_at);
-          self.call.report_break(&self.assignment, answered_at, Cause::UnframedEnd).await;
         }
         Some(End::Complete)
       }
@@ -312,12 +308,19 @@
     }
   }
 
-  /// Returns whether the response may be whole, now that its connection ended it.
-  ///
-  /// A response that is not framed ends in the same way if its target crashes.
-  fn is_whole(&self) -> bool {
-    let has_events = self.cursor.event_count() > self.earlier_events;
-    !self.cursor.has_partial_event() && (self.framing != Framing::Close || has_events)
+  /// Returns whether the response is whole, now that it has ended.
+  async fn is_whole(&mut self) -> bool {
+    if self.cursor.has_partial_event() {
+      return false;
+    }
+    if self.framing != Framing::Close {
+      return true;
+    }
+    let events = self.cursor.event_count() - self.earlier_events;
+    // Hosts send chunks.
+    events > 0
+      && !self.is_at_other_host
+      && self.call.is_proven_whole(&self.assignment, events, self.call.time_left()).await
   }
 
   /// Sends the complete events in a chunk of the response body to the caller.
--- a/yuccarudder/src/gateway/stream.rs
+++ b/yuccarudder/src/gateway/stream.rs
@@ -1,7 +1,6 @@
 use {
   super::{
-    assignment::Assignment, buffered, call::Call, forwarding, ingress, retrying::Attempts,
-    session::Session,
+    assignment::Assignment, call::Call, forwarding, ingress, retrying::Attempts, session::Session,
   },
   crate::{
     attempt::Outcome,
@@ -49,7 +48,7 @@
         return Ok(build_response(call, attempts, assignment, response));
       }
       Ok(response) => {
-        let response = buffered::read_body(response, call.time_left()).await;
+        let response = call.read_whole(&assignment, response, call.time_left()).await;
         return response.ok_or_else(|| Refusal::unknown(Reason::TargetLost));
       }
       Err(failure) => failure,
--- a/yuccarudder/src/lib.rs
+++ b/yuccarudder/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod cold;
 pub mod command;
+pub mod completion;
 pub mod dialect;
 pub mod drain;
 pub mod entries;
