Test: the last answer of a stopping server waits for the handler, not for 50 ms

It stopped the server 50 ms after it had sent its request; on a busy machine the request was still unread by then, and a server that stops resets connections with unread requests, which callers may repeat. The test now waits until the handler has the request; what it checks of the answer is unchanged.

--- a/yuccarudder/tests/stops.rs
+++ b/yuccarudder/tests/stops.rs
@@ -123,7 +123,10 @@
   let server = Server::start(runtime.handle(), Duration::from_millis(100)).await;
   let mut stream = TcpStream::connect(server.address).await.unwrap();
   stream.write_all(GET.as_bytes()).await.unwrap();
-  time::sleep(Duration::from_millis(50)).await;
+  // A request that is unread when the server stops gets no answer, so it has to be at the handler.
+  while server.request_count.load(Ordering::SeqCst) == 0 {
+    time::sleep(Duration::from_millis(1)).await;
+  }
   server.stop.cancel();
   server.serving.await.unwrap();
   runtime.shutdown_background();
