Fix in /v1: a response without a length of a killed target no longer ends as whole

The end now waits until the target accepts a connection, and fails otherwise. Generations are not affected: their last event says so.

--- a/yuccarudder/src/gateway/buffered.rs
+++ b/yuccarudder/src/gateway/buffered.rs
@@ -191,11 +191,7 @@
 /// Reads a response to its end; returns `None` when it is cut off, is too large or takes too long. Its
 /// framing is among the extensions of the result.
 async fn read_body(response: Response<Incoming>, timeout: Duration) -> Option<Response<Body>> {
-  let framing = if response.body().is_end_stream() {
-    Framing::Length
-  } else {
-    Framing::of(response.headers())
-  };
+  let framing = Framing::of_response(&response);
   let (mut head, body) = response.into_parts();
   head.extensions.insert(framing);
   let bytes =
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -524,7 +524,7 @@
 
   fn replace_body(&mut self, response: Response<Incoming>) {
     self.earlier_events = self.cursor.event_count();
-    self.framing = Framing::of(response.headers());
+    self.framing = Framing::of_response(&response);
     self.is_sound = false;
     self.answered_at = self.call.gateway.clock.now();
     self.cursor.discard_partial_event();
--- a/yuccarudder/src/gateway/stream.rs
+++ b/yuccarudder/src/gateway/stream.rs
@@ -89,7 +89,7 @@
   assignment: Assignment,
   response: Response<Incoming>,
 ) -> Response<Body> {
-  let framing = Framing::of(response.headers());
+  let framing = Framing::of_response(&response);
   let (mut head, target_body) = response.into_parts();
   plain::strip_response(&mut head.headers);
   // Another target may continue the stream with more bytes or fewer.
--- a/yuccarudder/src/http/framing.rs
+++ b/yuccarudder/src/http/framing.rs
@@ -1,5 +1,6 @@
 use hyper::{
-  HeaderMap,
+  HeaderMap, Response,
+  body::Body,
   header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
 
@@ -34,6 +35,14 @@
     }
   }
 
+  /// Returns the framing of a response; one that cannot have a body has a length.
+  pub fn of_response<B: Body>(response: &Response<B>) -> Self {
+    if response.body().is_end_stream() {
+      return Self::Length;
+    }
+    Self::of(response.headers())
+  }
+
   /// Returns what marks the end, for logs.
   pub fn name(self) -> &'static str {
     match self {
--- a/yuccarudder/src/http/mod.rs
+++ b/yuccarudder/src/http/mod.rs
@@ -66,6 +66,28 @@
   })
 }
 
+/// Returns a body that ends only if `check` succeeds after the end of `body`, and else fails with its error.
+pub fn confirmed<B>(
+  body: B,
+  check: impl Future<Output = Result<(), BodyError>> + Send + 'static,
+) -> Body
+where
+  B: hyper::body::Body<Data = Bytes> + Send + Unpin + 'static,
+  B::Error: Into<BodyError>,
+{
+  let begun = Some((body, Box::pin(check)));
+  let frames = stream::unfold(begun, |state| async move {
+    let (mut body, check) = state?;
+    let frame = body.frame().await.map(|frame| frame.map_err(Into::into));
+    match frame {
+      Some(Ok(frame)) => Some((Ok(frame), Some((body, check)))),
+      Some(Err(error)) => Some((Err(error), None)),
+      None => check.await.err().map(|error| (Err(error), None)),
+    }
+  });
+  StreamBody::new(frames).boxed_unsync()
+}
+
 /// Returns an empty body.
 pub fn empty() -> Body {
   Empty::new().map_err(|never| match never {}).boxed_unsync()
--- a/yuccarudder/src/http/tests.rs
+++ b/yuccarudder/src/http/tests.rs
@@ -93,3 +93,18 @@
   let whole = interruptible(body(true), std::future::pending::<&str>());
   assert_eq!(collect(whole, 10).await.unwrap(), "a");
 }
+
+/// Guards against responses that end as whole although what was to confirm that did not.
+#[tokio::test]
+async fn body_that_is_not_confirmed_fails_at_its_end() {
+  let mut unconfirmed = confirmed(body(true), async { Err("gone".into()) });
+  let first = unconfirmed.frame().await.unwrap().unwrap();
+  assert_eq!(first.into_data().unwrap(), "a");
+  assert_eq!(
+    unconfirmed.frame().await.unwrap().unwrap_err().to_string(),
+    "gone"
+  );
+  assert!(unconfirmed.frame().await.is_none());
+  let whole = confirmed(body(true), async { Ok(()) });
+  assert_eq!(collect(whole, 10).await.unwrap(), "a");
+}
--- a/yuccarudder/src/plain/dispatch.rs
+++ b/yuccarudder/src/plain/dispatch.rs
@@ -2,16 +2,17 @@
   super::strip_response,
   crate::{
     host::Host,
-    http::{self, Body},
+    http::{self, Body, BodyError, Framing},
     limit::BufferedBody,
     metrics::RetryReason,
     refusal::{Execution, Reason, Refusal},
     target::{Choice, Chosen, InFlight, Key},
     tree::{AccountKey, ServiceKey, Settings, Tree},
-    upstream::{Call, Error, SendCheck, SendPermit},
+    upstream::{Call, Error, Pool, SendCheck, SendPermit},
   },
   hyper::{HeaderMap, Method, Request, Response, Uri, body::Incoming},
   std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
   },
@@ -22,6 +23,9 @@
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Maximum number of targets that are attempted for one request.
 const MAX_TARGETS: usize = 8;
+/// Time for a target to accept the connection that shows that it still runs; a lost packet delays a
+/// connection by a second.
+const PROOF_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// The body of a request to a target.
 pub enum RequestBody {
@@ -166,7 +170,10 @@
     let connected = !matches!(result, Err(Error::NotSent { .. }));
     host.targets.lock().record_connection(key, connected, host.clock.now());
     match result {
-      Ok(response) => return Ok((prepare_response(response), chosen.in_flight)),
+      Ok(response) => {
+        let response = prepare_response(&host.pool, chosen.address, response);
+        return Ok((response, chosen.in_flight));
+      }
       Err(Error::Denied(refusal)) if refusal.reason == Reason::NoTarget => {
         if !dispatch.restore_body(None) {
           return Err(*refusal);
@@ -203,8 +210,25 @@
   correct_execution(Refusal::not_run(reason), send_permit).with_retry_after(RETRY_AFTER)
 }
 
-fn prepare_response(response: Response<Incoming>) -> Response<Body> {
-  let mut response = response.map(http::incoming);
+/// Returns the response of a target for a caller. One without a length or chunks fails at its end unless
+/// the target still accepts connections, as that of a killed target ends in the same way.
+fn prepare_response(
+  pool: &Pool,
+  target: SocketAddr,
+  response: Response<Incoming>,
+) -> Response<Body> {
+  let mut response = if Framing::of_response(&response) == Framing::Close {
+    let pool = pool.clone();
+    let check = async move {
+      match pool.is_listening(target, PROOF_TIMEOUT).await {
+        Some(true) => Ok(()),
+        _ => Err(BodyError::from("the target ended with its response")),
+      }
+    };
+    response.map(|body| http::confirmed(body, check))
+  } else {
+    response.map(http::incoming)
+  };
   strip_response(response.headers_mut());
   response
 }
--- a/yuccarudder/tests/promises.rs
+++ b/yuccarudder/tests/promises.rs
@@ -13,7 +13,11 @@
   },
   serde_json::{Value, json},
   std::time::{Duration, Instant},
-  tokio::time,
+  tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+    time,
+  },
   yuccarudder::{
     caller::{Call, Client, Failure, Reply},
     clock::Clock,
@@ -367,6 +371,44 @@
   assert_eq!(failure.ran, Execution::Unknown, "{failure}");
 }
 
+/// Sends half of a response without a length on the first connection, and ends as a killed process does.
+async fn serve_half_and_end(listener: TcpListener) {
+  let (mut stream, _) = listener.accept().await.unwrap();
+  let mut request = Vec::new();
+  while !request.windows(4).any(|window| window == b"\r\n\r\n") {
+    assert_ne!(stream.read_buf(&mut request).await.unwrap(), 0);
+  }
+  let begun = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n[\"09:00\",";
+  stream.write_all(begun).await.unwrap();
+  drop(listener);
+}
+
+/// Guards against half of a response without a length that is passed on as whole although its target was
+/// killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn response_without_a_length_of_a_killed_target_is_reported_as_a_failure() {
+  let mut fleet = Fleet::start(Options {
+    plain_servers: 1,
+    ..Options::default()
+  })
+  .await
+  .unwrap();
+  let address = fleet.plain_servers[0].address;
+  fleet.plain_servers[0].kill().await;
+  let listener = TcpListener::bind(address).await.unwrap();
+  let target = tokio::spawn(serve_half_and_end(listener));
+  let slots = Call {
+    body: Bytes::new(),
+    method: Method::GET,
+    idempotency_key: None,
+    path: "slots".into(),
+    service: SERVICE.into(),
+  };
+  let failure = fleet.client().call(&slots).await.unwrap_err();
+  assert_eq!(failure.ran, Execution::Unknown, "{failure}");
+  target.await.unwrap();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn call_without_a_key_to_an_unresponsive_target_is_reported_as_unknown() {
   let fleet = Fleet::start(options(&["deadline: 300ms"])).await.unwrap();
