Fix: a run whose answer was lost is stopped before the stream goes on at another engine

Cause: recovery took the end of a connection for the end of the run; only moved runs were told to stop. Now the first engine is asked to stop the run and hand its memory to the second before the request is sent there; a run that is still active goes on from that copy, one that is gone costs a round trip. An engine that does not answer within 300 ms is not waited for: it has crashed or is out of reach, and is told to free the copy once it answers. The same before a request starts anew whose answer was lost before its head.

--- a/yuccarudder/src/gateway/migration.rs
+++ b/yuccarudder/src/gateway/migration.rs
@@ -8,12 +8,17 @@
 use {
   super::{assignment::Assignment, call::Call},
   crate::{
+    dialect::{CopyFn, ReleaseFn},
     relocation::{Copied, CopyRequest, Failure, Plan, Position, Run, Source, Window},
     roster::Target,
   },
   futures::future::{self, BoxFuture},
-  std::time::{Duration, Instant},
-  tokio::time,
+  std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+  },
+  tokio::{sync::oneshot, time},
 };
 
 /// Delay before a new attempt if no engine has capacity for a run or a copy failed.
@@ -31,6 +36,9 @@
 /// Time for an engine to cancel a run after its connection was closed. Users treat a run that is
 /// active on two engines for 400 ms as a fault.
 const DISCONNECT_GRACE_PERIOD: Duration = Duration::from_millis(100);
+/// Time for an engine to stop a run whose answer was lost; one that runs answers after a round trip and the
+/// copy.
+const STOP_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// What a migration is waiting for.
 enum Wait {
@@ -177,27 +185,95 @@
 /// stop the run and copy it again, so that the run does not stay active on two engines; that copy
 /// is released.
 pub fn ensure_stopped(call: &Call, source: &Assignment, destination: &Assignment) {
-  let dialect = &call.gateway.dialect;
-  let release = dialect.release.clone();
-  let address = source.target.listing.address;
-  let stop_reply = (dialect.copy)(CopyRequest {
-    destination: destination.target.listing.address,
-    request_id: call.id().to_owned(),
-    source: address,
-    stop_first: true,
-  });
-  let id = call.id().to_owned();
-  let engine = source.target.id.clone();
+  let stop = Stop::request(call, source, destination);
   tokio::spawn(async move {
     time::sleep(DISCONNECT_GRACE_PERIOD).await;
-    let handle = match stop_reply.await {
-      Ok(copied) => copied.handle,
-      Err(Failure::NoRoom(Some(handle))) => handle,
-      Err(_) => return,
+    if let Some(handle) = stop.finish().await.1 {
+      stop.release(handle).await;
+    }
+  });
+}
+
+/// Stops a run whose answer was lost, before the request goes on at `destination`; returns its copy there if
+/// the engine had not stopped it.
+///
+/// An engine that does not answer in time is not waited for: it has crashed or is out of reach. It is told
+/// to free the copy once it answers.
+pub async fn stop_lost_run(
+  call: &Call,
+  source: &Assignment,
+  destination: &Assignment,
+) -> Option<Copied> {
+  if !call.service()?.engine.as_ref()?.relocatable {
+    return None;
+  }
+  let stop = Stop::request(call, source, destination);
+  let (sender, receiver) = oneshot::channel();
+  tokio::spawn(async move {
+    let (copied, handle) = stop.finish().await;
+    let unused_handle = match copied {
+      Some(copied) => sender.send(copied).err().map(|copied| copied.handle),
+      None => handle,
     };
-    log::warn!(target: PREFIX, id = id.as_str(), engine:% = engine; "An engine did not cancel a run when its connection was closed; the run was stopped.");
-    release(address, handle).await;
+    if let Some(handle) = unused_handle {
+      stop.release(handle).await;
+    }
   });
+  time::timeout(STOP_TIMEOUT, receiver).await.ok()?.ok()
+}
+
+/// Stops a run whose answer was lost before its first event, before the request starts anew.
+pub async fn stop_lost_start(call: &Call, source: &Assignment, destination: &Assignment) {
+  if let Some(copied) = stop_lost_run(call, source, destination).await {
+    let address = source.target.listing.address;
+    tokio::spawn((call.gateway.dialect.release)(address, copied.handle));
+  }
+}
+
+/// A request to an engine to stop a run.
+struct Stop {
+  address: SocketAddr,
+  copy: CopyFn,
+  engine: Arc<str>,
+  release: ReleaseFn,
+  request: CopyRequest,
+}
+
+impl Stop {
+  fn request(call: &Call, source: &Assignment, destination: &Assignment) -> Self {
+    let address = source.target.listing.address;
+    Self {
+      address,
+      copy: Arc::clone(&call.gateway.dialect.copy),
+      engine: Arc::clone(&source.target.id),
+      release: Arc::clone(&call.gateway.dialect.release),
+      request: CopyRequest {
+        destination: destination.target.listing.address,
+        request_id: call.id().to_owned(),
+        source: address,
+        stop_first: true,
+      },
+    }
+  }
+
+  /// Sends the request; returns the copy at the destination, and the handle of the copy wherever it is, if
+  /// the run was still active.
+  async fn finish(&self) -> (Option<Copied>, Option<String>) {
+    let result = (self.copy)(self.request.clone()).await;
+    let (copied, handle) = match result {
+      Ok(copied) => (Some(copied.clone()), Some(copied.handle)),
+      Err(Failure::NoRoom(Some(handle))) => (None, Some(handle)),
+      Err(_) => (None, None),
+    };
+    if handle.is_some() {
+      log::warn!(target: PREFIX, id = self.request.request_id.as_str(), engine:% = self.engine; "An engine did not cancel a run when its connection was closed; the run was stopped.");
+    }
+    (copied, handle)
+  }
+
+  async fn release(&self, handle: String) {
+    (self.release)(self.address, handle).await;
+  }
 }
 
 /// Plans the copy of a run together with those of all runs on the engines that leave at about the
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -4,7 +4,7 @@
     breaks::{Cause, SILENCE},
     call::Call,
     migration::{self, Migration, Step},
-    stream,
+    sending, stream,
     timing::Timing,
   },
   crate::{
@@ -568,11 +568,8 @@
       destination:% = assignment.target.id, software = assignment.target.listing.version.as_str(), events = self.cursor.event_count();
       "Resuming a stream at another target."
     );
-    let resume = Resume {
-      cache_location: None,
-      last_event_id: self.cursor.last_event_id(),
-    };
-    match self.call.send(&assignment, Some(&resume), self.call.time_left()).await {
+    let copied = migration::stop_lost_run(&self.call, &self.assignment, &assignment).await;
+    match self.resume_at(&assignment, copied).await {
       Ok(response) if stream::has_events(&response) => {
         self.relay_from(assignment, response);
         None
@@ -581,6 +578,28 @@
     }
   }
 
+  /// Sends the request to another engine, which goes on from a copy of the run if it holds one.
+  async fn resume_at(
+    &mut self,
+    assignment: &Assignment,
+    copied: Option<Copied>,
+  ) -> Result<Response<Incoming>, sending::Failure> {
+    let source = self.assignment.target.listing.address;
+    let mut resume = Resume {
+      cache_location: copied.as_ref().map(|copied| format!("{source}/{}", copied.handle)),
+      last_event_id: self.cursor.last_event_id(),
+    };
+    let result = self.call.send(assignment, Some(&resume), self.call.time_left()).await;
+    match (copied, &result) {
+      (Some(copied), Err(failure)) if failure.outcome.is_not_run() => {
+        self.release_copy(copied);
+        resume.cache_location = None;
+        self.call.send(assignment, Some(&resume), self.call.time_left()).await
+      }
+      _ => result,
+    }
+  }
+
   fn release_copy(&self, copied: Copied) {
     let source = self.assignment.target.listing.address;
     tokio::spawn((self.call.gateway.dialect.release)(source, copied.handle));
--- a/yuccarudder/src/gateway/stream.rs
+++ b/yuccarudder/src/gateway/stream.rs
@@ -1,6 +1,7 @@
 use {
   super::{
-    assignment::Assignment, call::Call, forwarding, ingress, retrying::Attempts, session::Session,
+    assignment::Assignment, call::Call, forwarding, ingress, migration, retrying::Attempts,
+    session::Session,
   },
   crate::{
     attempt::Outcome,
@@ -28,6 +29,7 @@
   }
   constrain_version(&mut call)?;
   let mut attempts = Attempts::new(&call);
+  let mut lost: Option<Assignment> = None;
   loop {
     if let Some(host) = attempts.next_helper(&call) {
       let failure = match call.hand_over(host, &attempts.history, None).await {
@@ -43,6 +45,9 @@
       continue;
     }
     let assignment = attempts.assign_next(&call).await?;
+    if let Some(lost) = lost.take() {
+      migration::stop_lost_start(&call, &lost, &assignment).await;
+    }
     let failure = match call.send(&assignment, None, call.time_left()).await {
       Ok(response) if has_events(&response) => {
         return Ok(build_response(call, attempts, assignment, response));
@@ -56,6 +61,7 @@
     if !attempts.record_failure(&call, failure.outcome) {
       return Err(call.final_refusal(&attempts.history, failure.outcome));
     }
+    lost = (failure.outcome == Outcome::Lost).then_some(assignment);
   }
 }
 
