Fix: a host out of step continues no stream whose version it cannot know

What callers saw: during a release, a stream that began at the new version through one host broke, was taken up at a host that was cut off from the others and the store, and went on at the old version.

Cause: `origin::Table::coverage` was an age that grew with the clock, whether or not the host saw or was told anything. The only version that it knew passed for the only one in service.

Why it works: a time of which all versions are known ends with its last proof, and a stream of unknown origin continues only if that time reaches up to when the caller asked. A proof is a read of the store without a gap, a heartbeat of a host that has one, or heartbeats of all other hosts; each counts from when its question was sent.

Tests that changed: the decision tables pass the time of the question. The test that a host knows enough after five minutes extends its coverage by proofs, as before it grew by itself, which was the fault; a new test holds that it does not. The property test of origins has each host list the targets each second and passes the proofs on instead of ages.

--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -257,9 +257,14 @@
     let incarnation = rand::random();
     let forwarded_requests = settings.weight as usize * FORWARDED_PER_MILLICORE;
     let mut origins = origin::Table::default();
+    let now = clock.since_boot();
     if settings.first_start {
       // No stream began before this process started.
-      origins.extend_coverage(origin::STREAM_RETENTION, clock.now());
+      let before = origin::Coverage::new(origin::STREAM_RETENTION, now, now);
+      origins.begin(before);
+      origins.extend_coverage(before);
+    } else {
+      origins.begin(origin::Coverage::new(Duration::ZERO, now, now));
     }
     let body_bytes = settings.memory_bytes as f64 * BODY_MEMORY_SHARE;
     let state = State {
@@ -428,6 +433,12 @@
     }
   }
 
+  /// Records up to when the other hosts have told this one all versions that they know.
+  pub(super) fn confirm_versions(&mut self, now: Duration) {
+    let members = &self.members;
+    self.origins.confirm(|since| members.stated_until(since, now));
+  }
+
   /// Returns this host's part in reading the platform.
   pub(super) fn role(&self, now: Duration) -> Role {
     Role {
--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -2,9 +2,11 @@
   super::{
     Gateway,
     gateway::{EVACUATION_HOLD, HOST_SOURCE, State},
+    ingress,
   },
   crate::{
-    member::{self, Announcement, Codec, Heartbeat, Phase, Recipient, Sent},
+    member::{self, Announcement, Codec, Heartbeat, Phase, Received, Recipient, Sent},
+    origin,
     quarantine::Ledger,
     reader,
     roster::{self, Roster},
@@ -36,8 +38,9 @@
 const MAX_ORIGINS: usize = 48;
 /// Heartbeats in which a begun stream is announced, as some are lost.
 const ORIGIN_HEARTBEATS: u32 = 3;
-/// Maximum number of versions of services in a heartbeat.
-const MAX_VERSIONS: usize = 16;
+/// Maximum number of versions of services in a heartbeat, so that it fits into one packet. Beyond it the
+/// other hosts are not told all of them.
+const MAX_VERSIONS: usize = 32;
 /// Pause after a failed transfer before the next host is asked for its catalog.
 const FETCH_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Pause after a receive error.
@@ -96,7 +99,7 @@
 }
 
 /// Builds the next heartbeat; returns it with the hosts to send it to.
-fn build(gateway: &Gateway, sequence: u64) -> (Heartbeat, Vec<Recipient>) {
+pub(super) fn build(gateway: &Gateway, sequence: u64) -> (Heartbeat, Vec<Recipient>) {
   let phase = gateway.phase();
   let clock_now = gateway.clock.now();
   let now = gateway.clock.since_boot();
@@ -110,7 +113,12 @@
   let max_members = state.members.members_per_heartbeat(now);
   state.members.record_sent(Sent { at: now, sequence });
   state.observe_versions(None, clock_now);
-  let (versions, versions_known_for_ms) = versions(&state, now, clock_now);
+  state.confirm_versions(now);
+  let versions = state.origins.versions(clock_now);
+  // Others rely on the list only if it is complete.
+  let is_complete = versions.len() <= MAX_VERSIONS;
+  let coverage = state.origins.coverage().filter(|_| is_complete);
+  let memory = state.origins.memory().filter(|_| is_complete);
   let age = state.freshness.age(now);
   let heartbeat = Heartbeat {
     announcements: if reads_targets {
@@ -149,8 +157,11 @@
     sounds: sounds(&state.ledger, clock_now),
     targets_digest: reads_targets.then(|| state.roster.digest(clock_now)),
     unreachable_services,
-    versions,
-    versions_known_for_ms,
+    versions: version_list(versions),
+    versions_known_for_ms: coverage.map(|coverage| milliseconds(coverage.age(now))),
+    versions_remembered_for_ms: memory.map(|memory| milliseconds(memory.age(now))),
+    versions_known_until_ms: coverage
+      .map(|coverage| milliseconds(now.saturating_sub(coverage.until())) + 1),
     weight: state.settings.weight,
   };
   drop(state);
@@ -222,19 +233,11 @@
   streams.into_iter().map(origin).collect()
 }
 
-/// Returns the software versions of the services that have several; or those of all services, with the
-/// time for which this host has known all of them, if other processes have just started.
-fn versions(
-  state: &State,
-  now: Duration,
-  clock_now: Instant,
-) -> (Vec<member::ServiceVersion>, Option<u64>) {
-  let mut versions = state.origins.versions(clock_now);
-  let coverage = state
-    .origins
-    .coverage(clock_now)
-    .filter(|_| state.members.has_new_process(now) && versions.len() <= MAX_VERSIONS);
-  if coverage.is_none() {
+/// Returns the software versions of all services; of those that have several if there are too many.
+fn version_list(
+  mut versions: Vec<(&origin::ServiceVersion, Duration)>,
+) -> Vec<member::ServiceVersion> {
+  if versions.len() > MAX_VERSIONS {
     let mut counts: HashMap<u64, u32> = HashMap::new();
     for ((service, _), _) in &versions {
       *counts.entry(*service).or_default() += 1;
@@ -242,9 +245,10 @@
     versions.retain(|((service, _), _)| counts[service] > 1);
     versions.truncate(MAX_VERSIONS);
   }
-  let versions =
-    versions.into_iter().map(|(version, age)| member::ServiceVersion::new(version, age));
-  (versions.collect(), coverage.map(milliseconds))
+  versions
+    .into_iter()
+    .map(|(version, age)| member::ServiceVersion::new(version, age))
+    .collect()
 }
 
 /// Returns the sound answers that this host announces, or a random part of them if there are many.
@@ -263,10 +267,11 @@
 }
 
 impl Gateway {
-  /// Records which software version began a stream, and notifies the other hosts.
-  pub(super) fn record_origin(&self, stream: u64, version: &str) {
+  /// Records which software version of a service began a stream, and notifies the other hosts.
+  pub(super) fn record_origin(&self, stream: u64, service: &str, version: &str) {
     let now = self.clock.now();
     let mut state = self.lock();
+    state.origins.record_version(ingress::hash(service), version, now, now);
     let interval = member::heartbeat_interval(state.members.fleet_size());
     state.origins.record(stream, version, now + interval * ORIGIN_HEARTBEATS, now);
     drop(state);
@@ -275,7 +280,7 @@
 }
 
 /// Applies the heartbeat of another host.
-fn receive(gateway: &Gateway, heartbeat: &Heartbeat) {
+pub(super) fn receive(gateway: &Gateway, heartbeat: &Heartbeat) {
   let received_at = gateway.clock.now();
   let now = gateway.clock.since_boot();
   let mut state = gateway.lock();
@@ -300,15 +305,7 @@
       state.origins.merge(*stream, &origin.version, received_at);
     }
   }
-  for reported in &heartbeat.versions {
-    let last_seen = reported.last_seen(received_at);
-    state.origins.record_version(reported.service, &reported.version, last_seen, received_at);
-  }
-  if let Some(known_for) = heartbeat.versions_known_for_ms
-    && state.targets_listed_at.is_some()
-  {
-    state.origins.extend_coverage(Duration::from_millis(known_for), received_at);
-  }
+  merge_versions(&mut state, heartbeat, &received, received_at);
   let departures = heartbeat.leaving.iter();
   let departing: Vec<_> = departures
     .filter_map(|departure| state.roster.merge_departure(&(*departure).into(), received_at))
@@ -345,6 +342,27 @@
   }
 }
 
+/// Merges the software versions that another host lists, and what it proves by that.
+fn merge_versions(
+  state: &mut State,
+  heartbeat: &Heartbeat,
+  received: &Received,
+  received_at: Instant,
+) {
+  let mut has_room = true;
+  for reported in &heartbeat.versions {
+    let last_seen = reported.last_seen(received_at);
+    has_room &=
+      state.origins.record_version(reported.service, &reported.version, last_seen, received_at);
+  }
+  if has_room
+    && state.targets_listed_at.is_some()
+    && let Some(coverage) = received.coverage
+  {
+    state.origins.extend_coverage(coverage);
+  }
+}
+
 /// Merges what another host knows of restores of the platform's store; returns whether it knows
 /// the newest era.
 fn merge_era(state: &mut State, heartbeat: &Heartbeat, gateway: &Gateway) -> bool {
--- a/yuccarudder/src/gateway/mod.rs
+++ b/yuccarudder/src/gateway/mod.rs
@@ -37,6 +37,8 @@
 pub use gateway::Gateway;
 pub use serve::{Server, run};
 
+#[cfg(test)]
+mod out_of_step_tests;
 #[cfg(test)]
 mod tests;
 #[cfg(test)]
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -372,7 +372,7 @@
     if let Kind::Stream { resumable: true } = self.call.route().kind
       && let Some(stream) = self.call.stream_key()
     {
-      self.call.gateway.record_origin(stream, &version);
+      self.call.gateway.record_origin(stream, &self.call.service_name, &version);
     }
   }
 
--- a/yuccarudder/src/gateway/stream.rs
+++ b/yuccarudder/src/gateway/stream.rs
@@ -1,6 +1,7 @@
 use {
   super::{
-    assignment::Assignment, call::Call, forwarding, ingress, retrying::Attempts, session::Session,
+    Gateway, assignment::Assignment, call::Call, forwarding, ingress, retrying::Attempts,
+    session::Session,
   },
   crate::{
     attempt::Outcome,
@@ -10,8 +11,15 @@
     refusal::{Reason, Refusal},
   },
   hyper::{Response, StatusCode, body::Incoming, header::CONTENT_LENGTH},
+  std::time::Duration,
+  tokio::time,
 };
 
+/// Interval at which it is checked whether the other hosts have told this one enough.
+const CONFIRMATION_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest wait until this host knows which versions were in service when a caller continued a stream; the
+/// other hosts tell it with their next heartbeats, or a reader after its next watch.
+const MAX_CONFIRMATION_WAIT: Duration = Duration::from_secs(2);
 const PREFIX: &str = "stream";
 
 /// Serves a request whose response is an event stream.
@@ -26,7 +34,7 @@
       "A caller resumes a stream."
     );
   }
-  constrain_version(&mut call)?;
+  constrain_version(&mut call).await?;
   let mut attempts = Attempts::new(&call);
   loop {
     if let Some(host) = attempts.next_helper(&call) {
@@ -60,24 +68,53 @@
 }
 
 /// Restricts a stream that its caller continues to the software version that began it.
-fn constrain_version(call: &mut Call) -> Result<(), Refusal> {
+///
+/// Waits until this host has proved that it missed no version, as it may have been out of touch.
+async fn constrain_version(call: &mut Call) -> Result<(), Refusal> {
   if !call.continues_stream() {
     return Ok(());
   }
-  let stream = call.stream_key();
-  let now = call.gateway.clock.now();
-  let mut state = call.gateway.lock();
-  state.observe_versions(Some(&call.service_name), now);
-  match state.origins.decide(stream, ingress::hash(&call.service_name), now) {
-    Decision::Unknown => Err(Refusal::not_run(Reason::UnknownOrigin)),
-    Decision::Version(version) => {
-      drop(state);
-      call.version = Some(version);
-      Ok(())
+  let asked_at = call.gateway.clock.since_boot();
+  let give_up_at = call.deadline.min(call.gateway.clock.now() + MAX_CONFIRMATION_WAIT);
+  let mut is_first_check = true;
+  loop {
+    match call.gateway.decide_origin(call.stream_key(), &call.service_name, asked_at) {
+      Decision::Version(version) => {
+        call.version = Some(version);
+        return Ok(());
+      }
+      Decision::Unconfirmed if call.gateway.clock.now() < give_up_at => {
+        if is_first_check {
+          // The other hosts' next heartbeats echo this one.
+          call.gateway.heartbeat_trigger.notify_one();
+          is_first_check = false;
+        }
+        time::sleep(CONFIRMATION_CHECK_INTERVAL).await;
+      }
+      Decision::Unconfirmed | Decision::Unknown => {
+        return Err(Refusal::not_run(Reason::UnknownOrigin));
+      }
     }
   }
 }
 
+impl Gateway {
+  /// Decides at which software version a stream may be continued, for which its caller asked at a time
+  /// since boot.
+  pub(super) fn decide_origin(
+    &self,
+    stream: Option<u64>,
+    service: &str,
+    asked_at: Duration,
+  ) -> Decision {
+    let now = self.clock.now();
+    let mut state = self.lock();
+    state.observe_versions(Some(service), now);
+    state.confirm_versions(self.clock.since_boot());
+    state.origins.decide(stream, ingress::hash(service), asked_at, now)
+  }
+}
+
 /// Returns whether the body of a response is the event stream that was asked for.
 pub(super) fn has_events(response: &Response<Incoming>) -> bool {
   response.status() == StatusCode::OK
--- a/yuccarudder/src/gateway/updates.rs
+++ b/yuccarudder/src/gateway/updates.rs
@@ -1,7 +1,7 @@
 use {
   super::{Gateway, gateway::HOST_SOURCE},
   crate::{
-    member,
+    member, origin,
     reader::{Area, Change, Changes, Copies, Error, Mode, Role, Snapshot, Subject},
     relocation,
     roster::Key,
@@ -282,11 +282,21 @@
     }
     let departing = state.roster.apply_snapshot(entries, snapshot.version, recovering, now);
     state.targets_listed_at = Some(now);
-    state.origins.extend_coverage(Duration::ZERO, now);
     drop(state);
     self.announce_departures(&departing, "platform");
   }
 
+  /// Records that this host has read all targets that were in service from one time to another, both since
+  /// boot.
+  pub fn record_targets_read(&self, from: Duration, until: Duration) {
+    let now = self.clock.now();
+    let mut state = self.lock();
+    state.observe_versions(None, now);
+    if state.era.is_complete(until) {
+      state.origins.extend_coverage(origin::Coverage::new(Duration::ZERO, from, until));
+    }
+  }
+
   /// Announces targets that leave service to the tasks of this host and to the other hosts.
   ///
   /// Waiting requests are woken even if `keys` is empty, because targets may have been added.
--- a/yuccarudder/src/member/heartbeat.rs
+++ b/yuccarudder/src/member/heartbeat.rs
@@ -621,13 +621,21 @@
   #[prost(fixed64, repeated, tag = "28")]
   pub unreachable_services: Vec<u64>,
   /// Versions of the services of which several are or recently were in service; those of all services
-  /// if `versions_known_for_ms` is present.
+  /// if `versions_known_for_ms` is present, up to the time that `versions_known_until_ms` states.
   #[prost(message, repeated, tag = "27")]
   pub versions: Vec<ServiceVersion>,
-  /// For how long the sender has known all versions in service, in milliseconds; sent to processes that
-  /// have just started.
+  /// Time since the beginning of the time of which the sender knows all versions in service, in
+  /// milliseconds.
   #[prost(uint64, optional, tag = "29")]
   pub versions_known_for_ms: Option<u64>,
+  /// Time since the beginning of the time of which the sender knows all versions at which it began streams
+  /// itself, in milliseconds; absent if its build does not state it. The end is now.
+  #[prost(uint64, optional, tag = "34")]
+  pub versions_remembered_for_ms: Option<u64>,
+  /// Time since the end of that of `versions_known_for_ms`, in milliseconds; absent if its build does not state it, and may have
+  /// been out of touch.
+  #[prost(uint64, optional, tag = "33")]
+  pub versions_known_until_ms: Option<u64>,
   /// Capacity of the sender, in thousandths of a core.
   #[prost(uint32, tag = "13")]
   pub weight: u32,
--- a/yuccarudder/src/member/table.rs
+++ b/yuccarudder/src/member/table.rs
@@ -1,9 +1,10 @@
 use {
   super::{Echo, Heartbeat, Phase, timing},
+  crate::origin::Coverage,
   siphasher::sip::SipHasher13,
   std::{
     cmp::Reverse,
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, HashSet, VecDeque},
     hash::{Hash, Hasher},
     net::SocketAddr,
     time::Duration,
@@ -49,6 +50,9 @@
   sequence: u64,
   /// Digest of the targets that it has read for the others.
   targets_digest: Option<u64>,
+  /// The time of which it last told all software versions at which it began streams, up to when it told
+  /// them.
+  versions_remembered: Option<Coverage>,
   /// Hashes of the names of services to whose targets it has lost its links.
   pub unreachable_services: Vec<u64>,
   /// Its capacity, in thousandths of a core.
@@ -70,6 +74,9 @@
   /// Time on this host's clock at or after which the sender confirmed its catalog; `None`
   /// if the heartbeat proves no such time.
   pub confirmed_at: Option<Duration>,
+  /// The time of which the sender told all software versions that were in service; `None` if the heartbeat
+  /// proves no such time.
+  pub coverage: Option<Coverage>,
   /// Address at which other hosts reach the sender.
   pub sender: SocketAddr,
 }
@@ -96,8 +103,9 @@
   incarnation: u64,
   /// When a host was last added or removed.
   last_change: Duration,
-  /// When the first heartbeat of a process was last received.
-  last_start: Option<Duration>,
+  /// Hosts that were removed because they were silent, or that were mentioned and have sent nothing; they
+  /// may serve callers without this host hearing of it.
+  lost: HashSet<SocketAddr>,
   members: HashMap<SocketAddr, Member>,
   seeds: Vec<SocketAddr>,
   sent: VecDeque<Sent>,
@@ -131,11 +139,6 @@
     }
   }
 
-  /// Returns whether the process of another host has just started, as far as this one has heard.
-  pub fn has_new_process(&self, now: Duration) -> bool {
-    self.last_start.is_some_and(|at| now.saturating_sub(at) < STABLE_AFTER)
-  }
-
   /// Returns the live hosts whose catalog is newer than a version.
   pub fn with_catalog_above(&self, version: u64, now: Duration) -> Vec<SocketAddr> {
     let newer = self.live(now).filter(|(_, member)| member.catalog_version > version);
@@ -160,7 +163,7 @@
     Self {
       candidates: HashMap::new(),
       last_change: Duration::ZERO,
-      last_start: None,
+      lost: HashSet::new(),
       first_sent: None,
       incarnation,
       members: HashMap::new(),
@@ -186,7 +189,14 @@
     for address in &removed {
       self.members.remove(address);
     }
-    self.candidates.retain(|_, at| !is_expired(*at));
+    let expired = self.candidates.iter().filter(|(_, at)| is_expired(**at));
+    let expired: Vec<SocketAddr> = expired.map(|(address, _)| *address).collect();
+    for address in expired.into_iter().chain(removed.iter().copied()) {
+      self.candidates.remove(&address);
+      if self.lost.len() < MAX_MEMBERS {
+        self.lost.insert(address);
+      }
+    }
     let mut addresses: Vec<SocketAddr> = self.members.keys().copied().collect();
     addresses.extend(self.candidates.keys().chain(&self.seeds));
     addresses.sort_unstable();
@@ -225,12 +235,14 @@
       self.last_change = now;
     }
     let known = self.members.get(&sender);
-    if known.is_none_or(|known| known.incarnation != heartbeat.incarnation) {
-      self.last_start = Some(now);
-    }
-    let could_assist =
-      known.is_some_and(|known| known.incarnation == heartbeat.incarnation && known.can_assist);
+    let same_process = known.filter(|known| known.incarnation == heartbeat.incarnation);
+    let could_assist = same_process.is_some_and(|known| known.can_assist);
+    let echoed_at = self.echoed_at(heartbeat);
+    let remembered = heartbeat.versions_remembered_for_ms.map(Duration::from_millis);
+    let remembered = remembered.zip(echoed_at).map(|(age, until)| Coverage::new(age, now, until));
+    let versions_remembered = remembered.or_else(|| same_process?.versions_remembered);
     self.candidates.remove(&sender);
+    self.lost.remove(&sender);
     self.members.insert(
       sender,
       Member {
@@ -242,6 +254,7 @@
         phase: Phase::from_number(heartbeat.phase),
         reads_platform: heartbeat.reads,
         sequence: heartbeat.sequence,
+        versions_remembered,
         targets_digest: heartbeat.targets_digest,
         unreachable_services: heartbeat
           .unreachable_services
@@ -261,21 +274,44 @@
       }
     }
     Some(Received {
-      confirmed_at: self.confirmation_time(heartbeat),
+      confirmed_at: echoed_at.and_then(|at| {
+        let age = Duration::from_millis(heartbeat.catalog_age_ms?);
+        at.checked_sub(age)
+      }),
+      coverage: echoed_at.and_then(|echoed_at| coverage(heartbeat, echoed_at, now)),
       sender,
     })
   }
 
-  /// Returns a time at or after which the sender confirmed its catalog.
+  /// Returns when this host sent the heartbeat that another one echoes.
   ///
-  /// The sender built its heartbeat after it had received the one that it echoes. The stated
-  /// age is therefore subtracted from the time at which this host sent the echoed heartbeat,
-  /// which holds regardless of the delays on the network.
-  fn confirmation_time(&self, heartbeat: &Heartbeat) -> Option<Duration> {
+  /// The other host built its heartbeat after it had received the echoed one. What it states of a time
+  /// before it built the heartbeat holds for the same time before this one, regardless of the delays on
+  /// the network.
+  fn echoed_at(&self, heartbeat: &Heartbeat) -> Option<Duration> {
     let echo = heartbeat.echo.filter(|echo| echo.incarnation == self.incarnation)?;
     let sent = self.sent.iter().find(|sent| sent.sequence == echo.sequence)?;
-    let age = Duration::from_millis(heartbeat.catalog_age_ms?);
-    sent.at.checked_sub(age)
+    Some(sent.at)
+  }
+
+  /// Returns up to when all other hosts have told at which software versions they began streams from
+  /// `since` on; `None` if one of them has not, or if one may exist from which this host has not heard.
+  pub fn stated_until(&self, since: Duration, now: Duration) -> Option<Duration> {
+    let is_unheard =
+      |seed: &SocketAddr| *seed != self.own_address && !self.members.contains_key(seed);
+    if !self.candidates.is_empty()
+      || !self.lost.is_empty()
+      || self.seeds.iter().any(is_unheard)
+      || self.members.len() >= MAX_MEMBERS
+    {
+      return None;
+    }
+    let told = self.members.values().map(|member| {
+      let told = member.versions_remembered.filter(|told| told.begins_by(since))?;
+      Some(told.until())
+    });
+    let told: Option<Vec<Duration>> = told.collect();
+    Some(told?.into_iter().min().unwrap_or(now))
   }
 
   /// Returns how many live hosts precede this one, which has the capacity `weight`, when a
@@ -374,6 +410,15 @@
   }
 }
 
+/// Returns the time of which the sender of a heartbeat, which echoes one sent at `echoed_at`, told all
+/// software versions that were in service; `None` if it proves no such time.
+fn coverage(heartbeat: &Heartbeat, echoed_at: Duration, now: Duration) -> Option<Coverage> {
+  let age = Duration::from_millis(heartbeat.versions_known_for_ms?);
+  let lag = Duration::from_millis(heartbeat.versions_known_until_ms?);
+  let coverage = Coverage::new(age, now, echoed_at.checked_sub(lag)?);
+  coverage.begins_by(coverage.until()).then_some(coverage)
+}
+
 fn position_hash(seed: u64, address: SocketAddr) -> u64 {
   let mut hasher = SipHasher13::new();
   (seed, address).hash(&mut hasher);
--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -1,6 +1,6 @@
 use {
   super::*,
-  crate::{placement, reader, roster},
+  crate::{origin::Coverage, placement, reader, roster},
   bytes::{Bytes, BytesMut},
   prost::Message,
   rand::{RngExt, SeedableRng, rngs::StdRng, seq::IndexedRandom},
@@ -52,6 +52,8 @@
     unreachable_services: Vec::new(),
     versions: Vec::new(),
     versions_known_for_ms: None,
+    versions_known_until_ms: None,
+    versions_remembered_for_ms: None,
     weight: 250,
   }
 }
@@ -639,3 +641,133 @@
   let decoded = Heartbeat::decode(&*older.encode_to_vec()).unwrap();
   assert!(decoded.rooms.is_empty());
 }
+
+/// Defines a test of the software versions that a heartbeat proves to know, received at 1,000 ms: its echo
+/// of the heartbeat sent at 600 ms or none, the fields of the known time, and the expected age and end of
+/// that time in milliseconds.
+macro_rules! proves_versions {
+  ($name:ident, $echo:expr, $known_for:expr, $known_until:expr, $expected:expr) => {
+    #[test]
+    fn $name() {
+      let mut table = table();
+      table.record_sent(Sent {
+        at: ms(600),
+        sequence: 5,
+      });
+      let received = Heartbeat {
+        echo: $echo.then_some(Echo {
+          incarnation: 1,
+          sequence: 5,
+        }),
+        versions_known_for_ms: $known_for,
+        versions_known_until_ms: $known_until,
+        ..heartbeat(2, 1)
+      };
+      let coverage = table.receive(&received, ms(1_000)).unwrap().coverage;
+      let expected: Option<(u64, u64)> = $expected;
+      let expected = expected.map(|(age, until)| Coverage::new(ms(age), ms(1_000), ms(until)));
+      assert_eq!(coverage, expected);
+    }
+  };
+}
+
+proves_versions!(
+  versions_known_up_to_the_echo,
+  true,
+  Some(900),
+  Some(0),
+  Some((900, 600))
+);
+proves_versions!(
+  versions_known_some_time_ago,
+  true,
+  Some(900),
+  Some(300),
+  Some((900, 300))
+);
+proves_versions!(versions_without_an_echo, false, Some(900), Some(0), None);
+// Older builds do not say whether they are in touch.
+proves_versions!(versions_of_an_older_build, true, Some(900), None, None);
+proves_versions!(
+  versions_known_after_the_echo_only,
+  true,
+  Some(300),
+  Some(0),
+  None
+);
+
+/// Returns the heartbeat of a host that tells the versions that it remembers since before the test, and
+/// echoes the heartbeat of the given number.
+fn remembering(host: u8, sequence: u64, echo: u64) -> Heartbeat {
+  Heartbeat {
+    echo: Some(Echo {
+      incarnation: 1,
+      sequence: echo,
+    }),
+    versions_remembered_for_ms: Some(300_000),
+    ..heartbeat(host, sequence)
+  }
+}
+
+/// Returns a table that has sent two heartbeats and heard from two hosts that echo them.
+fn told_table() -> Table {
+  let mut table = table();
+  for sequence in 1..3 {
+    table.record_sent(Sent {
+      at: ms(100 * sequence),
+      sequence,
+    });
+  }
+  table.receive(&remembering(2, 1, 1), ms(300)).unwrap();
+  table.receive(&remembering(3, 1, 2), ms(300)).unwrap();
+  table
+}
+
+#[test]
+fn versions_are_told_up_to_the_oldest_echo() {
+  let mut table = told_table();
+  assert_eq!(table.stated_until(ms(0), ms(400)), Some(ms(100)));
+  table.receive(&remembering(2, 2, 2), ms(400)).unwrap();
+  assert_eq!(table.stated_until(ms(0), ms(400)), Some(ms(200)));
+}
+
+#[test]
+fn host_without_others_is_told_all() {
+  let table = Table::new(address(1), 1, vec![address(1)]);
+  assert_eq!(table.stated_until(ms(0), ms(400)), Some(ms(400)));
+}
+
+/// Guards against a host that takes the silence of another one for news: a seed that it has never heard, a
+/// host that another one mentioned, one of which it heard for the last time long ago, a new process, and
+/// one of an older build.
+#[test]
+fn versions_of_hosts_that_have_not_told_them_are_unknown() {
+  let unheard = Table::new(address(1), 1, vec![address(2)]);
+  assert_eq!(unheard.stated_until(ms(0), ms(400)), None);
+  let mentioning = Heartbeat {
+    members: vec![address(4).to_string()],
+    ..remembering(2, 2, 2)
+  };
+  let restarted = Heartbeat {
+    incarnation: 9,
+    versions_remembered_for_ms: Some(0),
+    ..remembering(2, 1, 2)
+  };
+  let older = Heartbeat {
+    incarnation: 9,
+    ..heartbeat(2, 1)
+  };
+  for received in [mentioning, restarted, older] {
+    let mut table = told_table();
+    table.receive(&received, ms(400)).unwrap();
+    assert_eq!(table.stated_until(ms(0), ms(400)), None);
+  }
+  let mut table = told_table();
+  let later = ms(300) + Duration::from_secs(60);
+  table.receive(&remembering(2, 2, 2), later).unwrap();
+  table.recipients(later);
+  assert_eq!(table.fleet_size(), 2);
+  assert_eq!(table.stated_until(later, later), None);
+  table.receive(&remembering(3, 2, 2), later).unwrap();
+  assert_eq!(table.stated_until(later, later), Some(ms(200)));
+}
--- a/yuccarudder/src/origin/table.rs
+++ b/yuccarudder/src/origin/table.rs
@@ -1,4 +1,5 @@
 use {
+  super::Coverage,
   siphasher::sip::SipHasher13,
   std::{
     collections::{HashMap, VecDeque},
@@ -12,6 +13,8 @@
 const MAX_STREAMS: usize = 8192;
 /// Maximum number of versions of services that are remembered.
 const MAX_VERSIONS: usize = 256;
+/// Maximum number of times of which all versions are known, with gaps between them.
+const MAX_COVERAGES: usize = 2;
 /// Longest time for which a caller may continue a stream, counted from its beginning. A host that does
 /// not know the stream must know all versions that were in service for as long.
 pub const STREAM_RETENTION: Duration = Duration::from_secs(300);
@@ -19,6 +22,9 @@
 /// At which version a stream may be continued.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Decision {
+  /// The only known version, if no other one was in service when the caller asked; this host has yet to
+  /// learn that.
+  Unconfirmed,
   /// It is not known which version began the stream.
   Unknown,
   /// At this version only.
@@ -39,9 +45,12 @@
 /// The versions that began streams, as far as a host knows.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
-  /// For how long this host has known all versions in service, at some time; `None` before it has
-  /// listed the targets.
-  coverage: Option<(Duration, Instant)>,
+  /// Times of which this host knows all versions in service, earliest first; there may be a gap between
+  /// them until another host tells which versions were in service then.
+  coverages: Vec<Coverage>,
+  /// The time of which this host knows all versions at which it began streams itself, whichever process it
+  /// was; `None` if it has not begun to record them, or had no room for one. It lasts.
+  memory: Option<Coverage>,
   /// Keys of `streams`, oldest first.
   order: VecDeque<u64>,
   streams: HashMap<u64, Record>,
@@ -57,39 +66,86 @@
     streams.map(|(key, record)| (*key, &record.version))
   }
 
-  /// Decides at which version a stream of a service may be continued.
+  /// Decides at which version a stream of a service may be continued, for which its caller asked at
+  /// `asked_at`, a time since boot.
   ///
   /// `stream` is the key of the stream, if the caller named it. A stream that nobody knows began at the
   /// only version that has been in service for as long as streams last; a host that cannot know that
-  /// does not guess.
-  pub fn decide(&mut self, stream: Option<u64>, service: u64, now: Instant) -> Decision {
+  /// does not guess. It can know that only for a time that has passed, so its knowledge has to reach up to
+  /// when the caller asked.
+  pub fn decide(
+    &mut self,
+    stream: Option<u64>,
+    service: u64,
+    asked_at: Duration,
+    now: Instant,
+  ) -> Decision {
     if let Some(record) = stream.and_then(|stream| self.streams.get_mut(&stream))
       && now.saturating_duration_since(record.used_at) < STREAM_RETENTION
     {
       record.used_at = now;
       return Decision::Version(Arc::clone(&record.version));
     }
-    if self.coverage(now).is_none_or(|coverage| coverage < STREAM_RETENTION) {
+    let reaches_back = |coverage: &Coverage| coverage.spans_retention(asked_at);
+    if !self.coverages.iter().any(reaches_back) {
       return Decision::Unknown;
     }
+    let is_confirmed = self.coverages.iter().any(|it| reaches_back(it) && it.until() >= asked_at);
     let versions = self.recent_versions(now).filter(|((of, _), _)| *of == service);
     match versions.collect::<Vec<_>>()[..] {
-      [((_, version), _)] => Decision::Version(Arc::clone(version)),
+      [((_, version), _)] if is_confirmed => Decision::Version(Arc::clone(version)),
+      [] | [_] if !is_confirmed => Decision::Unconfirmed,
       _ => Decision::Unknown,
     }
   }
 
-  /// Returns for how long this host has known all versions in service, up to `STREAM_RETENTION`.
-  pub fn coverage(&self, now: Instant) -> Option<Duration> {
-    let (age, at) = self.coverage?;
-    Some((age + now.saturating_duration_since(at)).min(STREAM_RETENTION))
+  /// Returns the latest time of which this host knows all versions in service; `None` before it has listed
+  /// the targets.
+  pub fn coverage(&self) -> Option<Coverage> {
+    self.coverages.last().copied()
   }
 
-  /// Records that this host has known all versions in service for a time, on its own or from another
+  /// Returns the time of which this host knows all versions at which it began streams itself; it lasts.
+  pub fn memory(&self) -> Option<Coverage> {
+    self.memory
+  }
+
+  /// Begins to record versions. `memory` ends now, and began earlier if no stream began before.
+  pub fn begin(&mut self, memory: Coverage) {
+    self.memory = Some(memory);
+  }
+
+  /// Records that this host knows all versions that were in service in a time, on its own or from another
   /// host that told it all of them.
-  pub fn extend_coverage(&mut self, coverage: Duration, now: Instant) {
-    if self.coverage(now).is_none_or(|known| known < coverage) {
-      self.coverage = Some((coverage, now));
+  pub fn extend_coverage(&mut self, coverage: Coverage) {
+    let mut joined = coverage;
+    self.coverages.retain(|known| match known.join(&joined) {
+      Some(both) => {
+        joined = both;
+        false
+      }
+      None => true,
+    });
+    self.coverages.push(joined);
+    self.coverages.sort_unstable_by_key(Coverage::until);
+    if self.coverages.len() > MAX_COVERAGES {
+      self.coverages.remove(0);
+    }
+    // An earlier process of this host may have begun streams, up to the beginning of this memory.
+    self.memory = self.memory.map(|memory| memory.reaching_back(&joined));
+  }
+
+  /// Extends each time of which this host knows all versions to a later one; `stated_until` returns up to
+  /// when all other hosts have told it the versions at which they began streams from a time on.
+  pub fn confirm(&mut self, stated_until: impl Fn(Duration) -> Option<Duration>) {
+    let Some(memory) = self.memory else {
+      return;
+    };
+    for coverage in self.coverages.clone() {
+      let until = stated_until(coverage.until()).filter(|until| *until > coverage.until());
+      if let Some(until) = until.filter(|_| memory.begins_by(coverage.until())) {
+        self.extend_coverage(coverage.extended(until));
+      }
     }
   }
 
@@ -110,20 +166,22 @@
     self.insert(stream, version, None, now);
   }
 
-  /// Records that a version of a service was in service at a time.
-  pub fn record_version(&mut self, service: u64, version: &str, at: Instant, now: Instant) {
+  /// Records that a version of a service was in service at a time; returns whether there was room for it.
+  pub fn record_version(&mut self, service: u64, version: &str, at: Instant, now: Instant) -> bool {
     let key = (service, Arc::from(version));
     if !self.versions.contains_key(&key) {
       let is_recent = |at: &Instant| now.saturating_duration_since(*at) < STREAM_RETENTION;
       self.versions.retain(|_, at| is_recent(at));
       if self.versions.len() >= MAX_VERSIONS {
         // Versions are missing from now on.
-        self.coverage = None;
-        return;
+        self.coverages.clear();
+        self.memory = None;
+        return false;
       }
     }
     let last_seen = self.versions.entry(key).or_insert(at);
     *last_seen = at.max(*last_seen);
+    true
   }
 
   /// Records that a version began a stream, or continues it, at this host, which announces it until
--- a/yuccarudder/src/origin/tests.rs
+++ b/yuccarudder/src/origin/tests.rs
@@ -6,6 +6,13 @@
 };
 
 const SERVICE: u64 = 1;
+/// A time since boot.
+const BOOT: Duration = Duration::from_secs(1_000);
+
+/// Returns the time from `seconds` before `until`.
+fn coverage(seconds: u64, until: Duration) -> Coverage {
+  Coverage::new(Duration::from_secs(seconds), until, until)
+}
 
 fn version(text: &str) -> Decision {
   Decision::Version(text.into())
@@ -22,15 +29,15 @@
       let now = start + Duration::from_secs(1_000);
       let mut table = Table::default();
       table.merge(1, "v1", now);
-      let coverage: Option<u64> = $coverage;
-      if let Some(seconds) = coverage {
-        table.extend_coverage(Duration::from_secs(seconds), now);
+      let known_for: Option<u64> = $coverage;
+      if let Some(seconds) = known_for {
+        table.extend_coverage(coverage(seconds, BOOT));
       }
       let versions: Vec<(&str, u64)> = vec![$(($version, $age)),*];
       for (version, age) in versions {
         table.record_version(SERVICE, version, now - Duration::from_secs(age), now);
       }
-      assert_eq!(table.decide($stream, SERVICE, now), $expected);
+      assert_eq!(table.decide($stream, SERVICE, BOOT, now), $expected);
     }
   };
 }
@@ -86,39 +93,100 @@
   let mut table = Table::default();
   table.record(1, "v1", now + Duration::from_secs(1), now);
   table.merge(1, "v2", now);
-  assert_eq!(table.decide(Some(1), SERVICE, now), version("v1"));
+  assert_eq!(table.decide(Some(1), SERVICE, BOOT, now), version("v1"));
 }
 
 #[test]
 fn host_knows_enough_after_it_has_seen_all_versions_for_as_long_as_streams_last() {
   let now = Instant::now();
   let mut table = Table::default();
-  table.extend_coverage(Duration::ZERO, now);
   for (seconds, expected) in [
     (0, Decision::Unknown),
     (299, Decision::Unknown),
     (300, version("v2")),
   ] {
     let later = now + Duration::from_secs(seconds);
+    let asked_at = BOOT + Duration::from_secs(seconds);
+    table.extend_coverage(Coverage::new(Duration::ZERO, BOOT, asked_at));
     table.record_version(SERVICE, "v2", later, later);
-    assert_eq!(table.decide(None, SERVICE, later), expected);
+    assert_eq!(table.decide(None, SERVICE, asked_at, later), expected);
   }
 }
 
+/// Guards against a host that counts time in which it was out of touch as time in which it saw all versions.
 #[test]
-fn later_news_does_not_shorten_what_a_host_knows() {
+fn coverage_does_not_grow_by_itself() {
   let now = Instant::now();
   let mut table = Table::default();
-  table.extend_coverage(STREAM_RETENTION, now);
-  table.extend_coverage(Duration::ZERO, now);
-  assert_eq!(table.coverage(now), Some(STREAM_RETENTION));
+  table.extend_coverage(coverage(300, BOOT));
+  table.record_version(SERVICE, "v1", now, now);
+  assert_eq!(table.decide(None, SERVICE, BOOT, now), version("v1"));
+  let later = BOOT + Duration::from_millis(1);
+  assert_eq!(
+    table.decide(None, SERVICE, later, now),
+    Decision::Unconfirmed
+  );
+  table.extend_coverage(Coverage::new(Duration::ZERO, BOOT, later));
+  assert_eq!(table.decide(None, SERVICE, later, now), version("v1"));
+}
+
+/// Guards against a host that takes up what it knew before a gap although nobody has told it of the gap.
+#[test]
+fn gap_in_coverage_stays_until_another_host_has_told_of_it() {
+  let now = Instant::now();
+  let at = |seconds| BOOT + Duration::from_secs(seconds);
+  let mut table = Table::default();
+  table.record_version(SERVICE, "v1", now, now);
+  table.extend_coverage(coverage(300, BOOT));
+  table.extend_coverage(coverage(2, at(10)));
+  assert_eq!(
+    table.decide(None, SERVICE, at(10), now),
+    Decision::Unconfirmed
+  );
+  table.extend_coverage(Coverage::new(Duration::from_secs(20), at(11), at(9)));
+  assert_eq!(table.decide(None, SERVICE, at(10), now), version("v1"));
+}
+
+/// Guards against statements of the other hosts that are taken for knowledge of what an earlier process of
+/// this host did.
+#[test]
+fn other_hosts_confirm_only_what_this_process_remembers() {
+  let at = |seconds| BOOT + Duration::from_secs(seconds);
+  for (starts_at, expected) in [(at(0), at(9)), (at(5), at(3))] {
+    let mut table = Table::default();
+    table.begin(Coverage::new(Duration::ZERO, starts_at, starts_at));
+    table.extend_coverage(coverage(300, at(3)));
+    table.confirm(|_| Some(at(9)));
+    assert_eq!(table.coverage().unwrap().until(), expected);
+  }
+}
+
+/// Guards against a process that states it remembers what an earlier one of its host did.
+#[test]
+fn memory_reaches_back_only_over_what_another_host_has_told_of() {
+  let at = |seconds| BOOT + Duration::from_secs(seconds);
+  let mut table = Table::default();
+  table.begin(coverage(0, at(5)));
+  table.extend_coverage(coverage(300, at(4)));
+  assert_eq!(table.memory(), Some(coverage(0, at(5))));
+  table.extend_coverage(coverage(300, at(6)));
+  assert_eq!(table.memory().unwrap().age(at(6)), STREAM_RETENTION);
+}
+
+#[test]
+fn later_news_does_not_shorten_what_a_host_knows() {
+  let mut table = Table::default();
+  table.extend_coverage(coverage(300, BOOT));
+  table.extend_coverage(coverage(0, BOOT));
+  assert_eq!(table.coverage(), Some(coverage(300, BOOT)));
 }
 
 #[test]
 fn state_stays_bounded() {
   let now = Instant::now();
   let mut table = Table::default();
-  table.extend_coverage(STREAM_RETENTION, now);
+  table.begin(coverage(300, BOOT));
+  table.extend_coverage(coverage(300, BOOT));
   for stream in 0..20_000 {
     table.record(stream, "v1", now + Duration::from_secs(1), now);
     table.record_version(stream, "v1", now, now);
@@ -126,9 +194,12 @@
   assert!(table.announced(now).count() <= 8192);
   assert!(table.versions(now).len() <= 256);
   // Versions are missing, so nothing is concluded from the others.
-  assert_eq!(table.coverage(now), None);
-  assert_eq!(table.decide(Some(19_999), SERVICE, now), version("v1"));
-  assert_eq!(table.decide(Some(0), SERVICE, now), Decision::Unknown);
+  assert_eq!((table.coverage(), table.memory()), (None, None));
+  assert_eq!(
+    table.decide(Some(19_999), SERVICE, BOOT, now),
+    version("v1")
+  );
+  assert_eq!(table.decide(Some(0), SERVICE, BOOT, now), Decision::Unknown);
 }
 
 proptest! {
@@ -147,7 +218,7 @@
     let start = Instant::now();
     let mut random = StdRng::seed_from_u64(seed);
     let mut table = Table::default();
-    table.extend_coverage(STREAM_RETENTION, start);
+    table.extend_coverage(coverage(300, BOOT));
     let mut tables = vec![table; hosts];
     let mut continued = 0;
     let streams = 60;
@@ -176,12 +247,12 @@
         }
       }
       let resumed = random.random_range(0..hosts);
-      match tables[resumed].decide(Some(stream), SERVICE, now) {
+      match tables[resumed].decide(Some(stream), SERVICE, BOOT, now) {
         Decision::Version(version) => {
           prop_assert_eq!(version.as_ref(), origin);
           continued += 1;
         }
-        Decision::Unknown => {}
+        Decision::Unconfirmed | Decision::Unknown => {}
       }
     }
     prop_assert!(continued * 2 >= streams, "{continued}");
@@ -200,10 +271,11 @@
     let start = Instant::now();
     let mut random = StdRng::seed_from_u64(seed);
     let mut tables = vec![Table::default(); hosts];
-    tables.iter_mut().for_each(|table| table.extend_coverage(STREAM_RETENTION, start));
+    tables.iter_mut().for_each(|table| table.extend_coverage(coverage(300, BOOT)));
     let mut begun: Vec<&str> = Vec::new();
     for step in 0..400_u64 {
       let now = start + Duration::from_secs(step);
+      let since_boot = BOOT + Duration::from_secs(step);
       let serving = if step < release_at { "v1" } else { "v2" };
       for table in &mut tables {
         if random.random_bool(restart_share / 50.0) {
@@ -214,7 +286,8 @@
         tables.iter_mut().for_each(|table| *table = Table::default());
       }
       for table in &mut tables {
-        table.extend_coverage(Duration::ZERO, now);
+        // Each host lists the targets every second.
+        table.extend_coverage(coverage(1, since_boot));
         table.record_version(SERVICE, serving, now, now);
       }
       let news: Vec<_> = tables
@@ -223,7 +296,7 @@
           let versions = table.versions(now).into_iter();
           let versions: Vec<_> =
             versions.map(|((_, version), age)| (version.to_string(), now - age)).collect();
-          (versions, table.coverage(now))
+          (versions, table.coverage())
         })
         .collect();
       for table in &mut tables {
@@ -235,7 +308,7 @@
             table.record_version(SERVICE, version, *at, now);
           }
           if let Some(coverage) = coverage {
-            table.extend_coverage(*coverage, now);
+            table.extend_coverage(*coverage);
           }
         }
       }
@@ -244,7 +317,7 @@
       let first = step.saturating_sub(299) as usize;
       let origin = begun[random.random_range(first..begun.len())];
       let resumed = random.random_range(0..hosts);
-      if let Decision::Version(version) = tables[resumed].decide(Some(step), SERVICE, now) {
+      if let Decision::Version(version) = tables[resumed].decide(Some(step), SERVICE, since_boot, now) {
         prop_assert_eq!(version.as_ref(), origin, "at {} s", step);
       }
     }
--- a/yuccarudder/src/reader/run.rs
+++ b/yuccarudder/src/reader/run.rs
@@ -13,9 +13,14 @@
 /// How long a watch of the targets waits for a change. It is a fraction of the notice that
 /// engines give before they leave, so that an unresponsive platform is noticed in time.
 pub(super) const TARGETS_WATCH_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for which a platform that drops its history may withhold changes from watches.
+const MAX_CHANGE_DELAY: Duration = OPERATOR_WATCH_TIMEOUT;
 /// Time beyond the timeout of a watch after which the request counts as failed.
 const WATCH_MARGIN: Duration = Duration::from_millis(500);
 const LIST_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Shortest time for which a target stays listed: one that leaves serves on, and one that crashes misses
+/// some heartbeats first. A list shows all targets that were in service for as long before.
+const MIN_LISTED_TIME: Duration = Duration::from_secs(2);
 const PREFIX: &str = "reader";
 
 /// Reads an area until the task is dropped.
@@ -39,9 +44,12 @@
         let version = snapshot.version;
         gateway.record_read_success(area);
         gateway.apply_snapshot(area, snapshot, requested_at);
+        if consistency == Consistency::Current && area == Area::Targets {
+          gateway.record_targets_read(requested_at.saturating_sub(MIN_LISTED_TIME), requested_at);
+        }
         match gateway.read_mode(area) {
           Mode::Watch(_) if consistency == Consistency::Current => {
-            watch(&gateway, &store, area, version).await;
+            watch(&gateway, &store, area, version, requested_at).await;
           }
           Mode::Watch(_) => {}
           Mode::Poll(pause) | Mode::Idle(pause) => time::sleep(pause).await,
@@ -56,8 +64,10 @@
 }
 
 /// Applies changes while this host is to watch the area, and returns early if the platform no
-/// longer keeps the changes that come next, or was restored from an older copy.
-async fn watch(gateway: &Gateway, store: &Store, area: Area, listed: Version) {
+/// longer keeps the changes that come next, or was restored from an older copy. The state `listed` was
+/// requested at `listed_at`.
+async fn watch(gateway: &Gateway, store: &Store, area: Area, listed: Version, listed_at: Duration) {
+  let mut read_until = listed_at;
   let mut revision = listed.revision;
   let mut backoff = Duration::ZERO;
   while let Mode::Watch(pause) = gateway.read_mode(area) {
@@ -82,6 +92,12 @@
         revision = changes.version.revision.max(revision);
         gateway.record_read_success(area);
         gateway.apply_changes(area, changes, requested_at);
+        if area == Area::Targets {
+          let shown = gateway.clock.since_boot().saturating_sub(MAX_CHANGE_DELAY);
+          let until = shown.min(requested_at).max(read_until);
+          gateway.record_targets_read(read_until, until);
+          read_until = until;
+        }
         time::sleep(pause).await;
       }
       Err(Error::Compacted) => {
--- a/yuccarudder/tests/older_builds.rs
+++ b/yuccarudder/tests/older_builds.rs
@@ -266,8 +266,11 @@
     origins.record_version(version.service, &version.version, now, now);
   }
   assert_eq!(with_versions().versions_known_for_ms, None);
-  assert_eq!(origins.coverage(now), None);
-  assert_eq!(origins.decide(None, 21, now), origin::Decision::Unknown);
+  assert_eq!(origins.coverage(), None);
+  assert_eq!(
+    origins.decide(None, 21, Duration::ZERO, now),
+    origin::Decision::Unknown
+  );
 }
 
 /// Parts of a heartbeat as the builds of 4c45312 and e46434b read it.
