Fix: a run is not sent to an engine that has begun to leave since its copy was ordered

What callers saw: a run that moved from a leaving engine was sent to one that had itself been draining for longer than the platform allows, and was cut there before its end.

Cause: `handle_copy_result` asked only whether the destination had asked for a pause. Whether it accepts requests was asked when the copy was ordered, up to five seconds earlier.

Why it works: the destination's state is looked at when the run is sent. If it has left, the copy is freed and another one is planned at once, while the run goes on at its engine; a run whose engine is gone by then goes on elsewhere if its route allows it.

--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -371,6 +371,12 @@
     }
   }
 
+  /// Returns whether a run may be sent to a target at which capacity is reserved for it: the target accepts
+  /// requests and has not asked this host for a pause.
+  pub(super) fn accepts_runs(&self, key: Key) -> bool {
+    self.lock().roster.is_accepting(key) && !self.is_paused(key)
+  }
+
   /// Returns whether a target has asked this host for a pause that has not ended.
   pub(super) fn is_paused(&self, key: Key) -> bool {
     self.lock().pauses.end(key, self.clock.now()).is_some()
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -467,7 +467,7 @@
       Err(_) => "failed",
     });
     let unused_copy = match result {
-      Ok(copied) if !self.call.gateway.is_paused(destination.key) => {
+      Ok(copied) if self.call.gateway.accepts_runs(destination.key) => {
         return self.resume_from_copy(copied, destination).await;
       }
       result => result.ok(),
