--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -372,7 +372,7 @@
     if let Kind::Stream { resumable: true } = self.call.route().kind
       && let Some(stream) = self.call.stream_key()
     {
-      self.call.gateway.record_origin(stream, &version);
+      self.call.gateway.record_origin(stream, &self.call.service_name, &version);
     }
   }
 
@@ -467,7 +467,7 @@
       Err(_) => "failed",
     });
     let unused_copy = match result {
-      Ok(copied) if !self.call.gateway.is_paused(destination.key) => {
+      Ok(copied) if self.call.gateway.accepts_runs(destination.key) => {
         return self.resume_from_copy(copied, destination).await;
       }
       result => result.ok(),
