Streams: ids need only rise within a run, and events without ids aren't joined

Callers saw sound streams cut. Ids of events are increasing, not consecutive: an event may hold several tokens, and an engine may number those (4, 8, 12 ... or 1, 5, 6). relay::Cursor demanded that each id be the one after the last, so the host ended such a stream at its second event, and each stream that another target continued. A stream without numeric ids was worse: if it broke off, another target began it anew within the same response, so its events came twice; and one that ended with its connection counted as empty.

Now a run's own order counts as long as its ids rise. HTTP delivers the bytes of a run in order, so an event can only be missing where another run goes on: its first id must be above the last one, and where the steps between ids were equal (two or more of them), at most one step above. For ids that count events that is the check of before: exactly the next id. A shorter step is sound where events have several tokens, since the first and the last event of a run may have fewer. After an event without an id no other run goes on, neither after a loss nor from a copy nor at another host; the caller's connection breaks off, and it knows what it has. Events without ids count as events.

Given up knowingly: where fewer than two steps are known (one event before the break, or none because the caller itself resumed the stream), an event that is missing at the join can't be told from one with several tokens. And a stream whose varying steps happened to be equal up to the break (1, 2, 3, then 8) is still cut.

Looked at and left: /v1's generation::Sequencer and caller::stream speak the product's own protocol, which defines one event a token with consecutive indices; Copied.events is only logged.

--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -209,6 +209,7 @@
     let call = &self.call;
     if self.is_at_other_host
       || !call.is_repeatable()
+      || !self.cursor.is_resumable()
       || self.silence() < CUT_SILENCE
       || !call.gateway.has_lost_links(&call.service_name)
     {
@@ -467,7 +468,9 @@
       Err(_) => "failed",
     });
     let unused_copy = match result {
-      Ok(copied) if self.call.gateway.accepts_runs(destination.key) => {
+      Ok(copied)
+        if self.cursor.is_resumable() && self.call.gateway.accepts_runs(destination.key) =>
+      {
         return self.resume_from_copy(copied, destination).await;
       }
       result => result.ok(),
@@ -553,7 +556,7 @@
   async fn recover(&mut self) -> Option<End> {
     self.migration.cancel(&self.call, &self.assignment);
     self.history.possible_runs += 1;
-    if !self.call.grant_retry(&self.history, Outcome::Lost) {
+    if !self.cursor.is_resumable() || !self.call.grant_retry(&self.history, Outcome::Lost) {
       return Some(End::TargetLost);
     }
     if self.resume_at_other_host().await {
--- a/yuccarudder/src/relay/cursor.rs
+++ b/yuccarudder/src/relay/cursor.rs
@@ -1,4 +1,5 @@
 use {
+  super::numbering::Numbering,
   bytes::{Bytes, BytesMut},
   memchr::memmem,
   std::fmt,
@@ -14,9 +15,10 @@
 pub enum Error {
   /// A line is none of an event, so the bytes are not those of a stream.
   Malformed,
-  /// The id of an event is not the one after the id of the previous event.
+  /// The id of an event is not above that of the previous event, or too far above it at the beginning
+  /// of another run.
   OutOfOrder {
-    /// The expected id.
+    /// The id that was expected at the latest.
     expected: u64,
     /// The id that was received.
     found: u64,
@@ -40,9 +42,11 @@
 
 /// The position in a stream of server-sent events.
 ///
-/// It splits the bytes of a stream into complete events and checks that their ids are consecutive.
+/// It splits the bytes of a stream into complete events and checks that their ids rise. By how much is
+/// up to the target, as it may number the tokens in its events.
 /// When the stream continues with another run, the bytes of the new response are fed to the same
-/// cursor, so that a missing or repeated event is detected.
+/// cursor, so that a repeated event is detected, and also a missing one if all steps between ids were
+/// equal before.
 #[derive(Clone, Debug, Default)]
 pub struct Cursor {
   last_event_id: Option<u64>,
@@ -50,10 +54,17 @@
   /// Number of bytes since the last event with an id.
   bytes_since_event: usize,
   event_count: u64,
+  /// The id passed to `new`.
+  first_event_id: Option<u64>,
+  /// Whether an event without an id has followed the last one with an id.
+  has_unnumbered_event: bool,
+  /// Whether an event of the current run has had an id.
+  has_run_event: bool,
+  numbering: Numbering,
 }
 
 impl Cursor {
-  /// Returns the number of complete events with an id so far.
+  /// Returns the number of complete events so far; comments are none.
   pub fn event_count(&self) -> u64 {
     self.event_count
   }
@@ -62,7 +73,7 @@
   ///
   /// # Errors
   ///
-  /// Returns an error if an event is missing, repeated, malformed or too large.
+  /// Returns an error if an event is repeated, malformed or too large, or if one is known to be missing.
   pub fn feed(&mut self, bytes: &[u8]) -> Result<Bytes, Error> {
     self.buffer.extend_from_slice(bytes);
     self.bytes_since_event += bytes.len();
@@ -73,17 +84,12 @@
         return Err(Error::Malformed);
       }
       if let Some(id) = event_id(event) {
-        if let Some(last_id) = self.last_event_id
-          && id != last_id + 1
-        {
-          return Err(Error::OutOfOrder {
-            expected: last_id + 1,
-            found: id,
-          });
-        }
-        self.last_event_id = Some(id);
+        self.advance(id)?;
         self.event_count += 1;
         self.bytes_since_event = self.buffer.len() - complete_len - length - 2;
+      } else if has_data(event) {
+        self.event_count += 1;
+        self.has_unnumbered_event = true;
       }
       complete_len += length + 2;
     }
@@ -93,6 +99,54 @@
     Ok(self.buffer.split_to(complete_len).freeze())
   }
 
+  /// Checks the id of the next event and advances to it.
+  fn advance(&mut self, id: u64) -> Result<(), Error> {
+    let last_id = self.last_event_id.unwrap_or(0);
+    let step = id.saturating_sub(last_id);
+    if step == 0 && self.last_event_id.is_some() {
+      return Err(Error::OutOfOrder {
+        expected: last_id.saturating_add(1),
+        found: id,
+      });
+    }
+    if self.has_run_event {
+      self.numbering.record(step);
+    } else {
+      if let Some(fixed_step) = self.numbering.fixed_step()
+        && step > fixed_step
+      {
+        return Err(Error::OutOfOrder {
+          expected: last_id.saturating_add(fixed_step),
+          found: id,
+        });
+      }
+      self.numbering.record_join(step);
+    }
+    self.last_event_id = Some(id);
+    self.has_unnumbered_event = false;
+    self.has_run_event = true;
+    Ok(())
+  }
+
+  /// Returns the number of events that the caller has received in earlier responses, estimated from
+  /// the mean step between ids.
+  pub fn earlier_event_count(&self) -> u64 {
+    let first_id = self.first_event_id.unwrap_or(0);
+    let steps = self.last_event_id.unwrap_or(0).saturating_sub(first_id);
+    if steps == 0 {
+      return first_id;
+    }
+    let count = u128::from(first_id) * u128::from(self.event_count) / u128::from(steps);
+    u64::try_from(count).unwrap_or(u64::MAX)
+  }
+
+  /// Returns whether another run can continue after the last complete event.
+  ///
+  /// It can't if that has no id, since the other run would repeat it.
+  pub fn is_resumable(&self) -> bool {
+    !self.has_unnumbered_event
+  }
+
   /// Returns whether the buffer holds an incomplete event.
   pub fn has_partial_event(&self) -> bool {
     !self.buffer.is_empty()
@@ -109,6 +163,7 @@
   /// response.
   pub fn new(last_event_id: Option<u64>) -> Self {
     Self {
+      first_event_id: last_event_id,
       last_event_id,
       ..Self::default()
     }
@@ -117,6 +172,7 @@
   /// Discards an incomplete event before the bytes of another response are fed.
   pub fn discard_partial_event(&mut self) {
     self.bytes_since_event = 0;
+    self.has_run_event = false;
     self.buffer.clear();
   }
 
@@ -146,3 +202,12 @@
   let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next_back()?;
   std::str::from_utf8(id).ok()?.trim().parse().ok()
 }
+
+/// Returns whether an event has data, so that it is more than a comment.
+fn has_data(event: &[u8]) -> bool {
+  event.split(|byte| *byte == b'\n').any(|line| {
+    line
+      .strip_prefix(b"data")
+      .is_some_and(|rest| matches!(rest.first(), None | Some(b':' | b'\r')))
+  })
+}
