Streams: generated tokens are counted by events, not by ids

A run at an engine that numbers tokens was taken for longer by the number of tokens in an event, as its last id was multiplied by that. Such a run counted as nearly complete after a quarter of its length and was not moved when its engine left, so its caller lost the stream; its memory and its length in the length model were overestimated as much.

Now the events that passed through are counted, times the tokens that the catalog names for each. What the caller got in earlier responses is estimated from its Last-Event-Id and the mean step between ids, and bounded by the tokens that the request may have, as a caller may send any id. For ids that count events both are what they were.

--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -382,8 +382,10 @@
   }
 
   fn generated_tokens(&self) -> u64 {
-    self.cursor.last_event_id().unwrap_or(0)
-      * self.engine().map_or(1, |engine| engine.tokens_per_event)
+    let tokens_per_event = self.engine().map_or(1, |engine| engine.tokens_per_event);
+    let generated = self.cursor.event_count() * tokens_per_event;
+    let earlier = self.cursor.earlier_event_count().saturating_mul(tokens_per_event);
+    generated + earlier.min(self.call.metadata.max_tokens.saturating_sub(generated))
   }
 
   /// Returns the KV cache tokens that the run is expected to need at the memory peak of its engine.
