Deep nesting in a YAML document no longer ends the process

A settings tree, host list or settings file of nested lists ("- - - ...") was read into a tree whose values are dropped one inside the other, so that each level took stack: "has overflowed its stack, fatal runtime error, SIGABRT" at 200,000 levels (0.4 MB; a published document may have 1 MB). Nothing of the process is left to catch that.

Levels are now counted on the parser's events, which take no stack, before a tree is built, and a document of more than 64 levels is a fault with its line like any other.

--- a/yuccarudder/src/yaml/collector.rs
+++ b/yuccarudder/src/yaml/collector.rs
@@ -1,5 +1,5 @@
 use {
-  super::{Fault, Node},
+  super::{Fault, Node, nesting},
   saphyr::{LoadableYamlNode, MarkedYaml},
   std::cell::RefCell,
 };
@@ -53,7 +53,16 @@
     faults: RefCell::default(),
     source,
   };
-  let documents = match MarkedYaml::load_from_str(text) {
+  let loaded = match nesting::find_excess(text) {
+    Ok(Some(line)) => {
+      let allowed = format!("at most {} levels", nesting::MAX_LEVELS);
+      collector.fault(line, "", "more levels of nesting", allowed);
+      return collector.finish(None);
+    }
+    Ok(None) => MarkedYaml::load_from_str(text),
+    Err(error) => Err(error),
+  };
+  let documents = match loaded {
     Ok(documents) => documents,
     Err(error) => {
       collector.fault(
--- a/yuccarudder/src/yaml/mod.rs
+++ b/yuccarudder/src/yaml/mod.rs
@@ -3,6 +3,7 @@
 mod collector;
 mod fault;
 mod map;
+mod nesting;
 mod node;
 
 pub use collector::{Collector, read};
--- a/yuccarudder/src/yaml/tests.rs
+++ b/yuccarudder/src/yaml/tests.rs
@@ -1,4 +1,4 @@
-use super::*;
+use {super::*, proptest::prelude::*};
 
 /// Tests that reading a document reports exactly the given faults.
 macro_rules! reports {
@@ -98,3 +98,64 @@
   assert_eq!(faults.len(), 1);
   assert_eq!(faults[0].allowed, "a well-formed YAML document");
 }
+
+/// Guards against a document whose nesting takes all the stack and so ends the process.
+#[test]
+fn nesting_costs_no_stack() {
+  const DEPTH: usize = 200_000;
+  let nested = [
+    "- ".repeat(DEPTH),
+    "? ".repeat(DEPTH),
+    "[".repeat(DEPTH),
+    "{a: ".repeat(DEPTH),
+    format!("{}{}", "[".repeat(DEPTH), "]".repeat(DEPTH)),
+    "- ? ".repeat(DEPTH),
+    format!("a: {}", "!t ".repeat(DEPTH)),
+  ];
+  for text in nested {
+    let start = text[..6].to_owned();
+    let read = read("test", &text, |node| node.map().map(|_| ()));
+    assert!(read.is_err(), "{start}");
+  }
+}
+
+/// Guards against nesting by references to earlier parts of a document.
+#[test]
+fn nesting_by_references_counts() {
+  let chain = |length: usize| {
+    let links = (1..length).map(|index| format!("b{index}: &a{index} [*a{}]\n", index - 1));
+    let links: String = links.collect();
+    read_faults(&format!("b0: &a0 []\n{links}"))
+  };
+  assert!(chain(60).iter().all(|fault| fault.allowed != "at most 64 levels"));
+  let faults = chain(2_000);
+  assert_eq!(faults.len(), 1);
+  assert_eq!(
+    (faults[0].allowed.as_str(), faults[0].line),
+    ("at most 64 levels", 64)
+  );
+}
+
+proptest! {
+  /// Guards against a document that ends the process which reads it.
+  #[test]
+  fn no_document_panics(
+    parts in prop::collection::vec(
+      prop_oneof![
+        prop::sample::select(vec![
+          "- ", "? ", ": ", "[", "]", "{", "}", ",", "\n", "\n  ", "a: ", "name: ", "&a ", "*a ", "!!int ",
+          "!t ", "| ", "> ", "\"", "'", "#", "---\n", "...\n", "%YAML 1.2\n", "1e400", "-1", "~", "\t",
+          "\u{feff}", "wait: 99999999999999999999s\n", "size: 99999999999999999999GiB\n",
+          "address: 1.2.3.4:65536\n", "count: 99999999999999999999\n",
+        ])
+        .prop_map(str::to_owned),
+        any::<char>().prop_map(String::from),
+        (1..3_000_usize).prop_map(|depth| "- ".repeat(depth)),
+        (1..300_usize).prop_map(|depth| "{a: ".repeat(depth)),
+      ],
+      0..40,
+    ),
+  ) {
+    drop(read_faults(&parts.concat()));
+  }
+}
