--- a/yuccarudder/src/gateway/assignment.rs
+++ b/yuccarudder/src/gateway/assignment.rs
@@ -7,6 +7,7 @@
     roster::{Key, Target},
     routing::{Engine, Kind},
     settings::Guarantees,
+    span,
   },
   std::time::{Duration, Instant},
   tokio::time,
@@ -101,7 +102,7 @@
       };
       let now = self.gateway.clock.now();
       let is_hopeless = refusal.reason == Reason::TargetsPaused
-        && refusal.retry_after.is_some_and(|pause| now + pause >= rank.give_up_at);
+        && refusal.retry_after.is_some_and(|pause| span::after(now, pause) >= rank.give_up_at);
       if is_hopeless {
         return Err(self.promise_return(refusal));
       }
@@ -143,7 +144,7 @@
     } else {
       objective.mul_f64(MAX_WAIT_SHARE).saturating_sub(self.elapsed())
     };
-    let give_up_at = (self.gateway.clock.now() + max_wait).min(self.deadline);
+    let give_up_at = span::after(self.gateway.clock.now(), max_wait).min(self.deadline);
     Rank {
       give_up_at,
       late,
--- a/yuccarudder/src/gateway/ingress.rs
+++ b/yuccarudder/src/gateway/ingress.rs
@@ -6,6 +6,7 @@
     quarantine::Feature,
     refusal::{Reason, Refusal},
     routing::{self, Attributes, Kind},
+    span,
   },
   hyper::{Request, Response, Uri, body::Incoming, header::HOST, http::request::Parts},
   siphasher::sip::SipHasher13,
@@ -137,7 +138,7 @@
     counted_elsewhere: AtomicBool::new(false),
     features,
     body,
-    deadline: arrived + timeout,
+    deadline: span::after(arrived, timeout),
     _forwarding_permit: forwarding_permit,
     gateway: gateway.clone(),
     may_have_run: Arc::new(AtomicBool::new(
--- a/yuccarudder/src/gateway/sending.rs
+++ b/yuccarudder/src/gateway/sending.rs
@@ -4,7 +4,7 @@
     attempt::Outcome,
     dialect::{ForwardingMetadata, Resume},
     http::{self, Body},
-    links, placement, plain,
+    links, placement, plain, span,
     upstream::{self, Error},
   },
   hyper::{
@@ -118,7 +118,7 @@
     let gateway = &self.gateway;
     let mut link_losses = gateway.link_losses.subscribe();
     let mut response = pin!(response);
-    let deadline = began_at + timeout;
+    let deadline = span::after(began_at, timeout);
     let max_silence = MIN_SILENCE.max(self.route().latency_objective);
     let silent_from = || gateway.silent_from(&self.service_name, began_at, max_silence);
     let mut check_at = Some(silent_from());
@@ -138,7 +138,7 @@
             _ => {
               is_silent = true;
               self.record_unreached(assignment, links::Failure::Silent, began_at);
-              Some(began_at + max_silence).filter(|at| *at > now)
+              Some(span::after(began_at, max_silence)).filter(|at| *at > now)
             }
           };
         }
--- a/yuccarudder/src/lib.rs
+++ b/yuccarudder/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod server;
 pub mod settings;
 pub mod socket;
+pub mod span;
 pub mod target;
 pub mod ticket;
 pub mod tree;
--- a/yuccarudder/src/links/table.rs
+++ b/yuccarudder/src/links/table.rs
@@ -1,6 +1,6 @@
 use {
   super::Status,
-  crate::roster::Key,
+  crate::{roster::Key, span},
   std::{
     collections::HashMap,
     mem,
@@ -155,7 +155,8 @@
   /// `max_silence`, or earlier if no target of the service answers anything.
   pub fn silent_from(&self, service: &str, began_at: Instant, max_silence: Duration) -> Instant {
     let silent_from = self.records.get(service).and_then(|record| record.silent_from(began_at));
-    silent_from.map_or(began_at + max_silence, |at| at.min(began_at + max_silence))
+    let latest = span::after(began_at, max_silence);
+    silent_from.map_or(latest, |at| at.min(latest))
   }
 
   /// Records that an attempt, begun at `began_at`, was answered by a target; returns the status of the
--- a/yuccarudder/src/relocation/tests.rs
+++ b/yuccarudder/src/relocation/tests.rs
@@ -1,9 +1,12 @@
 use {
   super::*,
-  crate::{placement::Load, roster::Key, routing::Engine},
+  crate::{placement::Load, roster::Key, routing::Engine, span},
   proptest::prelude::*,
   slotmap::SlotMap,
-  std::{collections::HashMap, time::Duration},
+  std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+  },
 };
 
 fn engine() -> Engine {
@@ -216,3 +219,23 @@
     }
   }
 }
+
+/// Guards against times and sizes of engines that end the task which reads them.
+#[test]
+fn any_report_of_an_engine_gives_times_in_range() {
+  let now = Instant::now();
+  assert!(leaves_at(Duration::MAX, now) > now);
+  for (kv_bytes_per_token, link_bytes_per_second) in [
+    (-1.0, 1.0),
+    (f64::MAX, f64::MIN_POSITIVE),
+    (f64::NAN, 1.0),
+    (0.0, f64::INFINITY),
+  ] {
+    let engine = Engine {
+      kv_bytes_per_token,
+      link_bytes_per_second,
+      ..engine()
+    };
+    assert!(engine.transfer_time(u64::MAX) <= span::MAX);
+  }
+}
--- a/yuccarudder/src/relocation/window.rs
+++ b/yuccarudder/src/relocation/window.rs
@@ -1,5 +1,6 @@
 use {
   super::Plan,
+  crate::span,
   std::time::{Duration, Instant},
 };
 
@@ -21,7 +22,7 @@
 /// at `now`.
 pub fn leaves_at(shutdown_in: Duration, now: Instant) -> Instant {
   let reported_at = now.checked_sub(REPORT_AGE).unwrap_or(now);
-  reported_at + shutdown_in
+  span::after(reported_at, shutdown_in)
 }
 
 /// The time in which runs can be copied from an engine that leaves.
--- a/yuccarudder/src/roster/roster.rs
+++ b/yuccarudder/src/roster/roster.rs
@@ -1,6 +1,6 @@
 use {
   super::{Listing, State},
-  crate::reader::Version,
+  crate::{reader::Version, span},
   siphasher::sip::SipHasher13,
   slotmap::{SlotMap, new_key_type},
   std::{
@@ -114,7 +114,7 @@
 }
 
 fn cold_until(listing: &Listing, now: Instant) -> Option<Instant> {
-  (!listing.warmup_remaining.is_zero()).then(|| now + listing.warmup_remaining)
+  (!listing.warmup_remaining.is_zero()).then(|| span::after(now, listing.warmup_remaining))
 }
 
 /// Returns a hash that identifies a process of a target on all hosts.
@@ -197,7 +197,7 @@
     target.status = Status::Leaving;
     target.leaving_since = Some(now);
     // Ranks the report above the entry that the platform published.
-    target.version.revision += 1;
+    target.version.revision = target.version.revision.saturating_add(1);
     true
   }
 
@@ -274,7 +274,8 @@
       target.version = target.version.max(departure.version);
     }
     if is_news || target.status == Status::Leaving {
-      target.leaves_at = target.leaves_at.or(departure.leaves_in.map(|time| now + time));
+      target.leaves_at =
+        target.leaves_at.or(departure.leaves_in.map(|time| span::after(now, time)));
     }
     is_news.then_some(key)
   }
--- a/yuccarudder/src/roster/tests.rs
+++ b/yuccarudder/src/roster/tests.rs
@@ -529,3 +529,34 @@
     1
   );
 }
+
+/// Guards against a cold start that is too long to be added to the present time.
+#[test]
+fn endless_cold_start_is_in_range() {
+  let mut fixture = Fixture::new();
+  let now = fixture.now;
+  let endless = available(7).map(|listing| Listing {
+    warmup_remaining: Duration::MAX,
+    ..listing
+  });
+  fixture.put(3, endless);
+  assert!(fixture.roster.get(fixture.key()).unwrap().is_cold(now + Duration::from_secs(3600)));
+  let departure = Departure {
+    fingerprint: fixture.roster.get(fixture.key()).unwrap().fingerprint,
+    is_own_statement: true,
+    leaves_in: Some(Duration::MAX),
+    version: version(u64::MAX),
+  };
+  assert!(fixture.roster.merge_departure(&departure, now).is_some());
+  let key = fixture.key();
+  fixture.roster.mark_leaving(key, now, now);
+}
+
+/// Guards against the largest revision, after which a report of the target itself has no place.
+#[test]
+fn target_of_the_largest_revision_can_leave() {
+  let mut fixture = Fixture::new();
+  fixture.put(u64::MAX, available(7));
+  let (key, now) = (fixture.key(), fixture.now);
+  assert!(fixture.roster.mark_leaving(key, now, now));
+}
--- a/yuccarudder/src/routing/service.rs
+++ b/yuccarudder/src/routing/service.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use {crate::span, std::time::Duration};
 
 /// Properties that all model engines of a service share.
 #[derive(Clone, Debug, PartialEq)]
@@ -19,12 +19,13 @@
 
 impl Engine {
   /// Returns how long the link takes to transfer the KV cache of `tokens` tokens; zero when its
-  /// bandwidth is unknown.
+  /// bandwidth or the size of a token is unknown.
   pub fn transfer_time(&self, tokens: u64) -> Duration {
     if self.link_bytes_per_second <= 0.0 {
       return Duration::ZERO;
     }
-    Duration::from_secs_f64(tokens as f64 * self.kv_bytes_per_token / self.link_bytes_per_second)
+    let seconds = tokens as f64 * self.kv_bytes_per_token / self.link_bytes_per_second;
+    span::from_seconds(seconds).unwrap_or_default()
   }
 }
 
