Sums of loads stay in range whatever callers and hosts state

A caller that states 2^64 - 1 tokens, or a heartbeat with such a load, made sums of loads overflow: "attempt to add with overflow" ended the task that exchanges heartbeats (in release builds the sum wrapped, and a full engine looked empty). Where a host's load had tokens but no request, the sum was dropped with the last request of another host, and taking its own load away later went below zero.

The load table bounds each load as it comes in (2^40 tokens, 2^20 requests), so that the same value is added and taken away, and a sum is dropped only once nothing is left of it. Sizes of single requests saturate.

--- a/yuccarudder/src/gateway/call.rs
+++ b/yuccarudder/src/gateway/call.rs
@@ -68,7 +68,8 @@
     let expected_tokens =
       length_model.predict(metadata.length_hint, metadata.max_tokens, generated_tokens);
     let growth = (expected_tokens - generated_tokens) as f64 * PEAK_GROWTH_SHARE;
-    metadata.prompt_tokens + generated_tokens + growth as u64
+    let held_tokens = metadata.prompt_tokens.saturating_add(generated_tokens);
+    held_tokens.saturating_add(growth as u64)
   }
 
   /// Returns the request id for logs, or `-` without one.
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -353,8 +353,8 @@
   }
 
   fn generated_tokens(&self) -> u64 {
-    self.cursor.last_event_id().unwrap_or(0)
-      * self.engine().map_or(1, |engine| engine.tokens_per_event)
+    let tokens_per_event = self.engine().map_or(1, |engine| engine.tokens_per_event);
+    self.cursor.last_event_id().unwrap_or(0).saturating_mul(tokens_per_event)
   }
 
   /// Returns the KV cache tokens that the run is expected to need at the memory peak of its engine.
@@ -374,7 +374,7 @@
 
   /// Returns the KV cache tokens that the run occupies now.
   fn cached_tokens(&self) -> u64 {
-    self.call.metadata.prompt_tokens + self.generated_tokens()
+    self.call.metadata.prompt_tokens.saturating_add(self.generated_tokens())
   }
 
   /// Returns the memory that the run needs, from which its copy is planned.
@@ -394,7 +394,7 @@
       return;
     }
     let remaining_tokens = self.call.metadata.max_tokens.saturating_sub(self.generated_tokens());
-    if remaining_tokens <= engine.tokens_per_event * MAX_UNMIGRATED_EVENTS {
+    if remaining_tokens <= engine.tokens_per_event.saturating_mul(MAX_UNMIGRATED_EVENTS) {
       return;
     }
     let is_leaving = {
--- a/yuccarudder/src/placement/choose.rs
+++ b/yuccarudder/src/placement/choose.rs
@@ -131,7 +131,7 @@
   let load = &candidate.load;
   let memory_suffices = demand.capacity_tokens.is_none_or(|capacity| {
     let prefill_allowed = load.prefill_tokens as f64 <= MAX_PREFILL_FRACTION * capacity as f64;
-    prefill_allowed && load.expected_tokens + demand.expected_tokens <= capacity
+    prefill_allowed && load.expected_tokens.saturating_add(demand.expected_tokens) <= capacity
   });
   // The places of a brittle target are shared out, so reports of its load, which are late, don't matter.
   memory_suffices && (candidate.room.is_some() || load.requests < candidate.slots)
--- a/yuccarudder/src/placement/load.rs
+++ b/yuccarudder/src/placement/load.rs
@@ -1,5 +1,8 @@
 use std::ops::{AddAssign, SubAssign};
 
+/// Largest number of requests that counts of one host; sums of a thousand of them are in range.
+const MAX_REQUESTS: u32 = 1 << 20;
+
 /// The load that requests place on one target.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Load {
@@ -16,6 +19,24 @@
   pub expected_tokens: u64,
 }
 
+/// Largest number of tokens that counts of one request or one host; more are a mistake. Sums of a million
+/// of them are in range.
+const MAX_TOKENS: u64 = 1 << 40;
+
+impl Load {
+  /// Returns the load as far as it counts, so that it can be added to others.
+  #[must_use]
+  pub(super) fn bounded(self) -> Self {
+    Self {
+      prefill_tokens: self.prefill_tokens.min(MAX_TOKENS),
+      transfer_tokens: self.transfer_tokens.min(MAX_TOKENS),
+      used_tokens: self.used_tokens.min(MAX_TOKENS),
+      requests: self.requests.min(MAX_REQUESTS),
+      expected_tokens: self.expected_tokens.min(MAX_TOKENS),
+    }
+  }
+}
+
 impl AddAssign for Load {
   fn add_assign(&mut self, other: Self) {
     self.prefill_tokens += other.prefill_tokens;
--- a/yuccarudder/src/placement/load_table.rs
+++ b/yuccarudder/src/placement/load_table.rs
@@ -34,7 +34,8 @@
 
 impl LoadTable {
   /// Adds an assignment and its load.
-  pub fn add(&mut self, assignment: Assignment) -> AssignmentKey {
+  pub fn add(&mut self, mut assignment: Assignment) -> AssignmentKey {
+    assignment.load = assignment.load.bounded();
     *self.local_totals.entry(assignment.target).or_default() += assignment.load;
     self.assignments.insert(assignment)
   }
@@ -44,7 +45,7 @@
     for (target, load) in self.peer_loads.remove(&host).unwrap_or_default() {
       let total = self.peer_totals.entry(target).or_default();
       *total -= load;
-      if total.requests == 0 {
+      if *total == Load::default() {
         self.peer_totals.remove(&target);
       }
     }
@@ -74,8 +75,9 @@
   }
 
   /// Replaces the loads reported by another host.
-  pub fn set_peer_loads(&mut self, host: SocketAddr, loads: HashMap<u64, Load>) {
+  pub fn set_peer_loads(&mut self, host: SocketAddr, mut loads: HashMap<u64, Load>) {
     self.remove_host(host);
+    loads.values_mut().for_each(|load| *load = load.bounded());
     for (target, load) in &loads {
       *self.peer_totals.entry(*target).or_default() += *load;
     }
@@ -115,6 +117,7 @@
     let Some(assignment) = self.assignments.get_mut(key) else {
       return;
     };
+    let load = load.bounded();
     let previous = mem::replace(&mut assignment.load, load);
     let total = self.local_totals.entry(assignment.target).or_default();
     *total += load;
--- a/yuccarudder/src/placement/tests.rs
+++ b/yuccarudder/src/placement/tests.rs
@@ -4,6 +4,7 @@
   slotmap::SlotMap,
   std::{
     collections::HashMap,
+    net::SocketAddr,
     time::{Duration, Instant},
   },
 };
@@ -389,3 +390,31 @@
   let ejected: Vec<bool> = keys.iter().map(|key| health.is_ejected(*key, now)).collect();
   assert_eq!(ejected, [false, true, true]);
 }
+
+/// Guards against loads of other hosts that cannot be added, or taken away again.
+#[test]
+fn any_loads_of_other_hosts_can_be_added_and_taken_away() {
+  let host = |number| SocketAddr::from(([10, 0, 0, number], 80));
+  let largest = Load {
+    prefill_tokens: u64::MAX,
+    transfer_tokens: u64::MAX,
+    used_tokens: u64::MAX,
+    requests: u32::MAX,
+    expected_tokens: u64::MAX,
+  };
+  // Its tokens outlast the requests of the others.
+  let without_requests = load(7, 0, 9);
+  let mut table = LoadTable::default();
+  for number in 1..=200 {
+    let load = if number == 1 {
+      without_requests
+    } else {
+      largest
+    };
+    table.set_peer_loads(host(number), [(5, load)].into());
+  }
+  (2..=200).for_each(|number| table.remove_host(host(number)));
+  assert_eq!(table.total_load(5), without_requests);
+  table.remove_host(host(1));
+  assert_eq!(table.total_load(5), Load::default());
+}
--- a/yuccarudder/src/relocation/links.rs
+++ b/yuccarudder/src/relocation/links.rs
@@ -66,7 +66,7 @@
     let source_free_at = self.sources.get(&source_fingerprint).copied().unwrap_or_default();
     let eligible = self.candidates.iter().enumerate().filter(|(_, (candidate, _))| {
       let load = &candidate.load;
-      load.expected_tokens + run.peak_tokens <= self.engine.kv_cache_tokens
+      load.expected_tokens.saturating_add(run.peak_tokens) <= self.engine.kv_cache_tokens
         && load.requests < self.engine.slots
     });
     let transfers = eligible.map(|(index, (candidate, free_at))| {
