Tasks that a host cannot do without start again after a panic

A panic in the task that follows the targets, the operator's documents, the links, the engines or the heartbeats ended that task alone: the host went on to serve from what it knew then, and no log line or metric said so.

The lock of the shared state ignores panics already. Ending the process was weighed: its requests would be lost, and an entry that panics every host would end all of them.

task_that_panics_starts_again: two panics, three starts.

--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -15,6 +15,7 @@
   std::{
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
+    sync::Arc,
     time::{Duration, Instant},
   },
   tokio::{net::UdpSocket, time},
@@ -43,11 +44,11 @@
 /// Pause after a receive error.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(10);
 
-type Sender = SplitSink<UdpFramed<Codec>, (Bytes, SocketAddr)>;
+type Sender = SplitSink<UdpFramed<Codec, Arc<UdpSocket>>, (Bytes, SocketAddr)>;
 
 /// Exchanges heartbeats with the other hosts, and judges the crashes that they report, until the task is
 /// dropped.
-pub async fn run(gateway: Gateway, socket: UdpSocket) {
+pub async fn run(gateway: Gateway, socket: Arc<UdpSocket>) {
   let (mut sender, mut receiver) = UdpFramed::new(socket, Codec).split();
   let receiving = async {
     loop {
--- a/yuccarudder/src/gateway/instruments.rs
+++ b/yuccarudder/src/gateway/instruments.rs
@@ -46,6 +46,8 @@
   pub active_requests: IntGauge,
   /// Finished streams, by how they ended.
   pub finished_streams: IntCounterVec,
+  /// Panics of tasks that run as long as the host, by task.
+  pub task_panics: IntCounterVec,
   /// Targets that accept requests.
   pub available_targets: IntGauge,
 }
@@ -113,6 +115,11 @@
       registry: Registry::new(),
       active_requests: IntGauge::new("yuccarudder_runs", "Requests at targets").expect(VALID_NAMES),
       finished_streams: counter("yuccarudder_streams_total", "Streams by their end", "end"),
+      task_panics: counter(
+        "yuccarudder_task_panics_total",
+        "Tasks that panicked and were started again",
+        "task",
+      ),
       available_targets: IntGauge::new("yuccarudder_targets", "Targets that take work")
         .expect(VALID_NAMES),
     };
@@ -137,6 +144,7 @@
       Box::new(self.queue_wait.clone()),
       Box::new(self.active_requests.clone()),
       Box::new(self.finished_streams.clone()),
+      Box::new(self.task_panics.clone()),
       Box::new(self.available_targets.clone()),
     ];
     for collector in collectors {
--- a/yuccarudder/src/gateway/mod.rs
+++ b/yuccarudder/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 mod session;
 mod shutdown;
 mod stream;
+mod supervision;
 mod timing;
 mod updates;
 mod verdict;
@@ -36,6 +37,8 @@
 pub use gateway::Gateway;
 pub use serve::{Server, run};
 
+#[cfg(test)]
+mod supervision_tests;
 #[cfg(test)]
 mod tests;
 #[cfg(test)]
--- a/yuccarudder/src/gateway/serve.rs
+++ b/yuccarudder/src/gateway/serve.rs
@@ -1,5 +1,5 @@
 use {
-  super::{Gateway, engine_polling, heartbeats, ingress, reachability, scrape},
+  super::{Gateway, engine_polling, heartbeats, ingress, reachability, scrape, supervision},
   crate::{
     http::Body,
     member,
@@ -93,12 +93,25 @@
   let gateway = server.gateway;
   let never_cancelled = CancellationToken::new();
   let mut tasks = JoinSet::new();
+  let panics = |task| gateway.instruments.task_panics.with_label_values(&[task]);
   for area in [Area::Operator, Area::Targets] {
-    tasks.spawn(reader::run(gateway.clone(), store.clone(), area));
+    let (gateway, store) = (gateway.clone(), store.clone());
+    let read = move || reader::run(gateway.clone(), store.clone(), area);
+    tasks.spawn(supervision::run(area.name(), panics(area.name()), read));
   }
-  tasks.spawn(engine_polling::run(gateway.clone()));
-  tasks.spawn(reachability::run(gateway.clone()));
-  tasks.spawn(heartbeats::run(gateway.clone(), server.heartbeats));
+  let polling = gateway.clone();
+  let poll = move || engine_polling::run(polling.clone());
+  tasks.spawn(supervision::run("polling", panics("polling"), poll));
+  let probing = gateway.clone();
+  let probe = move || reachability::run(probing.clone());
+  tasks.spawn(supervision::run("links", panics("links"), probe));
+  let (heartbeating, socket) = (gateway.clone(), Arc::new(server.heartbeats));
+  let exchange = move || heartbeats::run(heartbeating.clone(), Arc::clone(&socket));
+  tasks.spawn(supervision::run(
+    "heartbeats",
+    panics("heartbeats"),
+    exchange,
+  ));
   tasks.spawn(member::serve_calls(server.peers, handlers(&gateway)));
   tasks.spawn(connections::serve(
     server.directory,
