One odd item no longer hides the others of a page or stops the watch

Seen here with items and events that are odd themselves: a page or a response to a watch was decoded as a whole, so that one item without a key, or with a revision below zero, above 2^64 - 1 or of another type, made it unreadable. The watch was repeated from the same revision and met the same event again until the history was gone; a host that started never became ready.

An event without a place in the order is counted instead, and the area is listed again, as it is after a response that cannot be read or whose revision went back. Such a response confirms no catalog, and a list with unreadable items puts no data centre back into service.

--- a/yuccarudder/src/gateway/updates.rs
+++ b/yuccarudder/src/gateway/updates.rs
@@ -27,7 +27,8 @@
     for change in changes.changes {
       departing.extend(self.apply_change(change, requested_at));
     }
-    if area == Area::Operator {
+    // What cannot be read may be a newer catalog.
+    if area == Area::Operator && changes.unreadable == 0 {
       let mut state = self.lock();
       if state.era.is_complete(requested_at) {
         state.freshness.confirm(requested_at);
@@ -253,6 +254,10 @@
 
   fn apply_operator_snapshot(&self, snapshot: Snapshot, requested_at: Duration) {
     let mut evacuated = Vec::new();
+    if snapshot.unreadable > 0 {
+      // What cannot be read may be what keeps a data centre out of service.
+      evacuated.extend(self.lock().roster.evacuated().map(str::to_owned));
+    }
     for change in snapshot.changes {
       match change.subject {
         Subject::Catalog(Some(bytes)) => self.apply_catalog(bytes, Some(requested_at), "platform"),
@@ -277,6 +282,9 @@
     let entries: Vec<_> = entries.collect();
     let mut state = self.lock();
     let recovering = state.is_recovering(now);
+    if snapshot.unreadable > 0 {
+      log::warn!(target: PREFIX, unreadable = snapshot.unreadable; "Items of the platform cannot be read.");
+    }
     if state.targets_listed_at.is_none() {
       log::info!(target: PREFIX, targets = entries.len(), revision = snapshot.version.revision, recovering; "Listed the targets.");
     }
--- a/yuccarudder/src/reader/document.rs
+++ b/yuccarudder/src/reader/document.rs
@@ -67,6 +67,8 @@
 pub struct Changes {
   /// The changes, in order.
   pub changes: Vec<Change>,
+  /// Number of further changes that cannot be read, such as those without a key.
+  pub unreadable: usize,
   /// State up to which they are complete.
   pub version: Version,
 }
@@ -99,6 +101,8 @@
 pub enum Error {
   /// The store no longer keeps the changes after the revision.
   Compacted,
+  /// The store responded, but not with what can be read.
+  Unreadable(anyhow::Error),
   /// The store cannot be read now.
   Unavailable(anyhow::Error),
 }
--- a/yuccarudder/src/reader/run.rs
+++ b/yuccarudder/src/reader/run.rs
@@ -2,7 +2,7 @@
   super::{Area, Consistency, Error, Mode, Role, Store, Version},
   crate::gateway::Gateway,
   anyhow::anyhow,
-  std::time::Duration,
+  std::{mem, time::Duration},
   tokio::time,
 };
 
@@ -55,8 +55,9 @@
   }
 }
 
-/// Applies changes while this host is to watch the area, and returns early if the platform no
-/// longer keeps the changes that come next, or was restored from an older copy.
+/// Applies changes while this host is to watch the area, and returns early if the area is to be listed
+/// again: if the platform no longer keeps the changes that come next, was restored from an older copy, or
+/// sent something that cannot be read, in place of which the list shows what holds now.
 async fn watch(gateway: &Gateway, store: &Store, area: Area, listed: Version) {
   let mut revision = listed.revision;
   let mut backoff = Duration::ZERO;
@@ -78,10 +79,17 @@
         return;
       }
       Ok(changes) => {
-        backoff = Duration::ZERO;
-        revision = changes.version.revision.max(revision);
+        let unreadable = changes.unreadable;
+        let goes_on = unreadable == 0 && changes.version.revision >= revision;
+        let at = mem::replace(&mut revision, changes.version.revision);
         gateway.record_read_success(area);
         gateway.apply_changes(area, changes, requested_at);
+        if !goes_on {
+          log::warn!(target: PREFIX, area = area.name(), after = at, revision, unreadable; "Changes of the platform cannot be read or its revision went back; listing the area again.");
+          back_off(&gateway.role(), backoff).await;
+          return;
+        }
+        backoff = Duration::ZERO;
         time::sleep(pause).await;
       }
       Err(Error::Compacted) => {
@@ -91,6 +99,9 @@
       Err(error) => {
         gateway.record_read_failure(area, &error);
         backoff = back_off(&gateway.role(), backoff).await;
+        if matches!(error, Error::Unreadable(_)) {
+          return;
+        }
       }
     }
   }
