--- a/yuccarudder/src/gateway/instruments.rs
+++ b/yuccarudder/src/gateway/instruments.rs
@@ -48,6 +48,8 @@
   pub finished_streams: IntCounterVec,
   /// Responses that ended with their connections, by whether they were whole.
   pub unframed_ends: IntCounterVec,
+  /// Panics of tasks that run as long as the host, by task.
+  pub task_panics: IntCounterVec,
   /// Targets that accept requests.
   pub available_targets: IntGauge,
 }
@@ -120,6 +122,11 @@
         "Responses without a length or chunks by what is known of their end",
         "verdict",
       ),
+      task_panics: counter(
+        "yuccarudder_task_panics_total",
+        "Tasks that panicked and were started again",
+        "task",
+      ),
       available_targets: IntGauge::new("yuccarudder_targets", "Targets that take work")
         .expect(VALID_NAMES),
     };
@@ -145,6 +152,7 @@
       Box::new(self.active_requests.clone()),
       Box::new(self.finished_streams.clone()),
       Box::new(self.unframed_ends.clone()),
+      Box::new(self.task_panics.clone()),
       Box::new(self.available_targets.clone()),
     ];
     for collector in collectors {
--- a/yuccarudder/src/gateway/mod.rs
+++ b/yuccarudder/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 mod session;
 mod shutdown;
 mod stream;
+mod supervision;
 mod timing;
 mod updates;
 mod verdict;
@@ -41,6 +42,8 @@
 #[cfg(test)]
 mod out_of_step_tests;
 #[cfg(test)]
+mod supervision_tests;
+#[cfg(test)]
 mod tests;
 #[cfg(test)]
 mod verdict_tests;
--- a/yuccarudder/src/reader/run.rs
+++ b/yuccarudder/src/reader/run.rs
@@ -2,7 +2,7 @@
   super::{Area, Consistency, Error, Mode, Role, Store, Version},
   crate::gateway::Gateway,
   anyhow::anyhow,
-  std::time::Duration,
+  std::{mem, time::Duration},
   tokio::time,
 };
 
@@ -63,9 +63,10 @@
   }
 }
 
-/// Applies changes while this host is to watch the area, and returns early if the platform no
-/// longer keeps the changes that come next, or was restored from an older copy. The state `listed` was
-/// requested at `listed_at`.
+/// Applies changes while this host is to watch the area, and returns early if the area is to be listed
+/// again: if the platform no longer keeps the changes that come next, was restored from an older copy, or
+/// sent something that cannot be read, in place of which the list shows what holds now. The state `listed`
+/// was requested at `listed_at`.
 async fn watch(gateway: &Gateway, store: &Store, area: Area, listed: Version, listed_at: Duration) {
   let mut read_until = listed_at;
   let mut revision = listed.revision;
@@ -88,10 +89,17 @@
         return;
       }
       Ok(changes) => {
-        backoff = Duration::ZERO;
-        revision = changes.version.revision.max(revision);
+        let unreadable = changes.unreadable;
+        let goes_on = unreadable == 0 && changes.version.revision >= revision;
+        let at = mem::replace(&mut revision, changes.version.revision);
         gateway.record_read_success(area);
         gateway.apply_changes(area, changes, requested_at);
+        if !goes_on {
+          log::warn!(target: PREFIX, area = area.name(), after = at, revision, unreadable; "Changes of the platform cannot be read or its revision went back; listing the area again.");
+          back_off(&gateway.role(), backoff).await;
+          return;
+        }
+        backoff = Duration::ZERO;
         if area == Area::Targets {
           let shown = gateway.clock.since_boot().saturating_sub(MAX_CHANGE_DELAY);
           let until = shown.min(requested_at).max(read_until);
@@ -107,6 +115,9 @@
       Err(error) => {
         gateway.record_read_failure(area, &error);
         backoff = back_off(&gateway.role(), backoff).await;
+        if matches!(error, Error::Unreadable(_)) {
+          return;
+        }
       }
     }
   }
