Serve: end a stopping process only when its requests have answers

Callers whose requests came late in the grace period, and had been passed on to a target, saw their connections closed without an answer when the process ended, also those of bookings.

Cause: the last answers were given between two fixed times, 100 ms apart. A process that is late finds both passed and ends before any other task has run; one with many requests in hand does not get to all of them.

The fix: the host counts the requests that have arrived and lack their whole answer, and waits for this count instead of a time; the time only bounds it, and leaves 100 ms for the last answers however late the process is. Requests that wait, are read or were passed on are in the count, other than in that of the scheduler, which the log showed.

--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -36,7 +36,7 @@
     time::{Duration, Instant},
   },
   tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, oneshot, watch},
-  tokio_util::sync::CancellationToken,
+  tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
 /// Share of the memory of the host that buffered request bodies may take.
@@ -127,6 +127,8 @@
   /// Cancelled shortly before the process ends: requests that have no answer get their last one.
   pub(super) closing: CancellationToken,
   pub(super) dialect: Dialect,
+  /// The requests of callers that have arrived and do not have their whole answer.
+  pub(super) in_hand: TaskTracker,
   /// The memory budget for buffered request bodies.
   pub(super) memory: Memory,
   /// Metrics of the gateway.
@@ -304,6 +306,7 @@
       clock,
       closing: CancellationToken::new(),
       dialect,
+      in_hand: TaskTracker::new(),
       memory: Memory::new(body_bytes as u64),
       instruments: Arc::default(),
       metrics: Arc::default(),
--- a/yuccarudder/src/gateway/ingress.rs
+++ b/yuccarudder/src/gateway/ingress.rs
@@ -2,7 +2,7 @@
   super::{Gateway, buffered, call::Call, response, shutdown, stream},
   crate::{
     dialect::RequestMetadata,
-    http::{Body, LingeringBody},
+    http::{self, Body, LingeringBody},
     quarantine::Feature,
     refusal::{Reason, Refusal},
     routing::{self, Attributes, Kind},
@@ -26,6 +26,7 @@
 
 /// Handles one request of a caller; a refusal becomes an error response.
 pub async fn handle(gateway: Gateway, request: Request<Incoming>) -> Response<Body> {
+  let in_hand = gateway.in_hand.token();
   let (parts, body) = request.into_parts();
   let metadata = (gateway.dialect.read_request)(&parts.headers);
   let id = metadata.request_id.clone();
@@ -45,7 +46,7 @@
   if gateway.is_shutting_down() {
     response::close_connection(&mut response);
   }
-  response
+  response.map(|body| http::keeping(body, in_hand))
 }
 
 async fn serve(
--- a/yuccarudder/src/gateway/serve.rs
+++ b/yuccarudder/src/gateway/serve.rs
@@ -24,8 +24,10 @@
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
 /// Time before the process ends at which requests without an answer get their last one.
 const LAST_ANSWER_PERIOD: Duration = Duration::from_millis(100);
-/// Interval between checks whether all requests have finished.
-const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Minimum time before the last answers in which a late process passes on responses that have arrived.
+const ARRIVED_RESPONSE_PERIOD: Duration = Duration::from_millis(50);
+/// Time by which a late process may end later, while requests still have no answer.
+const LATENESS: Duration = Duration::from_millis(150);
 const PREFIX: &str = "serve";
 
 /// Request handler of an endpoint that the platform defines.
@@ -142,19 +144,26 @@
   let started_at = Instant::now();
   let deadline =
     started_at + gateway.settings().guarantees.termination_grace.saturating_sub(GRACE_MARGIN);
-  log::info!(target: PREFIX, in_hand = gateway.scheduler.lock().len(); "Shutting down; the directory no longer lists this host.");
+  log::info!(target: PREFIX, in_hand = gateway.in_hand.len(); "Shutting down; the directory no longer lists this host.");
   gateway.begin_shutdown(deadline.into_std());
+  gateway.in_hand.close();
   let closing_at = deadline - LAST_ANSWER_PERIOD;
   time::sleep_until(closing_at.min(started_at + LATE_CALLER_PERIOD)).await;
-  while !gateway.scheduler.lock().is_empty() && Instant::now() < closing_at {
-    time::sleep(IDLE_POLL_INTERVAL).await;
-  }
-  log::info!(target: PREFIX, in_hand = gateway.scheduler.lock().len(); "Closing.");
+  let _ = time::timeout_at(closing_at, gateway.in_hand.wait()).await;
+  log::info!(target: PREFIX, in_hand = gateway.in_hand.len(); "Closing.");
   stop_accepting.cancel();
-  // Connections close after their last response; those left at the deadline are cut.
-  if time::timeout_at(closing_at, &mut serving).await.is_err() {
-    gateway.closing.cancel();
-    let _ = time::timeout_at(deadline, serving).await;
+  // Connections close after their last response. A late process may find all of these times passed, and
+  // must still give its other tasks time for the answers.
+  let closing_at = closing_at.max(Instant::now() + ARRIVED_RESPONSE_PERIOD);
+  if time::timeout_at(closing_at, &mut serving).await.is_ok() {
+    return;
+  }
+  gateway.closing.cancel();
+  let _ = time::timeout_at(deadline, serving).await;
+  let end = (deadline + LATENESS).max(Instant::now() + LAST_ANSWER_PERIOD);
+  let _ = time::timeout_at(end, gateway.in_hand.wait()).await;
+  if !gateway.in_hand.is_empty() {
+    log::warn!(target: PREFIX, in_hand = gateway.in_hand.len(); "Ending without the answers to some requests.");
   }
 }
 
--- a/yuccarudder/src/http/mod.rs
+++ b/yuccarudder/src/http/mod.rs
@@ -103,6 +103,16 @@
   body.map_err(Into::into).boxed_unsync()
 }
 
+/// Returns a body that keeps a value until it ends.
+pub fn keeping(body: Body, value: impl Send + 'static) -> Body {
+  // The length of the body stays known, unlike with an adapter of its frames.
+  let keep = move |error| {
+    let _ = &value;
+    error
+  };
+  body.map_err(keep).boxed_unsync()
+}
+
 /// Returns a body that fails with the error of `interruption` if that is earlier than its end.
 pub fn interruptible<B>(
   body: B,
--- a/yuccarudder/src/http/tests.rs
+++ b/yuccarudder/src/http/tests.rs
@@ -108,3 +108,14 @@
   let whole = confirmed(body(true), async { Ok(()) });
   assert_eq!(collect(whole, 10).await.unwrap(), "a");
 }
+
+/// Guards against responses that lose their length, and against values that go before their body has ended.
+#[tokio::test]
+async fn body_keeps_a_value_until_it_ends() {
+  let value = std::sync::Arc::new(());
+  let kept = keeping(full("abc"), std::sync::Arc::clone(&value));
+  assert_eq!(hyper::body::Body::size_hint(&kept).exact(), Some(3));
+  assert_eq!(std::sync::Arc::strong_count(&value), 2);
+  assert_eq!(collect(kept, 10).await.unwrap(), "abc");
+  assert_eq!(std::sync::Arc::strong_count(&value), 1);
+}
