Serve: refuse requests that are still being sent when the process ends

Callers that were still sending a request when a stopping process ended saw their connection closed and could not know that it had not run.

Cause: only admitted requests got a last answer, and a request is admitted once its body is whole.

Evidence: request_that_is_still_being_sent_is_refused_before_the_process_ends printed "no answer" before, for a body with a length and one in chunks; now both get a 503 with Retry-After, which is true, as nothing has been sent on.

The fix: the wait for the body is under the same select as what follows it.

--- a/yuccarudder/src/gateway/ingress.rs
+++ b/yuccarudder/src/gateway/ingress.rs
@@ -55,9 +55,11 @@
   parts: Parts,
   body: LingeringBody,
 ) -> Result<Response<Body>, Refusal> {
-  let call = admit(gateway, metadata, parts, body).await?;
-  let may_have_run = Arc::clone(&call.may_have_run);
+  let may_have_run = Arc::new(AtomicBool::new(
+    metadata.forwarded.is_some_and(|forwarded| forwarded.possible_runs > 0),
+  ));
   let response = async {
+    let call = admit(gateway, metadata, parts, body, Arc::clone(&may_have_run)).await?;
     match call.route().kind {
       Kind::Stream { .. } => stream::serve(call).await,
       Kind::AtMostOnce | Kind::Idempotent => buffered::serve(call).await,
@@ -76,6 +78,7 @@
   metadata: RequestMetadata,
   parts: Parts,
   body: LingeringBody,
+  may_have_run: Arc<AtomicBool>,
 ) -> Result<Call, Refusal> {
   let arrived = gateway.clock.now();
   let (catalog, age) = {
@@ -141,9 +144,7 @@
     deadline: arrived + timeout,
     _forwarding_permit: forwarding_permit,
     gateway: gateway.clone(),
-    may_have_run: Arc::new(AtomicBool::new(
-      metadata.forwarded.is_some_and(|forwarded| forwarded.possible_runs > 0),
-    )),
+    may_have_run,
     headers: parts.headers,
     metadata,
     method: parts.method,
