Streams: what a stream waits for is given up with its caller

Cause: the caller and the deadline were watched between the steps of a stream only. Within a step, the wait for a place, the send and the response of another engine or host, nobody looked.

The fix: the whole relay runs beside the caller's departure and the deadline, as it did beside the end of the process, so that any wait in it is dropped at once, on every path. A copy that was offered to an engine meanwhile is freed. A run that has ended no longer counts as silent when its caller leaves.

--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -112,6 +112,8 @@
   target_body: Option<Incoming>,
   migration: Migration,
   migrations: u32,
+  /// The copy of the run that an engine is asked to go on from and has not taken yet.
+  offered_copy: Option<Copied>,
   timing: Timing,
   assignment: Assignment,
   history: History,
@@ -140,6 +142,7 @@
       target_body: Some(target_body),
       migration: Migration::default(),
       migrations: 0,
+      offered_copy: None,
       timing: Timing::default(),
       assignment,
       history,
@@ -154,11 +157,19 @@
 
   async fn run(mut self) {
     let closing = self.call.gateway.closing.clone();
+    let caller = self.chunk_sender.clone();
+    let deadline = time::sleep_until(self.call.deadline.into());
+    // Whatever the stream waits for, a place, a response or its caller, is given up with it.
     let end = tokio::select! {
       biased;
+      () = caller.closed() => End::CallerDisconnected,
+      () = deadline => End::DeadlinePassed,
       end = self.relay() => end,
       () = closing.cancelled() => End::HostStopped,
     };
+    if let Some(copied) = self.offered_copy.take() {
+      self.release_copy(copied);
+    }
     log::info!(
       target: PREFIX, id = self.call.id(), target:% = self.assignment.target.id, end = end.name(),
       framing = self.framing.name(), ending = self.ending.map(Ending::name), events = self.cursor.event_count(), moves = self.migrations, runs = self.history.possible_runs,
@@ -191,9 +202,10 @@
     let _ = self.chunk_sender.send(Err(refusal.into())).await;
   }
 
-  /// Returns whether the target has sent nothing for some time although it had just begun.
+  /// Returns whether the target of the current run has sent nothing for some time although it had just begun.
   fn is_silent(&self) -> bool {
-    !self.is_sound && !self.is_at_other_host && self.silence() >= SILENCE
+    let goes_on = self.target_body.is_some() && self.ending.is_none();
+    goes_on && !self.is_sound && !self.is_at_other_host && self.silence() >= SILENCE
   }
 
   /// Returns the time since the last event or, before it, the head of the response.
@@ -246,13 +258,10 @@
   async fn relay(&mut self) -> End {
     let mut departures = self.call.gateway.departures.subscribe();
     let mut link_losses = self.call.gateway.link_losses.subscribe();
-    let mut deadline = Box::pin(time::sleep_until(self.call.deadline.into()));
     self.migrate_if_leaving();
     loop {
       let end = tokio::select! {
         biased;
-        () = self.chunk_sender.closed() => Some(End::CallerDisconnected),
-        () = &mut deadline => Some(End::DeadlinePassed),
         step = self.migration.next() => self.handle_step(step).await,
         frame = next_frame(&mut self.target_body) => self.handle_frame(frame).await,
         changed = departures.changed() => {
@@ -352,16 +361,8 @@
       self.is_sound = true;
       self.call.report_sound(self.answered_at);
     }
-    let send_result = time::timeout_at(
-      self.call.deadline.into(),
-      self.chunk_sender.send(Ok(events)),
-    )
-    .await;
-    match send_result {
-      Ok(Ok(())) => None,
-      Ok(Err(_)) => Some(End::CallerDisconnected),
-      Err(_) => Some(End::DeadlinePassed),
-    }
+    let result = self.chunk_sender.send(Ok(events)).await;
+    result.err().map(|_| End::CallerDisconnected)
   }
 
   /// Records which software version began the stream, before its first event is sent.
@@ -499,7 +500,10 @@
       last_event_id: self.cursor.last_event_id(),
     };
     let timeout = RESUME_TIMEOUT.min(self.call.time_left());
-    match self.call.send(&destination, Some(&resume), timeout).await {
+    self.offered_copy = Some(copied);
+    let result = self.call.send(&destination, Some(&resume), timeout).await;
+    let copied = self.offered_copy.take();
+    match result {
       Ok(response) if stream::has_events(&response) => {
         self.migrations += 1;
         self.count_migration_step("continued");
@@ -507,7 +511,9 @@
         None
       }
       Ok(_) | Err(_) => {
-        self.release_copy(copied);
+        if let Some(copied) = copied {
+          self.release_copy(copied);
+        }
         self.recover().await
       }
     }
@@ -526,6 +532,7 @@
     self.earlier_events = self.cursor.event_count();
     self.framing = Framing::of_response(&response);
     self.is_sound = false;
+    self.ending = None;
     self.answered_at = self.call.gateway.clock.now();
     self.cursor.discard_partial_event();
     self.target_body = Some(response.into_body());
@@ -589,8 +596,9 @@
       cache_location: copied.as_ref().map(|copied| format!("{source}/{}", copied.handle)),
       last_event_id: self.cursor.last_event_id(),
     };
+    self.offered_copy = copied;
     let result = self.call.send(assignment, Some(&resume), self.call.time_left()).await;
-    match (copied, &result) {
+    match (self.offered_copy.take(), &result) {
       (Some(copied), Err(failure)) if failure.outcome.is_not_run() => {
         self.release_copy(copied);
         resume.cache_location = None;
