--- a/yuccarudder/src/gateway/ingress.rs
+++ b/yuccarudder/src/gateway/ingress.rs
@@ -2,7 +2,7 @@
   super::{Gateway, buffered, call::Call, response, shutdown, stream},
   crate::{
     dialect::RequestMetadata,
-    http::{Body, LingeringBody},
+    http::{self, Body, LingeringBody},
     quarantine::Feature,
     refusal::{Reason, Refusal},
     routing::{self, Attributes, Kind},
@@ -27,6 +27,7 @@
 
 /// Handles one request of a caller; a refusal becomes an error response.
 pub async fn handle(gateway: Gateway, request: Request<Incoming>) -> Response<Body> {
+  let in_hand = gateway.in_hand.token();
   let (parts, body) = request.into_parts();
   let metadata = (gateway.dialect.read_request)(&parts.headers);
   let id = metadata.request_id.clone();
@@ -46,7 +47,7 @@
   if gateway.is_shutting_down() {
     response::close_connection(&mut response);
   }
-  response
+  response.map(|body| http::keeping(body, in_hand))
 }
 
 async fn serve(
@@ -55,9 +56,11 @@
   parts: Parts,
   body: LingeringBody,
 ) -> Result<Response<Body>, Refusal> {
-  let call = admit(gateway, metadata, parts, body).await?;
-  let may_have_run = Arc::clone(&call.may_have_run);
+  let may_have_run = Arc::new(AtomicBool::new(
+    metadata.forwarded.is_some_and(|forwarded| forwarded.possible_runs > 0),
+  ));
   let response = async {
+    let call = admit(gateway, metadata, parts, body, Arc::clone(&may_have_run)).await?;
     match call.route().kind {
       Kind::Stream { .. } => stream::serve(call).await,
       Kind::AtMostOnce | Kind::Idempotent => buffered::serve(call).await,
@@ -76,6 +79,7 @@
   metadata: RequestMetadata,
   parts: Parts,
   body: LingeringBody,
+  may_have_run: Arc<AtomicBool>,
 ) -> Result<Call, Refusal> {
   let arrived = gateway.clock.now();
   let (catalog, age) = {
@@ -141,9 +145,7 @@
     deadline: span::after(arrived, timeout),
     _forwarding_permit: forwarding_permit,
     gateway: gateway.clone(),
-    may_have_run: Arc::new(AtomicBool::new(
-      metadata.forwarded.is_some_and(|forwarded| forwarded.possible_runs > 0),
-    )),
+    may_have_run,
     headers: parts.headers,
     metadata,
     method: parts.method,
