--- a/yuccarudder/src/completion/mod.rs
+++ b/yuccarudder/src/completion/mod.rs
@@ -3,7 +3,7 @@
 
 mod judge;
 
-pub use judge::{Sign, Verdict, judge};
+pub use judge::{Ended, Sign, Verdict};
 
 #[cfg(test)]
 mod tests;
--- a/yuccarudder/src/dialect.rs
+++ b/yuccarudder/src/dialect.rs
@@ -117,8 +117,9 @@
   pub shutdown_in: Option<Duration>,
   /// When its process started, in milliseconds since the Unix epoch, if it tells.
   pub started_ms: Option<u64>,
-  /// The requests that it runs, each with the number of events that it has produced.
-  pub runs: Vec<(String, u64)>,
+  /// The requests that it runs, each with the number of events that it has produced for it; `None` if it
+  /// does not list them.
+  pub runs: Option<Vec<(String, Option<u64>)>>,
 }
 
 /// Function that copies the KV cache of a run from one engine to another.
@@ -130,7 +131,7 @@
     + Sync,
 >;
 /// Function that asks at an address and a path whether a target, given by its ID, serves there; returns
-/// `None` when there is no response.
+/// `None` when there is no response, or one that does not tell.
 pub type IdentifyFn =
   Arc<dyn Fn(SocketAddr, String, Arc<str>) -> BoxFuture<'static, Option<bool>> + Send + Sync>;
 /// Function that asks an engine for its status; returns `None` when there is no response.
--- a/yuccarudder/src/gateway/breaks.rs
+++ b/yuccarudder/src/gateway/breaks.rs
@@ -72,18 +72,19 @@
 }
 
 impl Call {
-  /// Reports that a run ended without its whole response, and waits for a short time until it is
+  /// Reports that a run ended at a time without its whole response, and waits for a short time until it is
   /// known whether the target crashed. `answered_at` is when the head of the response arrived.
   pub(super) async fn report_break(
     &self,
     assignment: &Assignment,
     answered_at: Option<Instant>,
+    at: Instant,
     cause: Cause,
   ) {
     let verdict = tokio::spawn(self.gateway.clone().inspect_break(Break {
       address: assignment.target.listing.address,
       answered_at,
-      at: self.gateway.clock.now(),
+      at,
       cause,
       features: self.features.clone(),
       fingerprint: assignment.target.fingerprint,
@@ -251,12 +252,12 @@
       0
     };
     for _ in 0..polls {
-      if self.is_replaced(run) {
+      if self.is_replaced(run.key, run.address) {
         return Some(true);
       }
       time::sleep(REPLACEMENT_POLL).await;
     }
-    if self.is_replaced(run) {
+    if self.is_replaced(run.key, run.address) {
       return Some(true);
     }
     listening.map(|_| false)
@@ -308,14 +309,13 @@
   }
 
   /// Returns whether another process serves at the address of a target that did not say it leaves.
-  fn is_replaced(&self, run: &Break) -> bool {
+  pub(super) fn is_replaced(&self, key: Key, address: SocketAddr) -> bool {
     let state = self.lock();
-    let mut others = state.roster.all().filter(|(key, _)| *key != run.key);
-    let has_said = state.roster.get(run.key).is_some_and(|target| target.status == Status::Leaving);
+    let mut others = state.roster.all().filter(|(other, _)| *other != key);
+    let has_said = state.roster.get(key).is_some_and(|target| target.status == Status::Leaving);
     !has_said
-      && others.any(|(_, target)| {
-        target.listing.address == run.address && target.status == Status::Serving
-      })
+      && others
+        .any(|(_, target)| target.listing.address == address && target.status == Status::Serving)
   }
 
   fn record_crash(&self, run: Break) {
--- a/yuccarudder/src/gateway/buffered.rs
+++ b/yuccarudder/src/gateway/buffered.rs
@@ -13,7 +13,7 @@
   std::{
     net::SocketAddr,
     sync::atomic::{AtomicBool, Ordering},
-    time::Duration,
+    time::{Duration, Instant},
   },
 };
 
@@ -81,16 +81,19 @@
   let remaining = timeout.saturating_sub(answered_at.saturating_duration_since(started_at));
   match result {
     Ok(response) => {
-      let whole = call.read_whole(assignment, response, remaining).await;
+      let (whole, ended_at) = call.read_whole(assignment, response, remaining).await;
       match whole {
         Some(_) => call.report_sound(answered_at),
-        None => call.report_break(assignment, Some(answered_at), Cause::ConnectionLost).await,
+        None => {
+          let cause = Cause::ConnectionLost;
+          call.report_break(assignment, Some(answered_at), ended_at, cause).await;
+        }
       }
       whole.ok_or_else(|| Outcome::Lost.into())
     }
     Err(sending::Failure { outcome, response }) => {
       let response = match response {
-        Some(response) => call.read_whole(assignment, *response, remaining).await,
+        Some(response) => call.read_whole(assignment, *response, remaining).await.0,
         None => None,
       };
       Err(Failure { response, outcome })
@@ -99,23 +102,28 @@
 }
 
 impl Call {
-  /// Reads the response of a target to its end; returns `None` when it is cut off, is too large, takes too
-  /// long, or is not proven to be whole.
+  /// Reads the response of a target to its end, and returns when that was; the response is `None` when it is
+  /// cut off, is too large, takes too long, or is not proven to be whole.
   pub(super) async fn read_whole(
     &self,
     assignment: &Assignment,
     response: Response<Incoming>,
     timeout: Duration,
-  ) -> Option<Response<Body>> {
-    let deadline = self.gateway.clock.now() + timeout;
-    let response = read_body(response, timeout).await?;
+  ) -> (Option<Response<Body>>, Instant) {
+    let clock = &self.gateway.clock;
+    let answered_at = clock.now();
+    let response = read_body(response, timeout).await;
+    let ended_at = clock.now();
+    let Some(response) = response else {
+      return (None, ended_at);
+    };
     if response.extensions().get() == Some(&Framing::Close) {
-      let remaining = deadline.saturating_duration_since(self.gateway.clock.now());
-      if !self.is_proven_whole(assignment, 0, remaining).await {
-        return None;
+      let remaining = timeout.saturating_sub(ended_at.saturating_duration_since(answered_at));
+      if !self.is_proven_whole(assignment, answered_at, None, remaining).await {
+        return (None, ended_at);
       }
     }
-    Some(response)
+    (Some(response), ended_at)
   }
 }
 
@@ -128,8 +136,6 @@
   match call.hand_over(host, history, None).await {
     Ok(response) => {
       let whole = read_body(response, call.time_left()).await;
-      // Hosts send a length.
-      let whole = whole.filter(|whole| whole.extensions().get() != Some(&Framing::Close));
       whole.ok_or_else(|| Outcome::Lost.into())
     }
     Err(failure) => Err(Failure {
--- a/yuccarudder/src/gateway/completion.rs
+++ b/yuccarudder/src/gateway/completion.rs
@@ -6,10 +6,16 @@
 use {
   super::{Gateway, assignment::Assignment, call::Call},
   crate::{
-    completion::{self, Sign, Verdict},
+    completion::{Ended, Sign, Verdict},
+    dialect::Report,
+    relocation::REPORT_LAG,
     roster::Key,
   },
-  std::{net::SocketAddr, sync::Arc, time::Duration},
+  std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+  },
   tokio::{sync::oneshot, time},
 };
 
@@ -20,9 +26,9 @@
 /// Time for a target to answer that has no place for a question while it is busy.
 const IDENTIFY_TIMEOUT: Duration = Duration::from_millis(150);
 const PREFIX: &str = "completion";
-/// Longest wait for proof that a response is whole: an engine's report is late by `REPORT_LAG`, and a lost
-/// packet delays a question.
-const PROOF_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Longest wait for proof that a response is whole: the lag of a report, and a lost packet, which delays a
+/// question.
+const PROOF_TIMEOUT: Duration = REPORT_LAG.saturating_add(Duration::from_millis(700));
 /// Pause between two questions about a response.
 const ASK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -38,33 +44,46 @@
 
 impl Call {
   /// Returns whether a response is whole that has just ended with its connection, after asking its target.
-  /// `events` is the number of events that were received of it, if it is a stream.
+  /// Its head arrived at `answered_at`; `events` is the number of events that the caller has, of this run and
+  /// those before it, if it is a stream.
   ///
-  /// It takes a round trip if the target answers, and `timeout` or `PROOF_TIMEOUT` at most.
+  /// It takes a round trip if the target answers, the lag of its report if that may list the run or be older
+  /// than it, and `timeout` or `PROOF_TIMEOUT` at most.
   pub(super) async fn is_proven_whole(
     &self,
     assignment: &Assignment,
-    events: u64,
+    answered_at: Instant,
+    events: Option<u64>,
     timeout: Duration,
   ) -> bool {
     let clock = &self.gateway.clock;
     let ended_at = clock.now();
     let deadline = ended_at + timeout.min(PROOF_TIMEOUT);
-    let mut sign = Sign::Silent;
-    let mut verdict = Verdict::Open;
-    let mut questions = 0_u32;
-    while verdict == Verdict::Open && clock.now() < deadline {
-      if questions > 0 {
-        time::sleep_until((clock.now() + ASK_INTERVAL).min(deadline).into()).await;
-      }
+    let mut questions = 0;
+    let mut ask_at = ended_at;
+    let (sign, verdict) = loop {
+      time::sleep_until(ask_at.into()).await;
+      let asked_at = clock.now();
       questions += 1;
       let answer = self.gateway.ask_for_sign(self.process_of(assignment));
-      match time::timeout_at(deadline.into(), answer).await {
-        Ok(Some(answer)) => sign = answer,
-        Ok(None) | Err(_) => sign = Sign::Silent,
+      let answer = time::timeout_at(deadline.into(), answer).await;
+      let sign = answer.ok().flatten().unwrap_or(Sign::Silent);
+      let ended = Ended {
+        request_id: self.id(),
+        events,
+        since_head: asked_at.saturating_duration_since(answered_at),
+        questions,
+      };
+      let verdict = ended.judge(&sign);
+      ask_at = match sign {
+        // The report shows what has ended by now once its lag has passed.
+        Sign::Runs(_) => (ended_at + REPORT_LAG).max(clock.now() + ASK_INTERVAL),
+        _ => clock.now() + ASK_INTERVAL,
+      };
+      if verdict != Verdict::Open || ask_at >= deadline {
+        break (sign, verdict);
       }
-      verdict = completion::judge(&sign, self.id(), events);
-    }
+    };
     let elapsed = clock.now().saturating_duration_since(ended_at);
     self.gateway.instruments.unframed_ends.with_label_values(&[verdict.name()]).inc();
     log::info!(
@@ -127,19 +146,26 @@
   }
 
   async fn find_sign(&self, process: &Process) -> Sign {
-    if self.is_paused(process.key) || !self.try_take_calls(process.key, 1.0) {
-      return self.find_listener(process, Sign::Listens).await;
+    if self.is_replaced(process.key, process.address) {
+      return Sign::Gone;
     }
+    let may_ask = self.try_take_calls(process.key, 1.0);
     let Some(health_path) = process.health_path.clone() else {
+      // A report needs no place, so it is asked for during a pause, too.
+      if !may_ask {
+        return self.find_listener(process, Sign::Silent).await;
+      }
       return match (self.dialect.inspect)(process.address).await {
-        Some(report) if has_other_start(process.started_ms, report.started_ms) => Sign::Gone,
-        Some(report) => Sign::Runs(report.runs),
+        Some(report) => read_report(process.started_ms, report),
         None => self.find_listener(process, Sign::Silent).await,
       };
     };
+    if !may_ask || self.is_paused(process.key) {
+      return self.find_listener(process, Sign::Listens).await;
+    }
     let answer = (self.dialect.identify)(process.address, health_path, Arc::clone(&process.id));
     match time::timeout(IDENTIFY_TIMEOUT, answer).await {
-      Ok(Some(true)) => Sign::Runs(Vec::new()),
+      Ok(Some(true)) => Sign::Answers,
       Ok(Some(false)) => Sign::Gone,
       Ok(None) | Err(_) => self.find_listener(process, Sign::Listens).await,
     }
@@ -155,7 +181,12 @@
   }
 }
 
-/// Returns whether two start times are those of different processes, as far as they are known.
-fn has_other_start(started_ms: Option<u64>, reported_ms: Option<u64>) -> bool {
-  started_ms.zip(reported_ms).is_some_and(|(started, reported)| started != reported)
+/// Returns what a report proves of the process that started at a time, in milliseconds since the Unix epoch.
+fn read_report(started_ms: Option<u64>, report: Report) -> Sign {
+  match (started_ms.zip(report.started_ms), report.runs) {
+    (Some((listed, reported)), _) if listed != reported => Sign::Gone,
+    (_, Some(runs)) => Sign::Runs(runs),
+    (Some(_), None) => Sign::Answers,
+    (None, None) => Sign::Listens,
+  }
 }
--- a/yuccarudder/src/gateway/forwarding.rs
+++ b/yuccarudder/src/gateway/forwarding.rs
@@ -9,7 +9,7 @@
   crate::{
     attempt::{History, Outcome},
     dialect::{Forwarded, HandoverMetadata},
-    http::{self, Body},
+    http::{self, Body, Framing},
     member::{Member, Phase},
     plain,
     refusal::{Reason, Refusal},
@@ -255,6 +255,10 @@
       members.any(|(_, member)| member.callers == host && member.phase == Phase::Leaving)
     };
     match Verdict::of_host(response.status(), &metadata, request_id, is_leaving) {
+      // Hosts send a length or chunks, by which a response that breaks off is told from a whole one.
+      Verdict::Answered if Framing::of_response(&response) == Framing::Close => {
+        Err(Outcome::Lost.into())
+      }
       Verdict::Answered => Ok(response),
       Verdict::NotRun => Err(Failure {
         // A host that has lost its links as well offers the request to no target, and asks for no pause.
--- a/yuccarudder/src/gateway/race.rs
+++ b/yuccarudder/src/gateway/race.rs
@@ -213,7 +213,15 @@
       let assignment = &contender.assignment;
       let failure = links::Failure::Silent;
       self.call.record_unreached(assignment, failure, assignment.assigned_at);
-      self.call.report_break(assignment, None, Cause::Silent).await;
+      self
+        .call
+        .report_break(
+          assignment,
+          None,
+          self.call.gateway.clock.now(),
+          Cause::Silent,
+        )
+        .await;
     }
     self.hedge_at = None;
     if self.grant(Outcome::Lost) {
--- a/yuccarudder/src/gateway/sending.rs
+++ b/yuccarudder/src/gateway/sending.rs
@@ -92,13 +92,20 @@
       Ok(Err(Error::Sent(cause))) => {
         self.record_unreached(assignment, links::Failure::Disconnected, began_at);
         error = Some(cause);
-        self.report_break(assignment, None, Cause::ConnectionLost).await;
+        self
+          .report_break(
+            assignment,
+            None,
+            self.gateway.clock.now(),
+            Cause::ConnectionLost,
+          )
+          .await;
         Err(Outcome::Lost.into())
       }
       Err(Unanswered) => {
         self.record_unreached(assignment, links::Failure::Silent, began_at);
         error = Some("no response in time".to_owned());
-        self.report_break(assignment, None, Cause::Silent).await;
+        self.report_break(assignment, None, self.gateway.clock.now(), Cause::Silent).await;
         Err(Outcome::Lost.into())
       }
     };
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -17,7 +17,7 @@
     refusal::{Reason, Refusal},
     relay::Cursor,
     relocation::{Copied, Failure, Run},
-    roster::Status,
+    roster::{Key, Status},
     routing::{Engine, Kind},
   },
   bytes::Bytes,
@@ -97,8 +97,8 @@
   call: Call,
   chunk_sender: mpsc::Sender<Result<Bytes, BodyError>>,
   cursor: Cursor,
-  /// Number of events of the runs before the current one.
-  earlier_events: u64,
+  /// Targets that lost the stream. An order to stop its run there may still be under way.
+  lost_at: Vec<Key>,
   /// Whether another host relays the current run, as this one has lost its links to the targets.
   is_at_other_host: bool,
   /// How the response of the last run ended; `None` while it goes on.
@@ -134,7 +134,7 @@
       cursor: Cursor::new(call.metadata.last_event_id),
       call,
       chunk_sender,
-      earlier_events: 0,
+      lost_at: Vec::new(),
       ending: None,
       framing,
       is_at_other_host: false,
@@ -180,7 +180,8 @@
     );
     self.record_metrics(end);
     if matches!(end, End::CallerDisconnected | End::DeadlinePassed) && self.is_silent() {
-      self.call.report_break(&self.assignment, Some(self.answered_at), Cause::Silent).await;
+      let now = self.call.gateway.clock.now();
+      self.call.report_break(&self.assignment, Some(self.answered_at), now, Cause::Silent).await;
     }
     self.migration.cancel(&self.call, &self.assignment);
     let reason = match end {
@@ -284,6 +285,7 @@
     &mut self,
     frame: Option<Result<body::Frame<Bytes>, hyper::Error>>,
   ) -> Option<End> {
+    let ended_at = self.call.gateway.clock.now();
     self.ending = match &frame {
       Some(Ok(_)) => None,
       Some(Err(_)) => Some(Ending::Broken),
@@ -311,8 +313,9 @@
       _ => {
         let answered_at = Some(self.answered_at);
         let failure = links::Failure::Disconnected;
-        self.call.record_unreached(&self.assignment, failure, self.call.gateway.clock.now());
-        self.call.report_break(&self.assignment, answered_at, Cause::ConnectionLost).await;
+        self.call.record_unreached(&self.assignment, failure, ended_at);
+        let cause = Cause::ConnectionLost;
+        self.call.report_break(&self.assignment, answered_at, ended_at, cause).await;
         self.recover().await
       }
     }
@@ -326,11 +329,11 @@
     if self.framing != Framing::Close {
       return true;
     }
-    let events = self.cursor.event_count() - self.earlier_events;
-    // Hosts send chunks.
-    events > 0
-      && !self.is_at_other_host
-      && self.call.is_proven_whole(&self.assignment, events, self.call.time_left()).await
+    let has_events = self.cursor.event_count() > 0 || self.cursor.last_event_id().is_some();
+    let events = self.cursor.event_count() + self.cursor.earlier_event_count();
+    let (answered_at, time_left) = (self.answered_at, self.call.time_left());
+    has_events
+      && self.call.is_proven_whole(&self.assignment, answered_at, Some(events), time_left).await
   }
 
   /// Sends the complete events in a chunk of the response body to the caller.
@@ -534,7 +537,6 @@
   }
 
   fn replace_body(&mut self, response: Response<Incoming>) {
-    self.earlier_events = self.cursor.event_count();
     self.framing = Framing::of_response(&response);
     self.is_sound = false;
     self.ending = None;
@@ -565,13 +567,14 @@
   async fn recover(&mut self) -> Option<End> {
     self.migration.cancel(&self.call, &self.assignment);
     self.history.possible_runs += 1;
+    self.lost_at.push(self.assignment.key);
     if !self.cursor.is_resumable() || !self.call.grant_retry(&self.history, Outcome::Lost) {
       return Some(End::TargetLost);
     }
     if self.resume_at_other_host().await {
       return None;
     }
-    let Ok(assignment) = self.call.assign(&[self.assignment.key], Purpose::Continue).await else {
+    let Ok(assignment) = self.call.assign(&self.lost_at, Purpose::Continue).await else {
       return Some(End::TargetLost);
     };
     self.history.attempts += 1;
@@ -603,14 +606,16 @@
     };
     self.offered_copy = copied;
     let result = self.call.send(assignment, Some(&resume), self.call.time_left()).await;
-    match (self.offered_copy.take(), &result) {
-      (Some(copied), Err(failure)) if failure.outcome.is_not_run() => {
-        self.release_copy(copied);
-        resume.cache_location = None;
-        self.call.send(assignment, Some(&resume), self.call.time_left()).await
-      }
-      _ => result,
+    let (Some(copied), Err(failure)) = (self.offered_copy.take(), &result) else {
+      return result;
+    };
+    self.release_copy(copied);
+    if !failure.outcome.is_not_run() || !self.call.grant_retry(&self.history, failure.outcome) {
+      return result;
     }
+    self.history.attempts += 1;
+    resume.cache_location = None;
+    self.call.send(assignment, Some(&resume), self.call.time_left()).await
   }
 
   fn release_copy(&self, copied: Copied) {
--- a/yuccarudder/src/gateway/stream.rs
+++ b/yuccarudder/src/gateway/stream.rs
@@ -60,7 +60,7 @@
         return Ok(build_response(call, attempts, assignment, response));
       }
       Ok(response) => {
-        let response = call.read_whole(&assignment, response, call.time_left()).await;
+        let (response, _) = call.read_whole(&assignment, response, call.time_left()).await;
         return response.ok_or_else(|| Refusal::unknown(Reason::TargetLost));
       }
       Err(failure) => failure,
