A fatal request is kept away although another one is suspected or banned

Known red: in random runs 4 or 5 requests with a fatal content reached targets more than 3 s after its third crash (at most 3). Traced in two scenarios.

12 hosts, 3 targets: another request, sent again beside the fatal one, was under the same three crashes. Both were banned as uncertain, nobody sent either while the targets were down, and the ban ended. The next crash decided it, but the ledger judged crashes only when told to; until then the host that had just seen that crash sent the request again. Ledger::check now judges crashes that were recorded since the last judgement (the gateway judged them at once already; the promise no longer rests on that).

30 hosts: a host that had heard of fewer crashes banned the other request for certain, and that ban explained all crashes of the fatal one, at all hosts: it took three more crashes. A certain ban of a content is now lifted when another content that is not banned explains the same crashes (before: only further ones), so that both are judged again, as uncertain.

The property and its simulation are unchanged.

--- a/yuccarudder/src/quarantine/ledger.rs
+++ b/yuccarudder/src/quarantine/ledger.rs
@@ -94,6 +94,10 @@
   activity: Activity,
   bans: Vec<BanRecord>,
   crashes: VecDeque<CrashRecord>,
+  /// Whether crashes were recorded since the last judgement.
+  has_new_crashes: bool,
+  /// The time in which other hosts report sound answers, by the last judgement.
+  news_delay: Option<Duration>,
   sounds: HashMap<Feature, SoundRecord>,
   started_at: Instant,
 }
@@ -104,10 +108,16 @@
     self.bans.iter().map(|record| &record.ban)
   }
 
-  /// Decides whether a request with the given features may be sent to a target.
+  /// Decides whether a request with the given features may be sent to a target, by all crashes that are
+  /// recorded.
   ///
   /// `conducts_trials` is true on one host of the fleet.
   pub fn check(&mut self, features: &[Feature], conducts_trials: bool, now: Instant) -> Verdict {
+    if self.has_new_crashes
+      && let Some(news_delay) = self.news_delay
+    {
+      self.judge(news_delay, now);
+    }
     let is_covering =
       |record: &&mut BanRecord| record.ban.covers(features) && !is_over(&record.ban, now);
     let covering = self.bans.iter_mut().filter(is_covering);
@@ -162,6 +172,8 @@
   ///
   /// `news_delay` is the time in which another host that has soundly answered a feature reports so.
   pub fn judge(&mut self, news_delay: Duration, now: Instant) -> Vec<Ban> {
+    self.has_new_crashes = false;
+    self.news_delay = Some(news_delay);
     let is_kept = |at: Instant, retention| now.saturating_duration_since(at) < retention;
     self.crashes.retain(|record| is_kept(record.crash.at, CRASH_RETENTION));
     self.bans.retain(|record| is_kept(record.ban.last_crash, BAN_RETENTION));
@@ -204,6 +216,8 @@
       activity: Activity::default(),
       bans: Vec::new(),
       crashes: VecDeque::new(),
+      has_new_crashes: false,
+      news_delay: None,
       sounds: HashMap::new(),
       started_at: now,
     }
@@ -238,6 +252,7 @@
       self.crashes.pop_front();
     }
     self.crashes.push_back(CrashRecord { crash, own });
+    self.has_new_crashes = true;
     true
   }
 
@@ -372,26 +387,30 @@
     now.saturating_duration_since(self.started_at) >= OBSERVATION_PERIOD
   }
 
-  /// Lifts bans of contents whose crashes the content of another ban explains with further ones, and
-  /// makes bans uncertain whose contents explain the same crashes: hosts decide before they have
-  /// heard of all crashes.
+  /// Lifts bans of contents whose crashes another content explains as well or with further ones, so that
+  /// they are judged again, and makes bans uncertain whose contents explain the same crashes: hosts decide
+  /// before they have heard of all crashes.
   fn revise_bans(&mut self) {
     let is_of_content = |ban: &&Ban| ban.features.iter().any(|feature| feature.is_content());
     let contents: Vec<&Ban> = self.certain_bans().filter(is_of_content).collect();
-    if contents.len() < 2 {
+    if contents.is_empty() {
       return;
     }
-    let targets: Vec<HashSet<u64>> = contents.iter().map(|ban| self.targets_under(ban)).collect();
+    let suspects = self.targets_by_new_content();
     let mut lifted = Vec::new();
     let mut doubted = Vec::new();
-    for (index, ban) in contents.iter().enumerate() {
-      let own = &targets[index];
-      let covers = |other: &(usize, &HashSet<u64>)| other.0 != index && own.is_subset(other.1);
-      let covering = targets.iter().enumerate().filter(covers).map(|(_, other)| other.len()).max();
-      match covering.filter(|_| !own.is_empty()) {
-        Some(count) if count > own.len() => lifted.push(ban.features.clone()),
-        Some(_) => doubted.push(ban.features.clone()),
-        None => {}
+    for ban in &contents {
+      let own = self.targets_under(ban);
+      let rivals = suspects.iter().filter(|(content, targets)| {
+        !ban.features.contains(content) && !own.is_empty() && own.is_subset(targets)
+      });
+      for (content, targets) in rivals {
+        let is_banned = contents.iter().any(|other| other.features.contains(content));
+        if targets.len() > own.len() || !is_banned {
+          lifted.push(ban.features.clone());
+        } else {
+          doubted.push(ban.features.clone());
+        }
       }
     }
     self.bans.retain(|record| !lifted.contains(&record.ban.features));
@@ -400,6 +419,18 @@
     }
   }
 
+  /// Returns the targets that crashed under each content that no target is known to have answered soundly.
+  fn targets_by_new_content(&self) -> HashMap<Feature, HashSet<u64>> {
+    let mut targets: HashMap<Feature, HashSet<u64>> = HashMap::new();
+    for CrashRecord { crash, .. } in &self.crashes {
+      let contents = crash.features.iter().filter(|feature| feature.is_content());
+      for content in contents.filter(|content| !self.sounds.contains_key(content)) {
+        targets.entry(*content).or_default().insert(crash.target);
+      }
+    }
+    targets
+  }
+
   /// Returns the targets that crashed under requests which a ban covers.
   fn targets_under(&self, ban: &Ban) -> HashSet<u64> {
     let crashes = self.crashes.iter().map(|record| &record.crash);
--- a/yuccarudder/src/quarantine/tests.rs
+++ b/yuccarudder/src/quarantine/tests.rs
@@ -473,6 +473,56 @@
   );
 }
 
+/// Guards against a request that is sent on the strength of an earlier judgement, although the host has seen
+/// one more target crash under it since.
+#[test]
+fn crash_counts_for_the_next_request() {
+  let (mut ledger, now) = ledger();
+  let news_delay = ms(400);
+  for target in 0..2 {
+    let at = now + ms(target * 500);
+    ledger.record_crash(crash_under(target, 9, at - ms(40), at), true, at);
+  }
+  assert!(ledger.judge(news_delay, now + ms(600)).is_empty());
+  let at = now + ms(1_000);
+  ledger.record_crash(crash_under(2, 9, at - ms(40), at), true, at);
+  let verdict = ledger.check(&[Feature::Content(9)], false, at);
+  assert!(matches!(verdict, Verdict::Banned(_)), "{verdict:?}");
+}
+
+/// Guards against a certain ban of one of two requests that explain the same crashes: the other one would be
+/// sent as if nothing were known of it.
+#[test]
+fn ban_is_lifted_when_another_content_explains_the_same_crashes() {
+  let (mut ledger, now) = ledger();
+  let news_delay = ms(400);
+  let at = |target: u64| now + ms(target * 40);
+  for target in 0..3 {
+    ledger.record_crash(
+      crash_under(target, 8, at(target) - ms(40), at(target)),
+      true,
+      at(target),
+    );
+  }
+  let bans = ledger.judge(news_delay, now + ms(600));
+  assert!(bans.iter().all(|ban| !ban.is_uncertain) && bans.len() == 1);
+  for target in 0..3 {
+    ledger.record_crash(
+      crash_under(target, 9, at(target) - ms(40), at(target)),
+      false,
+      now + ms(700),
+    );
+  }
+  ledger.judge(news_delay, now + ms(800));
+  for content in [8, 9] {
+    let verdict = ledger.check(&[Feature::Content(content)], false, now + ms(800));
+    assert!(
+      matches!(&verdict, Verdict::Banned(ban) if ban.is_uncertain),
+      "{content}: {verdict:?}"
+    );
+  }
+}
+
 #[test]
 fn state_stays_bounded() {
   let (mut ledger, start) = ledger();
@@ -939,6 +989,37 @@
   assert!(fleet.sound_refused * 100 <= fleet.sound_sent);
 }
 
+/// Guards against a request that was one of two suspects and is sent again and again, by the host that has
+/// just seen a target crash under it.
+#[test]
+fn fatal_request_is_kept_away_after_its_first_crash_as_one_of_two_suspects() {
+  let fleet = Fleet::run(Scenario {
+    fatal_request_rate: 3.0,
+    hosts: 12,
+    is_plain: true,
+    loss: 0.1,
+    seed: 12426569446978029731,
+    targets: 3,
+    ..CALM
+  });
+  assert!(fleet.late_fatal_requests <= MAX_LATE_ARRIVALS);
+}
+
+/// Guards against a ban of the wrong one of two requests, beside which the other one crashes targets again.
+#[test]
+fn fatal_request_is_kept_away_although_another_one_was_banned_first() {
+  let fleet = Fleet::run(Scenario {
+    fatal_request_rate: 0.4,
+    hosts: 30,
+    is_plain: true,
+    loss: 0.3,
+    seed: 920485367834549892,
+    targets: 5,
+    ..CALM
+  });
+  assert!(fleet.late_fatal_requests <= MAX_LATE_ARRIVALS);
+}
+
 /// Guards against one request that ends target after target in a fleet of hundreds of hosts, of which
 /// each sees one crash at most.
 #[test]
