Revert: slow requests that may be repeated keep their first attempt while another is made

Suspected: a first attempt that is silent keeps its place until its deadline, which was given back after 0.4 of it.

--- a/yuccarudder/src/gateway/mod.rs
+++ b/yuccarudder/src/gateway/mod.rs
@@ -20,7 +20,6 @@
 mod instruments;
 mod limits;
 mod migration;
-mod race;
 mod reachability;
 mod response;
 mod retrying;
