--- a/yuccarudder/src/gateway/out_of_step_tests.rs
+++ b/yuccarudder/src/gateway/out_of_step_tests.rs
@@ -224,6 +224,7 @@
     });
     Changes {
       changes: changes.collect(),
+      unreadable: 0,
       version: Version::new(0, self.revision),
     }
   }
@@ -233,6 +234,7 @@
     let changes = self.history.iter().filter(|(_, change)| change.version.revision > after);
     (self.now() < read_at + HISTORY).then(|| Changes {
       changes: changes.map(|(_, change)| change.clone()).collect(),
+      unreadable: 0,
       version: Version::new(0, self.revision),
     })
   }
