Fix: a departure told at the revision of a lapse ends the lapse (DRAIN)

Trace: the store had turned one host away and served it again 0.6 s before the target left. So this host took the removal that it read itself, at revision 37, for an entry that lapsed while the platform was away, and kept the target for two seconds. The hosts in touch told it of the departure at once, at the same revision, and merge_departure takes only a later one for news. A departure at the revision of a lapse is news now: hosts tell only what they know as a departure.

roster::tests::departure_told_at_the_revision_of_a_lapse_ends_the_lapse failed before; roster, gateway and member tests (124) pass.

--- a/yuccarudder/src/roster/roster.rs
+++ b/yuccarudder/src/roster/roster.rs
@@ -264,7 +264,11 @@
     };
     let (key, target) = self.targets.iter_mut().find(|(_, target)| is_same_process(target))?;
     let is_alive = matches!(target.status, Status::Serving | Status::Lapsed(_));
+    // A removal that this host took for a lapse is a departure to hosts that the platform served all the while.
+    let ends_lapse =
+      matches!(target.status, Status::Lapsed(_)) && target.version == departure.version;
     let is_later = target.version < departure.version
+      || ends_lapse
       || (target.may_be_restored && departure.version.era < target.version.era);
     let is_news = is_alive && (is_later || departure.is_own_statement);
     target.states_departure |= departure.is_own_statement;
--- a/yuccarudder/src/roster/tests.rs
+++ b/yuccarudder/src/roster/tests.rs
@@ -158,6 +158,28 @@
   assert_eq!(fixture.accepting_count(), 1);
 }
 
+/// Guards against a target that a host keeps using because it took the removal of its entry for a lapse, though
+/// hosts that the platform has served all the while know that the target has left.
+#[test]
+fn departure_told_at_the_revision_of_a_lapse_ends_the_lapse() {
+  let mut fixture = Fixture::new();
+  let key = fixture.key();
+  let fingerprint = fixture.roster.get(key).unwrap().fingerprint;
+  assert_eq!(
+    fixture.roster.expire("a", version(5), true, fixture.now),
+    None
+  );
+  let earlier = departure(fingerprint, 4);
+  assert_eq!(fixture.roster.merge_departure(&earlier, fixture.now), None);
+  assert_eq!(fixture.accepting_count(), 1);
+  let same = departure(fingerprint, 5);
+  assert_eq!(
+    fixture.roster.merge_departure(&same, fixture.now),
+    Some(key)
+  );
+  assert_eq!(fixture.accepting_count(), 0);
+}
+
 #[test]
 fn departure_older_than_the_entry_is_ignored() {
   let mut fixture = Fixture::new();
