A wrong ban of a sound request no longer goes round

Callers saw: a sound request refused with 400 (request_quarantined) at all hosts for minutes, because it ran beside a fatal one. Known red, not traced until now: 30 hosts, 3 targets, 10% of the heartbeats lost, restarts.

Trace: both requests were under the same three crashes, which makes them uncertain, and all hosts but one held that. The host that had noticed two of the three crashes of the fatal request restarted 220 ms after the last one, so one host had heard of one of them only. To it the sound request explained more, and it banned that for certain. The hosts that knew all crashes lifted the ban at their next judgement, 200 ms later, and took it over again with the next heartbeat of any host that still held it; four hosts that were cut off meanwhile never heard of the crashes that refute it, as only the host that notices a crash announces it, for 5 s.

When the fatal one had crashed three more targets and was banned, the other ban stayed, for the one crash that was left to it.

Now a host does not take over a ban that the crashes it knows refute, and it announces these crashes again, whoever noticed them, as it already does with sound answers that refute a ban: the hosts that hold it learn what they missed, and lift it. A ban is lifted, and not made, if a content with more crashes leaves it fewer than three. A host that knows fewer crashes than a ban rests on does not lift it any more; until now one shared crash was enough.

--- a/yuccarudder/src/quarantine/ledger.rs
+++ b/yuccarudder/src/quarantine/ledger.rs
@@ -78,11 +78,25 @@
 
 #[derive(Clone, Debug)]
 struct CrashRecord {
+  /// Until when this host announces the crash, whoever noticed it.
+  announced_until: Option<Instant>,
   crash: Crash,
   /// Whether this host noticed the crash itself.
   own: bool,
 }
 
+/// Returns whether a content that explains more crashes than another leaves too few of `targets`, the
+/// crashes of the other one, to blame that as well.
+fn is_outdone(targets: &HashSet<u64>, explained: &HashSet<u64>) -> bool {
+  explained.len() > targets.len()
+    && targets.difference(explained).count() < MIN_CRASHES_OF_NEW_FEATURE
+}
+
+/// Returns whether `targets`, which are known to have crashed under a ban, are all that it rests on.
+fn rests_on(ban: &Ban, targets: &HashSet<u64>) -> bool {
+  u32::try_from(targets.len()).is_ok_and(|known| known >= ban.crashes)
+}
+
 /// Returns whether a ban has ended because it was uncertain.
 fn is_over(ban: &Ban, now: Instant) -> bool {
   ban.is_uncertain && now >= ban.uncertain_until()
@@ -140,21 +154,26 @@
     Verdict::Banned(record.ban.clone())
   }
 
-  /// Returns the crashes that this host announces to the others; first those under features that
-  /// explain most crashes, then the newest.
+  /// Returns the crashes that this host announces to the others: first its own, those under features
+  /// that explain most crashes before the newest, then those that put bans in doubt.
   pub fn announced_crashes(&self, now: Instant) -> Vec<&Crash> {
-    let is_recent = |record: &&CrashRecord| {
+    let is_recent = |record: &CrashRecord| {
       record.own && now.saturating_duration_since(record.crash.at) < ANNOUNCEMENT_PERIOD
     };
-    let own = self.crashes.iter().rev().filter(is_recent).map(|record| &record.crash);
-    let mut crashes: Vec<&Crash> = own.collect();
-    if crashes.len() > 1 {
+    let is_announced = |record: &&CrashRecord| {
+      is_recent(record) || record.announced_until.is_some_and(|end| now < end)
+    };
+    let mut records: Vec<&CrashRecord> = self.crashes.iter().rev().filter(is_announced).collect();
+    if records.len() > 1 {
       let evidence = self.evidence();
       let explained =
         |feature: &Feature| evidence.get(feature).map_or(0, |evidence| evidence.targets.len());
-      crashes.sort_by_key(|crash| Reverse(crash.features.iter().map(explained).max()));
+      records.sort_by_key(|record| {
+        let most_explained = record.crash.features.iter().map(explained).max();
+        (!is_recent(record), Reverse(most_explained))
+      });
     }
-    crashes
+    records.into_iter().map(|record| &record.crash).collect()
   }
 
   /// Returns the sound answers that this host announces to the others.
@@ -178,7 +197,7 @@
     self.crashes.retain(|record| is_kept(record.crash.at, CRASH_RETENTION));
     self.bans.retain(|record| is_kept(record.ban.last_crash, BAN_RETENTION));
     self.bans.retain(|record| !is_over(&record.ban, now));
-    self.revise_bans();
+    self.revise_bans(now);
     let mut new_bans = Vec::new();
     if self.crashes.is_empty() {
       return new_bans;
@@ -195,7 +214,8 @@
 
   /// Adds a ban of another host; returns whether it is new here.
   ///
-  /// Parts that were soundly answered since its first crash are left out.
+  /// Parts that were soundly answered since its first crash are left out. If crashes that are known here
+  /// put it in doubt, the other hosts are told of them.
   pub fn merge_ban(&mut self, mut ban: Ban, now: Instant) -> bool {
     let first_crash = ban.first_crash;
     ban.features.retain(|feature| match self.sounds.get_mut(feature) {
@@ -207,7 +227,22 @@
     });
     ban.features.sort_unstable();
     ban.features.dedup();
-    !ban.features.is_empty() && !is_over(&ban, now) && self.insert_ban(ban)
+    if ban.features.is_empty() || is_over(&ban, now) {
+      return false;
+    }
+    let is_standing = self.certain_bans().any(|known| known.features == ban.features);
+    let targets = self.targets_under(&ban.features);
+    let rivals = if ban.is_uncertain || is_standing {
+      Vec::new()
+    } else {
+      self.rivals(&ban, &targets)
+    };
+    let is_refuted = !rivals.is_empty() && rests_on(&ban, &targets);
+    let is_new = !is_refuted && self.insert_ban(ban.clone());
+    if is_refuted || is_new {
+      self.announce_doubts(&ban, &rivals, now);
+    }
+    is_new
   }
 
   /// Creates an empty ledger.
@@ -251,7 +286,11 @@
     if self.crashes.len() >= MAX_CRASHES {
       self.crashes.pop_front();
     }
-    self.crashes.push_back(CrashRecord { crash, own });
+    self.crashes.push_back(CrashRecord {
+      announced_until: None,
+      crash,
+      own,
+    });
     self.has_new_crashes = true;
     true
   }
@@ -387,54 +426,81 @@
     now.saturating_duration_since(self.started_at) >= OBSERVATION_PERIOD
   }
 
-  /// Lifts bans of contents whose crashes another content explains as well or with further ones, so that
-  /// they are judged again, and makes bans uncertain whose contents explain the same crashes: hosts decide
-  /// before they have heard of all crashes.
-  fn revise_bans(&mut self) {
-    let is_of_content = |ban: &&Ban| ban.features.iter().any(|feature| feature.is_content());
-    let contents: Vec<&Ban> = self.certain_bans().filter(is_of_content).collect();
-    if contents.is_empty() {
-      return;
-    }
-    let suspects = self.targets_by_new_content();
+  /// Lifts bans of contents whose crashes another content explains as well or better, so that they are
+  /// judged again, and makes bans uncertain whose contents explain the same crashes: hosts decide
+  /// before they have heard of all crashes. The other hosts are told of these crashes.
+  fn revise_bans(&mut self, now: Instant) {
     let mut lifted = Vec::new();
     let mut doubted = Vec::new();
-    for ban in &contents {
-      let own = self.targets_under(ban);
-      let rivals = suspects.iter().filter(|(content, targets)| {
-        !ban.features.contains(content) && !own.is_empty() && own.is_subset(targets)
-      });
-      for (content, targets) in rivals {
-        let is_banned = contents.iter().any(|other| other.features.contains(content));
-        if targets.len() > own.len() || !is_banned {
+    let mut doubts = Vec::new();
+    for ban in self.certain_bans() {
+      let targets = self.targets_under(&ban.features);
+      if !rests_on(ban, &targets) {
+        continue;
+      }
+      let rivals = self.rivals(ban, &targets);
+      for (rival, explained) in &rivals {
+        let is_banned = self.certain_bans().any(|other| other.features.contains(rival));
+        if !is_banned || is_outdone(&targets, explained) {
           lifted.push(ban.features.clone());
         } else {
           doubted.push(ban.features.clone());
         }
       }
+      if !rivals.is_empty() {
+        doubts.push((ban.clone(), rivals));
+      }
     }
     self.bans.retain(|record| !lifted.contains(&record.ban.features));
     for record in &mut self.bans {
       record.ban.is_uncertain |= doubted.contains(&record.ban.features);
     }
+    for (ban, rivals) in doubts {
+      self.announce_doubts(&ban, &rivals, now);
+    }
   }
 
-  /// Returns the targets that crashed under each content that no target is known to have answered soundly.
-  fn targets_by_new_content(&self) -> HashMap<Feature, HashSet<u64>> {
-    let mut targets: HashMap<Feature, HashSet<u64>> = HashMap::new();
-    for CrashRecord { crash, .. } in &self.crashes {
-      let contents = crash.features.iter().filter(|feature| feature.is_content());
-      for content in contents.filter(|content| !self.sounds.contains_key(content)) {
-        targets.entry(*content).or_default().insert(crash.target);
+  /// Announces the crashes that put a ban in doubt, and those that it rests on: the hosts that hold it may
+  /// not have heard of them, and those that noticed them may have restarted.
+  fn announce_doubts(&mut self, ban: &Ban, rivals: &[(Feature, HashSet<u64>)], now: Instant) {
+    if rivals.is_empty() {
+      return;
+    }
+    for record in &mut self.crashes {
+      let features = &record.crash.features;
+      if ban.covers(features) || rivals.iter().any(|(rival, _)| features.contains(rival)) {
+        record.announced_until = Some(now + ANNOUNCEMENT_PERIOD);
       }
     }
-    targets
   }
 
-  /// Returns the targets that crashed under requests which a ban covers.
-  fn targets_under(&self, ban: &Ban) -> HashSet<u64> {
+  /// Returns the contents that explain the crashes of `targets`, which a ban of a content explains, as well or
+  /// better, each with all targets that crashed under it. No target is known to have answered them soundly.
+  fn rivals(&self, ban: &Ban, targets: &HashSet<u64>) -> Vec<(Feature, HashSet<u64>)> {
+    if !ban.features.iter().any(|feature| feature.is_content()) {
+      return Vec::new();
+    }
+    let crashes = self.crashes.iter().map(|record| &record.crash);
+    let beside =
+      crashes.filter(|crash| targets.contains(&crash.target)).flat_map(|crash| &crash.features);
+    let contents: HashSet<Feature> = beside
+      .filter(|feature| feature.is_content() && !ban.features.contains(feature))
+      .filter(|content| !self.sounds.contains_key(content))
+      .copied()
+      .collect();
+    let rivals = contents.into_iter().map(|content| (content, self.targets_under(&[content])));
+    let is_rival =
+      |explained: &HashSet<u64>| targets.is_subset(explained) || is_outdone(targets, explained);
+    rivals.filter(|(_, explained)| is_rival(explained)).collect()
+  }
+
+  /// Returns the targets that crashed under requests with the given features.
+  fn targets_under(&self, features: &[Feature]) -> HashSet<u64> {
     let crashes = self.crashes.iter().map(|record| &record.crash);
-    crashes.filter(|crash| ban.covers(&crash.features)).map(|crash| crash.target).collect()
+    crashes
+      .filter(|crash| ban::is_subset(features, &crash.features))
+      .map(|crash| crash.target)
+      .collect()
   }
 
   fn certain_bans(&self) -> impl Iterator<Item = &Ban> {
@@ -492,7 +558,13 @@
       });
       let rivals: Vec<&Suspect<'_>> = rivals.copied().collect();
       if rivals.is_empty() {
-        return vec![self.ban(culprit, false)];
+        let ban = self.ban(culprit, false);
+        let targets = self.targets_under(&ban.features);
+        let rivals = self.rivals(&ban, &targets);
+        if rivals.iter().any(|(_, explained)| is_outdone(&targets, explained)) {
+          continue;
+        }
+        return vec![ban];
       }
       let bans: Vec<Ban> =
         rivals.into_iter().chain([*culprit]).map(|rival| self.ban(rival, true)).collect();
--- a/yuccarudder/src/quarantine/tests.rs
+++ b/yuccarudder/src/quarantine/tests.rs
@@ -352,6 +352,75 @@
   assert_eq!(ledger.bans().filter(|ban| ban.is_uncertain).count(), 2);
 }
 
+/// Returns a ledger that knows crashes of the given targets under two contents, all from other hosts, and the
+/// present time, long after they were announced.
+fn ledger_with_news(targets: [&[u64]; 2]) -> (Ledger, Instant) {
+  let (mut ledger, start) = ledger();
+  for (content, targets) in [1, 2].into_iter().zip(targets) {
+    for target in targets {
+      let at = start + ms(200 * target);
+      ledger.record_crash(crash_under(*target, content, at - ms(40), at), false, at);
+    }
+  }
+  (ledger, start + ms(20_000))
+}
+
+/// Returns a certain ban of a content after a number of crashes.
+fn ban_of_content(content: u64, crashes: u32, first_crash: Instant) -> Ban {
+  Ban {
+    crashes,
+    features: vec![Feature::Content(content)],
+    first_crash,
+    is_uncertain: false,
+    last_crash: first_crash + ms(400),
+  }
+}
+
+/// Guards against a wrong ban that goes round for good: the hosts that know better lift it, and take it
+/// again from those that do not, as the only host that noticed the other crashes has restarted.
+#[test]
+fn ban_that_known_crashes_refute_is_not_taken_over_and_they_are_announced() {
+  for targets in [
+    [&[1, 2, 3][..], &[1, 2, 3]],
+    [&[1, 2, 3], &[1, 2, 3, 4]],
+    [&[1, 2, 3], &[2, 3, 4, 5]],
+  ] {
+    let (mut ledger, now) = ledger_with_news(targets);
+    assert!(ledger.announced_crashes(now).is_empty());
+    assert!(!ledger.merge_ban(ban_of_content(1, 3, now - ms(19_800)), now));
+    assert_eq!(banned(&ledger), Vec::<Vec<u64>>::new());
+    let mut announced: Vec<(u64, u64)> = Vec::new();
+    for crash in ledger.announced_crashes(now + ms(1_000)) {
+      announced.push((id(crash.features[0]), crash.target));
+    }
+    announced.sort_unstable();
+    let mut known: Vec<(u64, u64)> = Vec::new();
+    for (content, targets) in [1, 2].into_iter().zip(targets) {
+      known.extend(targets.iter().map(|target| (content, *target)));
+    }
+    assert_eq!(announced, known);
+  }
+}
+
+/// Guards against a fatal request that is let through because only a few of the crashes under it are known
+/// here.
+#[test]
+fn ban_that_rests_on_further_crashes_is_taken_over() {
+  let (mut ledger, now) = ledger_with_news([&[1, 2, 3], &[1, 2, 3, 4]]);
+  let ban = ban_of_content(1, 6, now - ms(19_800));
+  assert!(ledger.merge_ban(ban, now));
+  ledger.judge(ms(600), now);
+  assert_eq!(banned(&ledger), [[1]]);
+}
+
+/// Guards against a sound request that stays banned for good for one crash, as the only host that noticed
+/// the fatal one at that target has restarted.
+#[test]
+fn ban_of_a_content_is_lifted_when_another_leaves_it_one_crash_of_three() {
+  let ledger = ledger_with_two_bans([&[2, 3, 4, 5], &[1, 2, 3]]);
+  assert_eq!(banned(&ledger), [[1]]);
+}
+
 #[test]
 fn crash_of_one_target_counts_once_whoever_reports_it() {
   let (mut ledger, start) = ledger();
@@ -1020,6 +1089,42 @@
   assert!(fleet.late_fatal_requests <= MAX_LATE_ARRIVALS);
 }
 
+/// Guards against a sound request that stays banned: a host decided on one crash of the fatal request and
+/// three of the sound one, as the host that had noticed the others restarted, and the ban went round.
+#[test]
+fn request_beside_a_fatal_one_is_not_banned_though_the_host_that_noticed_the_crashes_restarts() {
+  let fleet = Fleet::run(Scenario {
+    fatal_request_rate: 0.4,
+    hosts: 30,
+    is_plain: true,
+    loss: 0.1,
+    restarts: true,
+    seed: 4020290720314471716,
+    targets: 3,
+    ..CALM
+  });
+  assert_eq!(fleet.wrongly_banned(), HashSet::new());
+  assert!(fleet.late_fatal_requests <= MAX_LATE_ARRIVALS);
+}
+
+/// Guards against a sound request that stays banned after the fatal one is: no host heard of one of the
+/// three crashes of the fatal request.
+#[test]
+fn request_beside_a_fatal_one_is_not_banned_for_the_one_crash_that_is_left() {
+  let fleet = Fleet::run(Scenario {
+    fatal_request_rate: 0.4,
+    hosts: 30,
+    is_plain: true,
+    loss: 0.3,
+    restarts: true,
+    seed: 1557778080529624873,
+    targets: 3,
+    ..CALM
+  });
+  assert_eq!(fleet.wrongly_banned(), HashSet::new());
+  assert!(fleet.late_fatal_requests <= MAX_LATE_ARRIVALS);
+}
+
 /// Guards against one request that ends target after target in a fleet of hundreds of hosts, of which
 /// each sees one crash at most.
 #[test]
