Model of a run's life: real hosts, stand-in targets, virtual time, any order of events

Two or three gateways with their caller endpoints, sessions, heartbeats, polls and probes run in one process against two engines and two plain targets that stand in. Requests begin, targets crash, leave or lose answers, callers leave, hosts end and start again, heartbeats are lost, copies and reports are late. After each event ORDER, TWICE, GONE and DRAIN are checked on what callers and targets saw. Only the targets, their store and the ways of heartbeats are models; all decisions are the program's own.

--- a/yuccarudder/src/gateway/mod.rs
+++ b/yuccarudder/src/gateway/mod.rs
@@ -41,6 +41,8 @@
 #[cfg(test)]
 mod out_of_step_tests;
 #[cfg(test)]
+mod run_life_tests;
+#[cfg(test)]
 mod supervision_tests;
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/yuccarudder/src/gateway/run_life_tests/log.rs
@@ -0,0 +1,156 @@
+use {
+  super::{caller::Kind, target},
+  std::{collections::HashMap, time::Duration},
+  tokio::time::Instant,
+  tokio_util::sync::CancellationToken,
+};
+
+/// Time for which a run may go on at a target after the request has gone on at another one.
+const MAX_OVERLAP: Duration = Duration::from_millis(400);
+/// Time after its caller has left at which a request may still reach a target.
+const MAX_DEPARTED: Duration = Duration::from_millis(500);
+/// Time for which requests may still be sent to a target that leaves.
+const MAX_DRAINING: Duration = Duration::from_millis(2_000);
+
+/// One execution of a request at a target.
+#[derive(Clone, Debug)]
+pub struct Run {
+  /// When its target began to leave, if it had.
+  pub draining_since: Option<Instant>,
+  pub ended_at: Option<Instant>,
+  /// When each piece was made.
+  pub events: Vec<Instant>,
+  /// Number of the last piece of the runs before it.
+  pub first: u64,
+  /// Whether it goes on from a copy of another run.
+  pub is_copy: bool,
+  /// Whether its answer was lost.
+  pub is_lost: bool,
+  /// Loses its answer.
+  pub lose: CancellationToken,
+  pub process: target::Id,
+  pub request: String,
+  pub started_at: Instant,
+  /// Stops it.
+  pub stop: CancellationToken,
+}
+
+/// One request of a caller.
+#[derive(Clone, Debug)]
+pub struct Request {
+  pub kind: Kind,
+  /// When its caller went away without its answer.
+  pub left_at: Option<Instant>,
+  /// The status of its answer.
+  pub status: Option<u16>,
+}
+
+/// What callers and targets have seen.
+#[derive(Debug, Default)]
+pub struct Log {
+  /// Rules that callers found broken.
+  pub faults: Vec<String>,
+  pub requests: HashMap<String, Request>,
+  pub runs: Vec<Run>,
+  pub whole_answers: usize,
+}
+
+impl Log {
+  /// Checks the rules, as far as what has been seen by now shows.
+  pub fn check(&self, now: Instant) {
+    assert!(
+      self.faults.is_empty(),
+      "{:#?}\n{}",
+      self.faults,
+      self.describe()
+    );
+    for (index, run) in self.runs.iter().enumerate() {
+      if let Some(fault) = self.find_fault(index, run, &self.requests[&run.request], now) {
+        panic!("{fault}: run {index} of\n{}", self.describe());
+      }
+    }
+  }
+
+  fn find_fault(
+    &self,
+    index: usize,
+    run: &Run,
+    request: &Request,
+    now: Instant,
+  ) -> Option<&'static str> {
+    let is_active_at = |run: &Run, at: Instant| {
+      run.started_at <= at && at < now && run.ended_at.is_none_or(|ended_at| at < ended_at)
+    };
+    let earlier = self.runs[..index].iter().filter(|earlier| earlier.request == run.request);
+    let mut others = earlier.clone().filter(|earlier| earlier.process != run.process);
+    if request.kind.is_stream()
+      && others.any(|other| is_active_at(other, run.started_at + MAX_OVERLAP))
+    {
+      return Some("TWICE: a request goes on at another target while the first still works on it");
+    }
+    let is_repeated = !run.is_copy && earlier.count() > 0;
+    if is_repeated && !request.kind.is_repeatable() {
+      return Some("TWICE: a request that must not be repeated runs again");
+    }
+    if run.draining_since.is_some_and(|since| run.started_at > since + MAX_DRAINING) {
+      return Some("DRAIN: a run is sent to a target that leaves");
+    }
+    if let Some(left_at) = request.left_at {
+      if run.started_at > left_at + MAX_DEPARTED {
+        return Some("GONE: a run begins after its caller has left");
+      }
+      if !run.is_lost && is_active_at(run, left_at + MAX_DEPARTED) {
+        return Some("GONE: a run goes on after its caller has left");
+      }
+    }
+    let is_promise = request.status.is_some_and(|status| [408, 421, 429, 503].contains(&status));
+    if is_promise && !request.kind.is_repeatable() {
+      return Some("REFUSED: a request has run that was refused as not run");
+    }
+    None
+  }
+
+  /// Describes the runs, with times in milliseconds since the first one began.
+  fn describe(&self) -> String {
+    let Some(start) = self.runs.first().map(|run| run.started_at) else {
+      return String::new();
+    };
+    let since = |at: Instant| {
+      i128::from((at - start).as_millis() as u64) - i128::from((start - at).as_millis() as u64)
+    };
+    let runs = self.runs.iter().enumerate().map(|(index, run)| {
+      let request = &self.requests[&run.request];
+      format!(
+        "run {index} of {:?} {} at {}: {} to {:?}, pieces {}+{}, copy {}, lost {}, draining {:?}, caller left {:?}, status {:?}\n",
+        request.kind,
+        run.request,
+        run.process,
+        since(run.started_at),
+        run.ended_at.map(since),
+        run.first,
+        run.events.len(),
+        run.is_copy,
+        run.is_lost,
+        run.draining_since.map(since),
+        request.left_at.map(since),
+        request.status,
+      )
+    });
+    runs.collect()
+  }
+
+  /// Returns how many runs there were.
+  pub fn runs(&self) -> usize {
+    self.runs.len()
+  }
+
+  /// Returns how many runs went on from a copy.
+  pub fn moved_runs(&self) -> usize {
+    self.runs.iter().filter(|run| run.is_copy).count()
+  }
+
+  /// Returns how many callers have their whole answer.
+  pub fn whole_answers(&self) -> usize {
+    self.whole_answers
+  }
+}
--- /dev/null
+++ b/yuccarudder/src/gateway/run_life_tests/world.rs
@@ -0,0 +1,215 @@
+use {
+  super::{
+    Event,
+    caller::{Caller, Order, TIMEOUT},
+    fleet::{Delays, Fleet},
+    host::{Addresses, Host, Network},
+    log::Log,
+    target::{Id, Target},
+  },
+  std::{
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+  },
+  tokio::{
+    runtime::{Builder, Runtime},
+    time::{self, Instant},
+  },
+};
+
+/// Virtual time passes by this much whenever nothing else is to be done; packets on loopback take no longer.
+const TICK: Duration = Duration::from_millis(1);
+/// Time in which hosts that have started know each other and the targets.
+const START: Duration = Duration::from_millis(700);
+/// Time after the deadlines of all requests in which the last runs are stopped.
+const MARGIN: Duration = Duration::from_secs(1);
+
+/// Hosts, targets and callers.
+pub struct World {
+  /// The addresses of the hosts that run, for callers.
+  addresses: Addresses,
+  callers: Vec<Caller>,
+  fleet: Arc<Fleet>,
+  hosts: Vec<Option<Host>>,
+  network: Network,
+  runtime: Runtime,
+}
+
+impl World {
+  pub fn new(host_count: usize, slots: u32) -> Self {
+    let runtime = Builder::new_current_thread().enable_all().start_paused(true).build().unwrap();
+    let fleet = runtime.block_on(Fleet::start(slots));
+    let addresses = runtime.block_on(async {
+      let mut addresses = Vec::new();
+      for _ in 0..host_count {
+        addresses.push((super::free_address().await, super::free_address().await));
+      }
+      addresses
+    });
+    let network = Network {
+      cut: Arc::default(),
+      fleet: Arc::clone(&fleet),
+      addresses: Arc::new(addresses),
+      gateways: Arc::new(Mutex::new((0..host_count).map(|_| None).collect())),
+    };
+    let mut world = Self {
+      addresses: Addresses::default(),
+      callers: Vec::new(),
+      fleet,
+      hosts: (0..host_count).map(|_| None).collect(),
+      network,
+      runtime,
+    };
+    world.start_hosts(true);
+    world.run(START);
+    world
+  }
+
+  fn start_hosts(&mut self, first_start: bool) {
+    for number in 0..self.hosts.len() {
+      if self.hosts[number].is_none() {
+        let host = self.runtime.block_on(Host::start(number, &self.network, first_start));
+        self.hosts[number] = Some(host);
+      }
+    }
+    self.list_hosts();
+  }
+
+  fn list_hosts(&self) {
+    let running = self.hosts.iter().zip(&*self.network.addresses);
+    let running = running.filter(|(host, _)| host.is_some()).map(|(_, (callers, _))| *callers);
+    *self.addresses.lock().unwrap() = running.collect();
+  }
+
+  fn start_targets(&self) {
+    self.runtime.block_on(async {
+      for target in &self.fleet.targets {
+        target.start(&self.fleet).await;
+      }
+    });
+  }
+
+  /// Returns a run that goes on, its request and its process.
+  fn find_run(&self, number: usize) -> Option<(usize, String, Id)> {
+    let log = self.fleet.log();
+    let runs = log.runs.iter().enumerate().filter(|(_, run)| run.ended_at.is_none());
+    let runs: Vec<_> = runs.map(|(index, run)| (index, run.request.clone(), run.process)).collect();
+    runs.get(number % runs.len().max(1)).cloned()
+  }
+
+  fn find_target(&self, run: usize) -> Option<&Target> {
+    let (_, _, process) = self.find_run(run)?;
+    self
+      .fleet
+      .targets
+      .iter()
+      .find(|target| target.process().is_some_and(|it| it.id == process))
+  }
+
+  /// Returns the other target of the same service as that of a run.
+  fn find_other_target(&self, run: usize) -> Option<&Target> {
+    let target = self.find_target(run)?;
+    let mut others = self.fleet.targets.iter();
+    others.find(|it| it.is_engine() == target.is_engine() && it.address != target.address)
+  }
+
+  pub fn play(&mut self, event: Event) {
+    let runtime = self.runtime.handle().clone();
+    let _context = runtime.enter();
+    let fleet = Arc::clone(&self.fleet);
+    let hosts = self.hosts.len();
+    match event {
+      Event::Begin {
+        host,
+        kind,
+        is_framed,
+        pieces,
+      } => {
+        let order = Order {
+          host,
+          is_framed,
+          key: format!("{:02}", self.callers.len()),
+          kind,
+          pieces,
+        };
+        self.callers.push(Caller::start(order, &fleet, Arc::clone(&self.addresses)));
+      }
+      Event::Crash { run } => {
+        if let Some(target) = self.find_target(run) {
+          target.crash(&fleet);
+        }
+      }
+      Event::CutHosts { host } => {
+        let mut cut = self.network.cut.lock().unwrap();
+        if !cut.remove(&(host % hosts)) {
+          cut.insert(host % hosts);
+        }
+      }
+      Event::EndHost { host } => {
+        if let Some(host) = self.hosts[host % hosts].take() {
+          host.end();
+        }
+        self.list_hosts();
+      }
+      Event::Leave { run, notice_ms } => {
+        if let Some(target) = self.find_target(run) {
+          target.leave(&fleet, Duration::from_millis(notice_ms));
+        }
+      }
+      Event::LeaveElsewhere { run, notice_ms } => {
+        if let Some(target) = self.find_other_target(run) {
+          target.leave(&fleet, Duration::from_millis(notice_ms));
+        }
+      }
+      Event::LeaveCaller { run } => {
+        let waiting: Vec<_> = self.callers.iter().filter(|caller| caller.is_waiting()).collect();
+        if let Some(caller) = waiting.get(run % waiting.len().max(1)) {
+          caller.leave();
+        }
+      }
+      Event::LoseAnswer { run } => {
+        if let Some((index, ..)) = self.find_run(run) {
+          fleet.log().runs[index].lose.cancel();
+        }
+      }
+      Event::RestartTargets => self.start_targets(),
+      Event::RestartHosts => self.start_hosts(false),
+      Event::Slow { copy_ms, report_ms } => {
+        *fleet.delays.lock().unwrap() = Delays {
+          copy: Duration::from_millis(copy_ms),
+          report: Duration::from_millis(report_ms),
+        };
+      }
+    }
+  }
+
+  /// Lets virtual time pass.
+  pub fn run(&mut self, duration: Duration) {
+    self.runtime.block_on(async {
+      let end = Instant::now() + duration;
+      while Instant::now() < end {
+        time::sleep(TICK).await;
+      }
+    });
+  }
+
+  /// Lets all requests come to their ends.
+  pub fn settle(&mut self) {
+    for _ in 0..TIMEOUT.as_secs() {
+      if !self.callers.iter().any(Caller::is_waiting) {
+        break;
+      }
+      self.run(Duration::from_secs(1));
+    }
+    self.run(MARGIN);
+  }
+
+  pub fn check(&self) {
+    let now = self.runtime.block_on(async { Instant::now() });
+    self.fleet.log().check(now);
+  }
+
+  pub fn log(&self) -> MutexGuard<'_, Log> {
+    self.fleet.log()
+  }
+}
