--- a/yuccarudder/src/gateway/run_life_tests/mod.rs
+++ b/yuccarudder/src/gateway/run_life_tests/mod.rs
@@ -262,3 +262,28 @@
     assert_eq!(world.log().whole_answers(), 4, "{is_framed}");
   }
 }
+
+/// Guards against a run that goes on at its engine after its copy, if its answer was lost during the copy.
+#[test]
+fn run_whose_answer_is_lost_during_its_copy_is_stopped() {
+  let mut world = World::new(2, 2);
+  let slow = Event::Slow {
+    copy_ms: 1_000,
+    report_ms: 0,
+  };
+  let leave = Event::Leave {
+    run: 0,
+    notice_ms: 6_000,
+  };
+  play(
+    &mut world,
+    &[
+      (slow, 1),
+      (begin(Kind::Resumable, 120), 300),
+      (leave, 600),
+      (Event::LoseAnswer { run: 0 }, 6_000),
+    ],
+  );
+  assert_eq!(world.log().moved_runs(), 1);
+  assert_eq!(world.log().whole_answers(), 1);
+}
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -499,9 +499,9 @@
   /// over the network only once.
   async fn resume_from_copy(&mut self, copied: Copied, destination: Assignment) -> Option<End> {
     self.migration = Migration::default();
-    if self.target_body.take().is_some() {
-      migration::ensure_stopped(&self.call, &self.assignment, &destination);
-    }
+    self.target_body = None;
+    // Also if the connection broke before: the answer may have been lost, and the run may go on.
+    migration::ensure_stopped(&self.call, &self.assignment, &destination);
     let source = self.assignment.target.listing.address;
     let resume = Resume {
       cache_location: Some(format!("{source}/{}", copied.handle)),
