--- a/yuccarudder/src/attempt/mod.rs
+++ b/yuccarudder/src/attempt/mod.rs
@@ -2,9 +2,11 @@
 //! caller is informed of.
 
 mod decision;
+mod hedge;
 mod outcome;
 
 pub use decision::{Decision, History, decide};
+pub use hedge::hedge_delay;
 pub use outcome::Outcome;
 
 #[cfg(test)]
--- a/yuccarudder/src/attempt/tests.rs
+++ b/yuccarudder/src/attempt/tests.rs
@@ -1,4 +1,4 @@
-use super::*;
+use {super::*, std::time::Duration};
 
 /// Defines a test: the outcome, the fields of the history and the expected decision.
 macro_rules! decides {
@@ -133,3 +133,42 @@
     }
   }
 }
+
+/// Defines a test: the fields of the history, the time left and the expected delay of another attempt, in
+/// milliseconds.
+macro_rules! hedges {
+  ($name:ident, $repeatable:expr, $possible_runs:expr, $max_runs:expr, $left_ms:expr, $delay_ms:expr) => {
+    #[test]
+    fn $name() {
+      let history = History {
+        repeatable: $repeatable,
+        possible_runs: $possible_runs,
+        max_runs: $max_runs,
+        attempts: $possible_runs,
+      };
+      let delay = hedge_delay(&history, Duration::from_millis($left_ms));
+      let expected: Option<u64> = $delay_ms;
+      assert_eq!(delay, expected.map(Duration::from_millis));
+    }
+  };
+}
+
+hedges!(silent_idempotent_request, true, 1, 2, 1000, Some(400));
+hedges!(
+  silent_idempotent_request_at_two_of_three,
+  true,
+  2,
+  3,
+  600,
+  Some(240)
+);
+hedges!(
+  silent_idempotent_request_at_the_run_limit,
+  true,
+  2,
+  2,
+  1000,
+  None
+);
+hedges!(silent_at_most_once_request, false, 1, 2, 1000, None);
+hedges!(silent_request_at_its_deadline, true, 1, 2, 19, None);
--- a/yuccarudder/src/gateway/buffered.rs
+++ b/yuccarudder/src/gateway/buffered.rs
@@ -1,8 +1,5 @@
 use {
-  super::{
-    assignment::Assignment, breaks::Cause, call::Call, forwarding, retrying::Attempts, sending,
-    verdict,
-  },
+  super::{assignment::Assignment, breaks::Cause, call::Call, forwarding, race::Race, sending},
   crate::{
     attempt::{History, Outcome},
     http::{self, Body, Framing},
@@ -15,6 +12,7 @@
   },
   std::{
     net::SocketAddr,
+    sync::atomic::{AtomicBool, Ordering},
     time::{Duration, Instant},
   },
 };
@@ -22,15 +20,12 @@
 /// Maximum size of a response, which is buffered before it is sent to the caller.
 const MAX_RESPONSE_BYTES: u64 = 1 << 20;
 const PREFIX: &str = "plain";
-/// Share of the remaining time that one attempt at an idempotent request may take, so that there
-/// is time for another one.
-const ATTEMPT_TIME_SHARE: f64 = 0.4;
 
 /// The outcome of a failed attempt, and the response of the target if the target itself failed
 /// the request and its response was read completely.
-struct Failure {
-  response: Option<Response<Body>>,
-  outcome: Outcome,
+pub(super) struct Failure {
+  pub response: Option<Response<Body>>,
+  pub outcome: Outcome,
 }
 
 impl From<Outcome> for Failure {
@@ -48,39 +43,11 @@
 ///
 /// Returns a refusal that states whether the request ran, as far as is known.
 pub async fn serve(call: Call) -> Result<Response<Body>, Refusal> {
-  let mut attempts = Attempts::new(&call);
-  loop {
-    if let Some(host) = attempts.next_helper(&call) {
-      let failure = match exchange_with_host(&call, host, &attempts.history).await {
-        Ok(response) => return Ok(finish(&call, response)),
-        Err(failure) => failure,
-      };
-      if !attempts.record_failure(&call, failure.outcome) {
-        let is_promise = failure.outcome == Outcome::NotRun && attempts.history.possible_runs == 0;
-        let promise = failure.response.filter(|_| is_promise);
-        return promise.ok_or_else(|| call.final_refusal(&attempts.history, failure.outcome));
-      }
-      continue;
-    }
-    let assignment = attempts.assign_next(&call).await?;
-    let failure = match exchange(
-      &call,
-      &assignment,
-      attempt_timeout(&call, &attempts.history),
-    )
-    .await
-    {
-      Ok(response) => return Ok(finish(&call, response)),
-      Err(failure) => failure,
-    };
-    if !attempts.record_failure(&call, failure.outcome) {
-      return give_up(&call, &attempts.history, failure);
-    }
-  }
+  Race::new(&call).run().await
 }
 
 /// Records a response in the metrics and the log.
-fn finish(call: &Call, response: Response<Body>) -> Response<Body> {
+pub(super) fn finish(call: &Call, response: Response<Body>) -> Response<Body> {
   let elapsed = call.elapsed();
   let kind = call.route().kind.name();
   call
@@ -100,35 +67,16 @@
   response
 }
 
-/// Ends a request without another attempt: the caller gets the response of the target, unless
-/// its status would state that the request did not run.
-fn give_up(call: &Call, history: &History, failure: Failure) -> Result<Response<Body>, Refusal> {
-  if let Some(response) =
-    failure.response.filter(|response| !verdict::means_not_run(response.status()))
-  {
-    return Ok(finish(call, response));
-  }
-  Err(call.final_refusal(history, failure.outcome))
-}
-
-/// Returns how long the next attempt may take.
-fn attempt_timeout(call: &Call, history: &History) -> Duration {
-  let remaining = call.time_left();
-  if history.repeatable && history.possible_runs + 1 < history.max_runs {
-    remaining.mul_f64(ATTEMPT_TIME_SHARE)
-  } else {
-    remaining
-  }
-}
-
-/// Sends a request to a target once and reads the response.
-async fn exchange(
+/// Sends a request to a target once and reads the response; sets `is_answering` when its head arrives.
+pub(super) async fn exchange(
   call: &Call,
   assignment: &Assignment,
   timeout: Duration,
+  is_answering: &AtomicBool,
 ) -> Result<Response<Body>, Failure> {
   let started_at = call.gateway.clock.now();
   let result = call.send(assignment, None, timeout).await;
+  is_answering.store(true, Ordering::Relaxed);
   let answered_at = call.gateway.clock.now();
   let remaining = timeout.saturating_sub(answered_at.saturating_duration_since(started_at));
   match result {
@@ -180,7 +128,7 @@
 }
 
 /// Passes a request on to another host and reads the response.
-async fn exchange_with_host(
+pub(super) async fn exchange_with_host(
   call: &Call,
   host: SocketAddr,
   history: &History,
--- a/yuccarudder/src/gateway/mod.rs
+++ b/yuccarudder/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod instruments;
 mod limits;
 mod migration;
+mod race;
 mod reachability;
 mod response;
 mod retrying;
--- a/yuccarudder/src/gateway/retrying.rs
+++ b/yuccarudder/src/gateway/retrying.rs
@@ -62,6 +62,7 @@
 }
 
 /// The attempts to send one request.
+#[derive(Clone)]
 pub struct Attempts {
   /// What is known about the attempts so far; it decides whether another one may follow.
   pub history: History,
@@ -70,6 +71,12 @@
 }
 
 impl Attempts {
+  /// Records the outcome of a failed attempt that counted as a possible run from its start.
+  pub fn record_end(&mut self, call: &Call, outcome: Outcome) {
+    self.history.possible_runs -= u32::from(outcome.is_not_run());
+    call.may_have_run.store(self.history.possible_runs > 0, Ordering::Relaxed);
+  }
+
   /// Records the outcome of a failed attempt; returns whether another one follows.
   pub fn record_failure(&mut self, call: &Call, outcome: Outcome) -> bool {
     self.history.possible_runs += u32::from(!outcome.is_not_run());
@@ -109,6 +116,17 @@
   /// Fails when there is none; if an earlier attempt may have run the request, the refusal says
   /// so.
   pub async fn assign_next(&mut self, call: &Call) -> Result<Assignment, Refusal> {
+    let assignment = self.assign(call).await?;
+    self.record_assignment(&assignment);
+    Ok(assignment)
+  }
+
+  /// Does the same without recording that the attempt is made.
+  ///
+  /// # Errors
+  ///
+  /// Fails as `assign_next` does.
+  pub async fn assign(&self, call: &Call) -> Result<Assignment, Refusal> {
     if call.metadata.forwarded.is_some()
       && self.history.possible_runs == 0
       && call.gateway.has_doubtful_links(&call.service_name)
@@ -116,15 +134,18 @@
       // The host that passed the request on finds another one.
       return Err(Refusal::not_run(Reason::CutOff).with_retry_after(Duration::ZERO));
     }
-    let assignment = call.assign(&self.tried_targets, Purpose::Start).await.map_err(|refusal| {
+    call.assign(&self.tried_targets, Purpose::Start).await.map_err(|refusal| {
       if self.history.possible_runs > 0 {
         refusal.with_unknown_execution()
       } else {
         refusal
       }
-    })?;
+    })
+  }
+
+  /// Records that the request is sent to the target of an assignment.
+  pub fn record_assignment(&mut self, assignment: &Assignment) {
     self.history.attempts += 1;
     self.tried_targets.push(assignment.key);
-    Ok(assignment)
   }
 }
