Model of a run's life: copies may be slow from the start, and engines leave together more often

Whether a run is sent to an engine that has begun to leave since its copy was ordered needs a copy of more than two seconds and two departures within one; both were rare. A scripted order of events holds it, too.

--- a/yuccarudder/src/gateway/run_life_tests/mod.rs
+++ b/yuccarudder/src/gateway/run_life_tests/mod.rs
@@ -20,9 +20,11 @@
 /// Number of cases of a run with the default of `proptest`.
 const CASES: u32 = 24;
 
-/// How many hosts and places there are.
+/// How many hosts and places there are, and how long engines take at first.
 #[derive(Clone, Debug)]
 struct Site {
+  /// Time for a copy of a run.
+  copy_ms: u64,
   hosts: usize,
   /// Places of each target.
   slots: u32,
@@ -67,6 +69,11 @@
   pause_ms: u64,
 }
 
+/// Chooses a time for copies; the longest is longer than requests may be sent to a target that leaves.
+fn copy_ms() -> impl Strategy<Value = u64> {
+  prop::sample::select(vec![20_u64, 400, 2_800])
+}
+
 struct Model;
 
 impl ReferenceStateMachine for Model {
@@ -74,8 +81,13 @@
   type Transition = Step;
 
   fn init_state() -> BoxedStrategy<Site> {
-    let sites = (2_usize..=3, 1_u32..=2);
-    sites.prop_map(|(hosts, slots)| Site { hosts, slots }).boxed()
+    let sites = (copy_ms(), 2_usize..=3, 1_u32..=2);
+    let site = |(copy_ms, hosts, slots)| Site {
+      copy_ms,
+      hosts,
+      slots,
+    };
+    sites.prop_map(site).boxed()
   }
 
   fn transitions(_: &Site) -> BoxedStrategy<Step> {
@@ -88,7 +100,7 @@
       1 => Just(Kind::Lookup),
     ];
     let pieces = prop_oneof![4_u64..20, 40_u64..160];
-    let notice_ms = prop::sample::select(vec![1_000_u64, 2_500, 6_000]);
+    let notice_ms = prop::sample::select(vec![1_000_u64, 3_000, 6_000]);
     let begin = (host.clone(), kind, any::<bool>(), pieces);
     let begin = begin.prop_map(|(host, kind, is_framed, pieces)| Event::Begin {
       host,
@@ -97,17 +109,14 @@
       pieces,
     });
     let leave = (run.clone(), notice_ms);
-    let slow = (
-      prop::sample::select(vec![20_u64, 400, 2_800]),
-      prop::sample::select(vec![0_u64, 250]),
-    );
+    let slow = (copy_ms(), prop::sample::select(vec![0_u64, 250]));
     let event = prop_oneof![
       8 => begin,
       2 => run.clone().prop_map(|run| Event::Crash { run }),
       1 => host.clone().prop_map(|host| Event::CutHosts { host }),
       1 => host.prop_map(|host| Event::EndHost { host }),
-      2 => leave.clone().prop_map(|(run, notice_ms)| Event::Leave { run, notice_ms }),
-      1 => leave.prop_map(|(run, notice_ms)| Event::LeaveElsewhere { run, notice_ms }),
+      3 => leave.clone().prop_map(|(run, notice_ms)| Event::Leave { run, notice_ms }),
+      3 => leave.prop_map(|(run, notice_ms)| Event::LeaveElsewhere { run, notice_ms }),
       2 => run.clone().prop_map(|run| Event::LeaveCaller { run }),
       2 => run.prop_map(|run| Event::LoseAnswer { run }),
       2 => Just(Event::RestartTargets),
@@ -128,7 +137,12 @@
   type Reference = Self;
 
   fn init_test(site: &Site) -> World {
-    World::new(site.hosts, site.slots)
+    let mut world = World::new(site.hosts, site.slots);
+    world.play(Event::Slow {
+      copy_ms: site.copy_ms,
+      report_ms: 0,
+    });
+    world
   }
 
   fn apply(mut world: World, _: &Site, step: Step) -> World {
@@ -287,3 +301,32 @@
   assert_eq!(world.log().moved_runs(), 1);
   assert_eq!(world.log().whole_answers(), 1);
 }
+
+/// Guards against a run that is sent to an engine which has begun to leave since its copy was ordered.
+#[test]
+fn run_is_not_sent_to_an_engine_that_left_during_the_copy() {
+  let mut world = World::new(2, 2);
+  let slow = Event::Slow {
+    copy_ms: 2_800,
+    report_ms: 0,
+  };
+  let leave = Event::Leave {
+    run: 0,
+    notice_ms: 6_000,
+  };
+  let leave_elsewhere = Event::LeaveElsewhere {
+    run: 0,
+    notice_ms: 6_000,
+  };
+  play(
+    &mut world,
+    &[
+      (slow, 1),
+      (begin(Kind::Resumable, 110), 300),
+      (leave, 400),
+      (leave_elsewhere, 8_000),
+    ],
+  );
+  assert_eq!(world.log().moved_runs(), 0);
+  assert_eq!(world.log().whole_answers(), 1);
+}
