--- a/yuccarudder/src/gateway/migration.rs
+++ b/yuccarudder/src/gateway/migration.rs
@@ -185,7 +185,7 @@
 /// stop the run and copy it again, so that the run does not stay active on two engines; that copy
 /// is released.
 pub fn ensure_stopped(call: &Call, source: &Assignment, destination: &Assignment) {
-  let stop = Stop::request(call, source, destination);
+  let stop = Stop::request(call, source, destination.target.listing.address);
   tokio::spawn(async move {
     time::sleep(DISCONNECT_GRACE_PERIOD).await;
     if let Some(handle) = stop.finish().await.1 {
@@ -202,7 +202,7 @@
 pub async fn stop_lost_run(
   call: &Call,
   source: &Assignment,
-  destination: &Assignment,
+  destination: SocketAddr,
 ) -> Option<Copied> {
   if !call.service()?.engine.as_ref()?.relocatable {
     return None;
@@ -223,13 +223,29 @@
 }
 
 /// Stops a run whose answer was lost before its first event, before the request starts anew.
-pub async fn stop_lost_start(call: &Call, source: &Assignment, destination: &Assignment) {
+pub async fn stop_lost_start(call: &Call, source: &Assignment, destination: SocketAddr) {
   if let Some(copied) = stop_lost_run(call, source, destination).await {
     let address = source.target.listing.address;
     tokio::spawn((call.gateway.dialect.release)(address, copied.handle));
   }
 }
 
+/// Stops a run whose answer was lost, before another host goes on with the request.
+///
+/// Links that are only in doubt may reach the engine, and the other host does not know the run. Which engine it
+/// will choose is not known either, so the copy goes to any and is freed.
+pub async fn stop_before_handover(call: &Call, source: &Assignment) {
+  if call.gateway.has_lost_links(&call.service_name) {
+    return;
+  }
+  let other = {
+    let state = call.gateway.lock();
+    let mut accepting = state.roster.accepting(&call.service_name);
+    accepting.find(|(key, _)| *key != source.key).map(|(_, target)| target.listing.address)
+  };
+  stop_lost_start(call, source, other.unwrap_or(source.target.listing.address)).await;
+}
+
 /// A request to an engine to stop a run.
 struct Stop {
   address: SocketAddr,
@@ -240,7 +256,7 @@
 }
 
 impl Stop {
-  fn request(call: &Call, source: &Assignment, destination: &Assignment) -> Self {
+  fn request(call: &Call, source: &Assignment, destination: SocketAddr) -> Self {
     let address = source.target.listing.address;
     Self {
       address,
@@ -248,7 +264,7 @@
       engine: Arc::clone(&source.target.id),
       release: Arc::clone(&call.gateway.dialect.release),
       request: CopyRequest {
-        destination: destination.target.listing.address,
+        destination,
         request_id: call.id().to_owned(),
         source: address,
         stop_first: true,
--- a/yuccarudder/src/gateway/run_life_tests/mod.rs
+++ b/yuccarudder/src/gateway/run_life_tests/mod.rs
@@ -302,6 +302,30 @@
   assert_eq!(world.log().whole_answers(), 1);
 }
 
+/// Guards against a run that goes on at its engine beside one that another host has begun, if the links of its
+/// own host are in doubt but reach the engine.
+#[test]
+fn run_whose_answer_is_lost_is_stopped_before_another_host_goes_on() {
+  // The host knows no other engine when the answer is lost, whatever its last read of the store was.
+  for pause_ms in [20, 120, 220] {
+    let mut world = World::new(3, 1);
+    let leave = Event::LeaveElsewhere {
+      run: 0,
+      notice_ms: 1_000,
+    };
+    play(
+      &mut world,
+      &[
+        (begin(Kind::Resumable, 100), 300),
+        (leave, 1_500 + pause_ms),
+        (Event::RestartTargets, 1),
+        (Event::LoseAnswer { run: 0 }, 6_000),
+      ],
+    );
+    assert_eq!(world.log().whole_answers(), 1);
+  }
+}
+
 /// Guards against a run that is sent to an engine which has begun to leave since its copy was ordered.
 #[test]
 fn run_is_not_sent_to_an_engine_that_left_during_the_copy() {
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -551,6 +551,7 @@
     let Some(host) = self.call.helper(&self.history, &[]) else {
       return false;
     };
+    migration::stop_before_handover(&self.call, &self.assignment).await;
     self.history.attempts += 1;
     let last_event_id = self.cursor.last_event_id();
     let response = self.call.hand_over(host, &self.history, last_event_id).await;
@@ -583,7 +584,8 @@
       destination:% = assignment.target.id, software = assignment.target.listing.version.as_str(), events = self.cursor.event_count();
       "Resuming a stream at another target."
     );
-    let copied = migration::stop_lost_run(&self.call, &self.assignment, &assignment).await;
+    let destination = assignment.target.listing.address;
+    let copied = migration::stop_lost_run(&self.call, &self.assignment, destination).await;
     match self.resume_at(&assignment, copied).await {
       Ok(response) if stream::has_events(&response) => {
         self.relay_from(assignment, response);
--- a/yuccarudder/src/gateway/stream.rs
+++ b/yuccarudder/src/gateway/stream.rs
@@ -39,6 +39,9 @@
   let mut lost: Option<Assignment> = None;
   loop {
     if let Some(host) = attempts.next_helper(&call) {
+      if let Some(lost) = lost.take() {
+        migration::stop_before_handover(&call, &lost).await;
+      }
       let failure = match call.hand_over(host, &attempts.history, None).await {
         Ok(response) => return Ok(forwarding::relay(&call, response)),
         Err(failure) => failure,
@@ -53,7 +56,7 @@
     }
     let assignment = attempts.assign_next(&call).await?;
     if let Some(lost) = lost.take() {
-      migration::stop_lost_start(&call, &lost, &assignment).await;
+      migration::stop_lost_start(&call, &lost, assignment.target.listing.address).await;
     }
     let failure = match call.send(&assignment, None, call.time_left()).await {
       Ok(response) if has_events(&response) => {
