Fix: hosts that share the limit of a cold target take turns in it

What was seen: a target in its cold start got more requests in a second than all hosts together may send.

Cause: with a part below one request a host drew at each attempt. Besides, hosts took their part as soon as they had started and knew few others, two requests could be placed at the same time before either was counted, and a request counted from its choice, though connections take up to 250 ms.

The change: the limit is a number of requests in any second, rounded down. Each of them belongs to one host, in the order of hosts that differs from target to target (PlaceShare, as at brittle targets). What is left over beyond whole shares belongs to the first of the order. A limit below one request a second is one in a longer window. A process has no turn before all others have counted it for a window: 3 s for hosts to hear of each other and the window. Requests count when they are placed, under the lock of the choice, and again from their first byte.

Demand is uneven: while all targets of a service are cold, hosts without a turn there pass requests on to hosts that have one, as at brittle targets.

Without the wait after the start the property and the test of fleets that find each other fail.

share_below_one_request_is_probabilistic asserted the draw; it is replaced by as_many_hosts_as_a_cold_target_takes_requests_have_a_turn, which asserts the sum itself.

What remains is listed in docs/PLATFORM.md: runs that move to a cold target, hosts that are cut from each other for a minute, builds that still draw.

--- a/yuccarudder/src/gateway/assignment.rs
+++ b/yuccarudder/src/gateway/assignment.rs
@@ -1,12 +1,11 @@
 use {
   super::{call::Call, gateway::State, ingress},
   crate::{
-    placement::{self, Candidate, Choice, ColdLimit, Demand, Load, Rank, Reservation},
+    placement::{self, Candidate, Choice, Demand, Load, Rank, Reservation},
     refusal::{Reason, Refusal},
     relocation::{self, Plan, Position, Run, Source},
     roster::{Key, Target},
     routing::{Engine, Kind},
-    settings::Guarantees,
     span,
   },
   std::time::{Duration, Instant},
@@ -164,7 +163,7 @@
     let demand = self.demand(engine, last_resort);
     let own_data_centre = self.gateway.settings().data_centre.clone();
     match self.choose_target(tried_targets, &demand, &own_data_centre, now) {
-      Choice::Chosen(key) => Ok(self.reserve(key, self.initial_load(&demand))),
+      Choice::Chosen(key) => Ok(self.reserve(key, self.initial_load(&demand), now)),
       Choice::Full => Err(self.targets_full()),
       Choice::Paused(until) => Err(targets_paused(until, now)),
       Choice::None => Err(self.all_paused().unwrap_or_else(|| {
@@ -251,12 +250,13 @@
     self.check_features().ok()?;
     let now = self.gateway.clock.now();
     let since_boot = self.gateway.clock.since_boot();
-    let state = self.gateway.lock();
+    let mut state = self.gateway.lock();
     if !state.roster.is_accepting(destination)
       || state.paused_until(destination, now, since_boot).is_some()
     {
       return None;
     }
+    state.throttle.record(destination, now);
     drop(state);
     let load = Load {
       transfer_tokens: run.cached_tokens,
@@ -265,9 +265,10 @@
       expected_tokens: run.peak_tokens,
       ..Load::default()
     };
-    Some(self.reserve(destination, load))
+    Some(self.reserve(destination, load, now))
   }
 
+  /// Chooses a target and counts the request there at once, as several may be placed at the same time.
   fn choose_target(
     &self,
     tried_targets: &[Key],
@@ -278,19 +279,17 @@
     let since_boot = self.gateway.clock.since_boot();
     let mut state = self.gateway.lock();
     state.update_place_shares(&self.service_name, now, since_boot);
-    let state = state;
     let load_table = self.gateway.scheduler.lock();
     let hosts = state.members.fleet_size();
-    let cold_limit = self.cold_limit(&state.settings.guarantees);
+    let cold_limit = state.cold_limit(&self.service_name);
     let service = ingress::hash(&self.service_name);
     let candidates = self.suitable_targets(&state).map(|(key, target)| {
-      let is_cold = target.cold_until.is_some_and(|until| now < until);
-      let allows = |limit: ColdLimit| {
-        let random = rand::random_range(0.0..1.0);
-        state.throttle.allows(key, &limit, hosts, random, now)
+      let is_throttled = |limit| {
+        let share = state.cold_share(target, limit, since_boot);
+        !state.throttle.allows(key, limit, &share, now)
       };
       Candidate {
-        cold_limited: is_cold && !cold_limit.is_none_or(allows),
+        cold_limited: cold_limit.as_ref().filter(|_| target.is_cold(now)).is_some_and(is_throttled),
         ejected: state.health.is_ejected(key, now),
         key,
         load: load_table.total_load(target.fingerprint),
@@ -307,17 +306,13 @@
       }
     });
     let sample_fraction = placement::sample_fraction(hosts);
-    placement::choose(candidates, demand, sample_fraction, || {
+    let choice = placement::choose(candidates, demand, sample_fraction, || {
       rand::random_range(0.0..1.0)
-    })
-  }
-
-  fn cold_limit(&self, guarantees: &Guarantees) -> Option<ColdLimit> {
-    Some(ColdLimit {
-      allowance: guarantees.cold_allowance,
-      overage: guarantees.cold_overage,
-      rate: self.service()?.cold_start_rate?,
-    })
+    });
+    if let Choice::Chosen(key) = choice {
+      state.throttle.record(key, now);
+    }
+    choice
   }
 
   fn demand(&self, engine: Option<&Engine>, last_resort: bool) -> Demand {
@@ -350,10 +345,8 @@
     }
   }
 
-  fn reserve(&self, key: Key, load: Load) -> Assignment {
+  fn reserve(&self, key: Key, load: Load, now: Instant) -> Assignment {
     let mut state = self.gateway.lock();
-    let now = self.gateway.clock.now();
-    state.throttle.record(key, now);
     state.take_request(key, 1.0, now, self.gateway.clock.since_boot());
     let target = state.roster.get(key).expect("a chosen target is in the roster").clone();
     drop(state);
--- a/yuccarudder/src/gateway/forwarding.rs
+++ b/yuccarudder/src/gateway/forwarding.rs
@@ -1,5 +1,5 @@
 //! Passes requests on to other hosts while this host has lost its links to the targets of a service, or
-//! has no place at brittle ones.
+//! has no place at brittle ones or at those in their cold start.
 //!
 //! The other host handles the request like one of its own callers: it admits it, counts it against the
 //! limits and budgets, and retries it. It does not pass it on again.
@@ -49,7 +49,7 @@
 enum Cause {
   /// This host has lost its links to the targets, as far as it knows.
   LinksInDoubt,
-  /// The targets are brittle, and all their places belong to other hosts.
+  /// The targets are brittle or in their cold start, and all their places belong to other hosts.
   NoPlace,
 }
 
@@ -129,8 +129,8 @@
     let with_places: Option<HashSet<SocketAddr>> = (cause == Cause::NoPlace).then(|| {
       let targets = self.roster.accepting(service);
       let owners = targets.map(|(key, target)| {
-        let places = self.place_limit(hash, key, target, now);
-        self.members.first(target.fingerprint, places as usize)
+        let holders = self.place_holders(service, key, target, now);
+        self.members.first(target.fingerprint, holders)
       });
       owners.flatten().collect()
     });
--- a/yuccarudder/src/gateway/limits.rs
+++ b/yuccarudder/src/gateway/limits.rs
@@ -4,7 +4,9 @@
   super::{Gateway, assignment::Assignment, gateway::State, ingress},
   crate::{
     member::Heartbeat,
-    placement::{Attempt, BrittleStatement, LimitShare, LimitStatement, PlaceShare, Room},
+    placement::{
+      Attempt, BrittleStatement, ColdLimit, LimitShare, LimitStatement, PlaceShare, Room,
+    },
     roster::{Key, Target},
   },
   std::time::{Duration, Instant},
@@ -188,14 +190,63 @@
     })
   }
 
-  /// Returns whether this host has no place at any target of a brittle service.
+  /// Returns the limit of the targets of a service in their cold start, if they have one.
+  pub(super) fn cold_limit(&self, service: &str) -> Option<ColdLimit> {
+    let rate = self.catalog.as_ref()?.service(service)?.cold_start_rate?;
+    let guarantees = &self.settings.guarantees;
+    Some(ColdLimit {
+      allowance: guarantees.cold_allowance,
+      overage: guarantees.cold_overage,
+      rate,
+    })
+  }
+
+  /// Returns this host's share of the requests that a target in its cold start takes.
+  pub(super) fn cold_share(
+    &self,
+    target: &Target,
+    limit: &ColdLimit,
+    since_boot: Duration,
+  ) -> PlaceShare {
+    let members = &self.members;
+    let position = members.settled_position(target.fingerprint, limit.window(), since_boot);
+    limit.share(members.fleet_size(), position)
+  }
+
+  /// Returns whether all targets of a service are brittle or in their cold start and this host has no place
+  /// at any of them.
   pub(super) fn lacks_places(&mut self, service: &str, now: Instant, since_boot: Duration) -> bool {
-    if self.brittleness.tolerance(ingress::hash(service)).is_none() {
+    let is_brittle = self.brittleness.tolerance(ingress::hash(service)).is_some();
+    let cold_limit = self.cold_limit(service);
+    if !is_brittle && cold_limit.is_none() {
       return false;
     }
     self.update_place_shares(service, now, since_boot);
+    let has_brittle_place =
+      |key| self.brittleness.share(key, now).is_some_and(|share| share.places() > 0);
+    let may_send = |target: &Target| {
+      cold_limit
+        .as_ref()
+        .filter(|_| target.is_cold(now))
+        .is_none_or(|limit| self.cold_share(target, limit, since_boot).places() > 0)
+    };
     let mut targets = self.roster.accepting(service);
-    targets.all(|(key, _)| self.brittleness.share(key, now).is_none_or(|share| share.places() == 0))
+    targets.all(|(key, target)| (is_brittle && !has_brittle_place(key)) || !may_send(target))
+  }
+
+  /// Returns how many hosts have a place at a target of a service: the first in an order of all of them.
+  pub(super) fn place_holders(
+    &self,
+    service: &str,
+    key: Key,
+    target: &Target,
+    now: Instant,
+  ) -> usize {
+    let hash = ingress::hash(service);
+    let places = self.brittleness.tolerance(hash).map(|_| self.place_limit(hash, key, target, now));
+    let requests =
+      self.cold_limit(service).filter(|_| target.is_cold(now)).map(|limit| limit.requests());
+    places.into_iter().chain(requests).min().map_or(usize::MAX, |holders| holders as usize)
   }
 
   /// Returns until when this host may send no request to a target because of the target's limit.
--- a/yuccarudder/src/gateway/sending.rs
+++ b/yuccarudder/src/gateway/sending.rs
@@ -65,14 +65,19 @@
     resume: Option<&Resume>,
     timeout: Duration,
   ) -> Result<Response<Incoming>, Failure> {
-    let response = self.gateway.pool.send(
-      upstream::Call::new(
-        assignment.target.listing.address,
-        CONNECT_TIMEOUT,
-        self.build_request(assignment, resume),
-      )
-      .on_dedicated_connection(),
-    );
+    let mut call = upstream::Call::new(
+      assignment.target.listing.address,
+      CONNECT_TIMEOUT,
+      self.build_request(assignment, resume),
+    )
+    .on_dedicated_connection();
+    let (gateway, key, assigned_at) =
+      (self.gateway.clone(), assignment.key, assignment.assigned_at);
+    call.send_check = Box::new(move || {
+      gateway.lock().throttle.record_sent(key, assigned_at, gateway.clock.now());
+      Ok(())
+    });
+    let response = self.gateway.pool.send(call);
     let began_at = self.gateway.clock.now();
     self.may_have_run.store(true, Ordering::Relaxed);
     let mut error = None;
--- a/yuccarudder/src/member/table.rs
+++ b/yuccarudder/src/member/table.rs
@@ -20,6 +20,9 @@
 /// Time after its first heartbeat within which a process of a large fleet hears from most of the
 /// other hosts.
 const DISCOVERY_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time after its first heartbeat by which all other hosts count a process, whatever the size of the
+/// fleet.
+const CONTACT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Members listed in a heartbeat while the fleet changes.
 const MEMBERS_WHILE_CHANGING: usize = 8;
 /// Members listed in a heartbeat of a stable fleet.
@@ -352,6 +355,19 @@
     Some(preceding.count())
   }
 
+  /// Returns `position`, or `None` for a process that another host may not have counted within the last
+  /// `period`.
+  ///
+  /// If all hosts divide what the fleet may do in such a period by `fleet_size` and this position, they
+  /// stay within it while hosts start and end: each then counts all others that have a share.
+  pub fn settled_position(&self, seed: u64, period: Duration, now: Duration) -> Option<usize> {
+    let settle_time = CONTACT_TIMEOUT.saturating_add(period);
+    if self.first_sent.is_none_or(|at| now.saturating_sub(at) < settle_time) {
+      return None;
+    }
+    self.position(seed, now)
+  }
+
   /// Returns the other hosts among the first `count` of the order of `position`.
   pub fn first(&self, seed: u64, count: usize) -> Vec<SocketAddr> {
     let known = self.members.keys().copied().chain([self.own_address]);
--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -580,6 +580,46 @@
   assert_eq!(fleet.readers(), READERS);
 }
 
+/// Returns how many requests a second all hosts of a fleet together may send to a target that bears `limit`.
+fn turns(fleet: &Fleet, limit: f64) -> u32 {
+  let limit = placement::ColdLimit {
+    rate: limit,
+    overage: 1.0,
+    allowance: 0.0,
+  };
+  let places = fleet.hosts.iter().map(|host| {
+    let position = host.table.settled_position(7, limit.window(), fleet.now);
+    limit.share(host.table.fleet_size(), position).places()
+  });
+  places.sum()
+}
+
+/// Guards against hosts that take more turns together than there are while a fleet starts, its processes
+/// are replaced, and hosts join it one after the other: a process takes none before all others count it.
+#[test]
+fn hosts_take_no_more_turns_than_there_are_while_they_find_each_other() {
+  for (hosts, limit) in [(6, 6.5), (75, 36.5)] {
+    let mut fleet = Fleet::new(hosts);
+    let joining = hosts - hosts / 3;
+    for host in joining..hosts {
+      let later = (host - joining) as u64 * 100 % 3_000;
+      fleet.hosts[host].next_send = ms(5_000 + later);
+    }
+    for step in 0..130 {
+      if step == 70 {
+        (3..joining).step_by(4).for_each(|host| fleet.restart(host));
+      }
+      fleet.run(ms(100));
+      let taken = turns(&fleet, limit);
+      assert!(
+        f64::from(taken) <= limit,
+        "{taken} turns of {hosts} hosts after step {step}"
+      );
+    }
+    assert_eq!(turns(&fleet, limit), limit as u32, "{hosts} hosts");
+  }
+}
+
 /// Hosts of a settled fleet are replaced one after the other.
 #[test]
 fn restarted_host_does_not_read_the_platform_for_the_others_unless_it_is_among_the_first() {
--- a/yuccarudder/src/placement/mod.rs
+++ b/yuccarudder/src/placement/mod.rs
@@ -34,3 +34,5 @@
 mod room_tests;
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod throttle_tests;
--- a/yuccarudder/src/placement/tests.rs
+++ b/yuccarudder/src/placement/tests.rs
@@ -288,46 +288,91 @@
   allowance: 5.0,
 };
 
+/// Returns how many of 100 requests each of some hosts may send to a cold target at once.
+fn sent_at_once(hosts: usize) -> Vec<usize> {
+  let now = Instant::now();
+  let key = keys(1)[0];
+  let sent = (0..hosts).map(|position| {
+    let share = COLD_LIMIT.share(hosts, Some(position));
+    let mut throttle = Throttle::default();
+    let allowed = (0..100).filter(|_| {
+      let allows = throttle.allows(key, &COLD_LIMIT, &share, now);
+      if allows {
+        throttle.record(key, now);
+      }
+      allows
+    });
+    allowed.count()
+  });
+  sent.collect()
+}
+
 /// A restarted target is cold and the least loaded one in the view of every host, so all
 /// hosts would send to it at once.
 #[test]
 fn hosts_together_stay_within_the_limit_of_a_cold_target() {
-  let now = Instant::now();
-  let key = keys(1)[0];
-  let sent: usize = (0..6)
-    .map(|_| {
-      let mut throttle = Throttle::default();
-      let allowed = (0..100).filter(|_| {
-        let allows = throttle.allows(key, &COLD_LIMIT, 6, 0.5, now);
-        if allows {
-          throttle.record(key, now);
-        }
-        allows
-      });
-      allowed.count()
-    })
-    .sum();
-  assert_eq!(sent, 12);
+  assert_eq!(sent_at_once(6).iter().sum::<usize>(), 12);
+  assert_eq!(sent_at_once(5), [3, 3, 2, 2, 2]);
 }
 
 #[test]
 fn cold_target_is_allowed_again_after_a_second() {
   let now = Instant::now();
   let key = keys(1)[0];
+  let share = COLD_LIMIT.share(6, Some(0));
   let mut throttle = Throttle::default();
   throttle.record(key, now);
   throttle.record(key, now);
-  assert!(!throttle.allows(key, &COLD_LIMIT, 6, 0.0, now));
-  assert!(throttle.allows(key, &COLD_LIMIT, 6, 0.0, now + Duration::from_secs(1)));
+  assert!(!throttle.allows(key, &COLD_LIMIT, &share, now + Duration::from_millis(999)));
+  assert!(throttle.allows(key, &COLD_LIMIT, &share, now + Duration::from_secs(1)));
+}
+
+/// Guards against hosts with a share below one request whose sum is left to chance.
+#[test]
+fn as_many_hosts_as_a_cold_target_takes_requests_have_a_turn() {
+  let sent = sent_at_once(75);
+  assert_eq!(sent.iter().sum::<usize>(), 12);
+  assert!(sent.iter().all(|sent| *sent <= 1));
 }
 
+/// Guards against a process that takes the requests of hosts of which it does not know yet, and one that
+/// is cut off and takes those of all.
 #[test]
-fn share_below_one_request_is_probabilistic() {
+fn host_that_does_not_know_the_others_claims_no_more_than_its_share() {
+  assert_eq!(COLD_LIMIT.share(1, None).places(), 0);
+  assert_eq!(COLD_LIMIT.share(1, Some(0)).places(), 6);
+}
+
+/// Guards against a target that takes less than one request a second and gets none at all, or one a second.
+#[test]
+fn target_that_takes_less_than_one_request_a_second_gets_one_in_a_longer_time() {
+  let limit = ColdLimit {
+    rate: 0.25,
+    overage: 1.0,
+    allowance: 0.0,
+  };
   let now = Instant::now();
   let key = keys(1)[0];
-  let throttle = Throttle::default();
-  assert!(throttle.allows(key, &COLD_LIMIT, 75, 0.16, now));
-  assert!(!throttle.allows(key, &COLD_LIMIT, 75, 0.17, now));
+  let mut throttle = Throttle::default();
+  let share = limit.share(7, Some(0));
+  assert!(throttle.allows(key, &limit, &share, now));
+  assert!(!throttle.allows(key, &limit, &limit.share(7, Some(1)), now));
+  throttle.record(key, now);
+  assert!(!throttle.allows(key, &limit, &share, now + Duration::from_millis(3_999)));
+  assert!(throttle.allows(key, &limit, &share, now + Duration::from_secs(4)));
+}
+
+/// Guards against a request that waits for its connection and arrives together with the next ones.
+#[test]
+fn request_counts_from_when_it_is_sent() {
+  let now = Instant::now();
+  let key = keys(1)[0];
+  let share = COLD_LIMIT.share(12, Some(0));
+  let mut throttle = Throttle::default();
+  throttle.record(key, now);
+  throttle.record_sent(key, now, now + Duration::from_millis(200));
+  assert!(!throttle.allows(key, &COLD_LIMIT, &share, now + Duration::from_millis(1_199)));
+  assert!(throttle.allows(key, &COLD_LIMIT, &share, now + Duration::from_millis(1_200)));
 }
 
 #[test]
