Fix: events after the largest id are counted without an overflow

A caller may resume a stream after the id 2^64-1. If the target then sends an event without an id, the sum of the events before and now exceeds 64 bits: the task of the stream ends with a panic where overflows are checked, and elsewhere the sum is small, so that a response without a length is judged by a wrong number.

The sum is made by the cursor, and ends at the largest number. Its test fails before ("attempt to add with overflow") and passes after. The steps between ids in relay were in range already. Not run with real processes.

--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -330,7 +330,7 @@
       return true;
     }
     let has_events = self.cursor.event_count() > 0 || self.cursor.last_event_id().is_some();
-    let events = self.cursor.event_count() + self.cursor.earlier_event_count();
+    let events = self.cursor.total_event_count();
     let (answered_at, time_left) = (self.answered_at, self.call.time_left());
     has_events
       && self.call.is_proven_whole(&self.assignment, answered_at, Some(events), time_left).await
--- a/yuccarudder/src/relay/cursor.rs
+++ b/yuccarudder/src/relay/cursor.rs
@@ -69,6 +69,12 @@
     self.event_count
   }
 
+  /// Returns the number of complete events so far with those that the caller has received in earlier
+  /// responses, as far as known.
+  pub fn total_event_count(&self) -> u64 {
+    self.event_count.saturating_add(self.earlier_event_count())
+  }
+
   /// Adds bytes to the buffer and removes and returns its complete events.
   ///
   /// # Errors
--- a/yuccarudder/src/relay/tests.rs
+++ b/yuccarudder/src/relay/tests.rs
@@ -31,6 +31,14 @@
   assert_eq!(cursor.last_event_id(), Some(4));
 }
 
+/// Guards against a task that ends because of the number by which a caller resumes a stream.
+#[test]
+fn events_after_the_largest_id_are_counted() {
+  let mut cursor = Cursor::new(Some(u64::MAX));
+  cursor.feed(b"data: a\n\n").unwrap();
+  assert_eq!(cursor.total_event_count(), u64::MAX);
+}
+
 /// Defines a test: a line of an event, and whether the event is relayed. Guards against errors that a target
 /// writes into its own stream.
 macro_rules! line_test {
