Review: the stand-ins share the simulated platform of the tests

The stand-ins of the review, 1,741 lines beside build.sh, had a store, host processes, HTTP, base64 and JSON of their own. They are an example of the platform's package now, which mounts platform/tests/support: its store, hosts as processes, callers, connections and addresses. Servers are still processes that are killed by SIGKILL. Cases, loads, times, bounds and checks are the same. The stand-in of case 3 still only logs stop_first.

--- a/review/build.sh
+++ b/review/build.sh
@@ -2,5 +2,6 @@
 # Builds the stand-ins that the scripts of this folder start.
 set -eu
 cd "$(dirname "$0")/.."
+cargo build --release --locked -p yuccarudder-platform --example stand
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/stand review/stand.rs
+cp target/release/examples/stand target/review/stand
