--- a/yuccarudder/src/gateway/run_life_tests/mod.rs
+++ b/yuccarudder/src/gateway/run_life_tests/mod.rs
@@ -123,7 +123,7 @@
       1 => Just(Event::RestartHosts),
       1 => slow.prop_map(|(copy_ms, report_ms)| Event::Slow { copy_ms, report_ms }),
     ];
-    let pause_ms = prop_oneof![1_u64..80, 1_u64..80, 80_u64..1_200];
+    let pause_ms = prop_oneof![3 => 1_u64..80, 2 => 80_u64..1_200, 1 => 1_200_u64..3_500];
     (event, pause_ms).prop_map(|(event, pause_ms)| Step { event, pause_ms }).boxed()
   }
 
