--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -56,9 +56,14 @@
   let receiving = async {
     loop {
       match receiver.next().await {
-        Some(Ok((Some(heartbeat), _))) => receive(&gateway, &heartbeat),
-        Some(Ok((None, from))) => {
-          log::warn!(target: PREFIX, from:% = from; "A heartbeat cannot be parsed.");
+        Some(Ok(((heartbeat, size), from))) => {
+          count_bytes(&gateway, "in", size);
+          match heartbeat {
+            Some(heartbeat) => receive(&gateway, &heartbeat),
+            None => {
+              log::warn!(target: PREFIX, from:% = from; "A heartbeat cannot be parsed.");
+            }
+          }
         }
         // The operating system reports unreachable peers as errors. They are ignored, because
         // missing heartbeats show which hosts are gone.
@@ -91,14 +96,22 @@
       echo,
       ..heartbeat.clone()
     };
-    let datagram = heartbeat.encode_to_vec().into();
-    if let Err(error) = sender.send((datagram, address)).await {
-      log::debug!(target: PREFIX, address:% = address, error:% = error; "A heartbeat was not sent.");
+    let datagram = Bytes::from(heartbeat.encode_to_vec());
+    let size = datagram.len();
+    match sender.send((datagram, address)).await {
+      Ok(()) => count_bytes(gateway, "out", size),
+      Err(error) => {
+        log::debug!(target: PREFIX, address:% = address, error:% = error; "A heartbeat was not sent.");
+      }
     }
   }
   host_count
 }
 
+fn count_bytes(gateway: &Gateway, direction: &str, size: usize) {
+  gateway.instruments.heartbeat_bytes.with_label_values(&[direction]).inc_by(size as u64);
+}
+
 /// Builds the next heartbeat; returns it with the hosts to send it to.
 pub(super) fn build(gateway: &Gateway, sequence: u64) -> (Heartbeat, Vec<Recipient>) {
   let phase = gateway.phase();
--- a/yuccarudder/src/gateway/instruments.rs
+++ b/yuccarudder/src/gateway/instruments.rs
@@ -25,6 +25,8 @@
   pub time_to_first_event: HistogramVec,
   /// Requests that were passed on to another host, by outcome.
   pub handovers: IntCounterVec,
+  /// Bytes of heartbeats without the headers of their packets, by direction.
+  pub heartbeat_bytes: IntCounterVec,
   /// Losses of the links to all targets of a service.
   pub lost_links: IntCounter,
   /// Other hosts whose heartbeats were received recently.
@@ -82,6 +84,11 @@
         "Requests passed on to another host",
         "outcome",
       ),
+      heartbeat_bytes: counter(
+        "yuccarudder_heartbeat_bytes_total",
+        "Bytes of heartbeats exchanged with other hosts",
+        "direction",
+      ),
       lost_links: IntCounter::new(
         "yuccarudder_lost_links_total",
         "Losses of the links to all targets of a service",
@@ -141,6 +148,7 @@
       Box::new(self.ejections.clone()),
       Box::new(self.time_to_first_event.clone()),
       Box::new(self.handovers.clone()),
+      Box::new(self.heartbeat_bytes.clone()),
       Box::new(self.lost_links.clone()),
       Box::new(self.live_hosts.clone()),
       Box::new(self.target_departures.clone()),
--- a/yuccarudder/src/member/codec.rs
+++ b/yuccarudder/src/member/codec.rs
@@ -6,7 +6,7 @@
   tokio_util::codec::{Decoder, Encoder},
 };
 
-/// Codec of datagrams that hold one heartbeat each.
+/// Codec of datagrams that hold one heartbeat each, which it yields with their sizes in bytes.
 ///
 /// A datagram that cannot be decoded yields `None` and no error, so that it does not end the
 /// stream.
@@ -14,14 +14,16 @@
 pub struct Codec;
 
 impl Decoder for Codec {
-  type Item = Option<Heartbeat>;
+  type Item = (Option<Heartbeat>, usize);
   type Error = io::Error;
 
   fn decode(&mut self, buffer: &mut BytesMut) -> io::Result<Option<Self::Item>> {
     if buffer.is_empty() {
       return Ok(None);
     }
-    Ok(Some(Heartbeat::decode(buffer.split()).ok()))
+    let datagram = buffer.split();
+    let size = datagram.len();
+    Ok(Some((Heartbeat::decode(datagram).ok(), size)))
   }
 }
 
--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -209,12 +209,13 @@
 #[test]
 fn undecodable_datagram_yields_none() {
   let mut buffer = BytesMut::from(&b"\xff\xff"[..]);
-  assert_eq!(Codec.decode(&mut buffer).unwrap(), Some(None));
+  assert_eq!(Codec.decode(&mut buffer).unwrap(), Some((None, 2)));
   assert!(buffer.is_empty());
-  let mut buffer = BytesMut::from(&heartbeat(2, 1).encode_to_vec()[..]);
+  let datagram = heartbeat(2, 1).encode_to_vec();
+  let mut buffer = BytesMut::from(&datagram[..]);
   assert_eq!(
     Codec.decode(&mut buffer).unwrap(),
-    Some(Some(heartbeat(2, 1)))
+    Some((Some(heartbeat(2, 1)), datagram.len()))
   );
 }
 
