A moved run that its destination loses is stopped there before the stream goes on

What callers saw: nothing, but two engines (or one twice) worked on their stream. A run is copied and sent to its destination, whose answer is lost before its head while it runs on. The stream then went on as if the source had lost it: the order to stop went to the source, and the destination was neither stopped nor passed over.

Cause: `Session::resume_from_copy` went on with the source as the run's engine whatever became of the request at the destination.

Fix: unless the destination has certainly not run it, the run counts as lost there. It is stopped and passed over like any run whose answer was lost, and goes on from its memory; the source, which has been told to stop, is passed over as well.

Evidence: the model of a run's life gets a third engine and an event for it, an answer that is lost before its head.

--- a/yuccarudder/src/gateway/run_life_tests/fleet.rs
+++ b/yuccarudder/src/gateway/run_life_tests/fleet.rs
@@ -11,8 +11,9 @@
   },
   std::{
     collections::BTreeMap,
+    iter,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{Arc, Mutex, MutexGuard, atomic::AtomicBool},
     time::Duration,
   },
   tokio::time::{self, Instant},
@@ -67,20 +68,18 @@
 /// The targets, their store and what was seen of them.
 pub struct Fleet {
   pub delays: Mutex<Delays>,
+  /// Whether the answer of the next run is lost before its head.
+  pub loses_next_answer: AtomicBool,
   log: Mutex<Log>,
   store: Mutex<Store>,
   pub targets: Vec<Target>,
 }
 
 impl Fleet {
-  pub async fn start(slots: u32) -> Arc<Self> {
+  pub async fn start(engines: usize, slots: u32) -> Arc<Self> {
     let mut targets = Vec::new();
-    for service in [
-      target::ENGINES,
-      target::ENGINES,
-      target::PLAIN,
-      target::PLAIN,
-    ] {
+    let services = iter::repeat_n(target::ENGINES, engines).chain([target::PLAIN; 2]);
+    for service in services {
       targets.push(Target::new(targets.len(), service, slots).await);
     }
     let fleet = Arc::new(Self {
@@ -88,6 +87,7 @@
         copy: Duration::from_millis(20),
         report: Duration::ZERO,
       }),
+      loses_next_answer: AtomicBool::new(false),
       log: Mutex::default(),
       store: Mutex::default(),
       targets,
--- a/yuccarudder/src/gateway/run_life_tests/log.rs
+++ b/yuccarudder/src/gateway/run_life_tests/log.rs
@@ -111,7 +111,7 @@
   }
 
   /// Describes the runs, with times in milliseconds since the first one began.
-  fn describe(&self) -> String {
+  pub fn describe(&self) -> String {
     let Some(start) = self.runs.first().map(|run| run.started_at) else {
       return String::new();
     };
@@ -149,6 +149,12 @@
     self.runs.iter().filter(|run| run.is_copy).count()
   }
 
+  /// Returns whether a run began while the one before it was still at work.
+  pub fn overlaps(&self) -> bool {
+    let mut pairs = self.runs.windows(2);
+    pairs.any(|pair| pair[0].ended_at.is_none_or(|ended_at| ended_at > pair[1].started_at))
+  }
+
   /// Returns how many callers have their whole answer.
   pub fn whole_answers(&self) -> usize {
     self.whole_answers
--- a/yuccarudder/src/gateway/run_life_tests/mod.rs
+++ b/yuccarudder/src/gateway/run_life_tests/mod.rs
@@ -25,6 +25,7 @@
 struct Site {
   /// Time for a copy of a run.
   copy_ms: u64,
+  engines: usize,
   hosts: usize,
   /// Places of each target.
   slots: u32,
@@ -54,6 +55,8 @@
   LeaveCaller { run: usize },
   /// The answer of a run is lost; the run goes on.
   LoseAnswer { run: usize },
+  /// The answer of the next run is lost before its head; the run goes on.
+  LoseNextAnswer,
   /// Targets that have ended start again, under other IDs.
   RestartTargets,
   /// Hosts that have ended start again.
@@ -81,9 +84,10 @@
   type Transition = Step;
 
   fn init_state() -> BoxedStrategy<Site> {
-    let sites = (copy_ms(), 2_usize..=3, 1_u32..=2);
-    let site = |(copy_ms, hosts, slots)| Site {
+    let sites = (copy_ms(), 2_usize..=3, 2_usize..=3, 1_u32..=2);
+    let site = |(copy_ms, engines, hosts, slots)| Site {
       copy_ms,
+      engines,
       hosts,
       slots,
     };
@@ -119,6 +123,7 @@
       3 => leave.prop_map(|(run, notice_ms)| Event::LeaveElsewhere { run, notice_ms }),
       2 => run.clone().prop_map(|run| Event::LeaveCaller { run }),
       2 => run.prop_map(|run| Event::LoseAnswer { run }),
+      1 => Just(Event::LoseNextAnswer),
       2 => Just(Event::RestartTargets),
       1 => Just(Event::RestartHosts),
       1 => slow.prop_map(|(copy_ms, report_ms)| Event::Slow { copy_ms, report_ms }),
@@ -137,7 +142,7 @@
   type Reference = Self;
 
   fn init_test(site: &Site) -> World {
-    let mut world = World::new(site.hosts, site.slots);
+    let mut world = World::with_engines(site.hosts, site.engines, site.slots);
     world.play(Event::Slow {
       copy_ms: site.copy_ms,
       report_ms: 0,
@@ -354,3 +359,25 @@
   assert_eq!(world.log().moved_runs(), 0);
   assert_eq!(world.log().whole_answers(), 1);
 }
+
+/// Guards against a moved run that goes on at its destination, which lost its answer, beside the run that takes
+/// its place.
+#[test]
+fn moved_run_whose_destination_loses_its_answer_is_stopped_there() {
+  let mut world = World::with_engines(2, 3, 2);
+  let leave = Event::Leave {
+    run: 0,
+    notice_ms: 2_500,
+  };
+  play(
+    &mut world,
+    &[
+      (begin(Kind::Resumable, 80), 500),
+      (Event::LoseNextAnswer, 1),
+      (leave, 5_000),
+    ],
+  );
+  assert_eq!(world.log().runs(), 3);
+  assert!(!world.log().overlaps(), "{}", world.log().describe());
+  assert_eq!(world.log().whole_answers(), 1);
+}
--- a/yuccarudder/src/gateway/run_life_tests/target.rs
+++ b/yuccarudder/src/gateway/run_life_tests/target.rs
@@ -6,7 +6,7 @@
     collections::HashSet,
     fmt,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, atomic::Ordering},
     time::Duration,
   },
   tokio::{
@@ -304,8 +304,15 @@
     (false, false) => "connection: close".to_owned(),
   };
   let text = format!("HTTP/1.1 200 OK\r\n{signed}\r\n{framing}\r\n\r\n");
-  // The connection may be closed by now, which the run finds out below.
-  let _ = stream.write_all(text.as_bytes()).await;
+  let mut stream = Some(stream);
+  if fleet.loses_next_answer.swap(false, Ordering::Relaxed) {
+    reset(stream.take());
+    fleet.log().runs[run].is_lost = true;
+  }
+  if let Some(stream) = &mut stream {
+    // The connection may be closed by now, which the run finds out below.
+    let _ = stream.write_all(text.as_bytes()).await;
+  }
   let answer = Answer {
     is_chunked,
     key: head.key,
@@ -328,13 +335,12 @@
 
 impl Answer {
   /// Makes the pieces until the last one, or until the run is cancelled.
-  async fn produce(&self, fleet: &Fleet, stream: TcpStream) {
+  async fn produce(&self, fleet: &Fleet, mut stream: Option<TcpStream>) {
     let (first, lose, stop) = {
       let log = fleet.log();
       let run = &log.runs[self.run];
       (run.first, run.lose.clone(), run.stop.clone())
     };
-    let mut stream = Some(stream);
     for number in first + 1..=self.pieces {
       let made_at = Instant::now() + PIECE_TIME;
       loop {
--- a/yuccarudder/src/gateway/run_life_tests/world.rs
+++ b/yuccarudder/src/gateway/run_life_tests/world.rs
@@ -8,7 +8,7 @@
     target::{Id, Target},
   },
   std::{
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{Arc, Mutex, MutexGuard, atomic::Ordering},
     time::Duration,
   },
   tokio::{
@@ -37,8 +37,12 @@
 
 impl World {
   pub fn new(host_count: usize, slots: u32) -> Self {
+    Self::with_engines(host_count, 2, slots)
+  }
+
+  pub fn with_engines(host_count: usize, engines: usize, slots: u32) -> Self {
     let runtime = Builder::new_current_thread().enable_all().start_paused(true).build().unwrap();
-    let fleet = runtime.block_on(Fleet::start(slots));
+    let fleet = runtime.block_on(Fleet::start(engines, slots));
     let addresses = runtime.block_on(async {
       let mut addresses = Vec::new();
       for _ in 0..host_count {
@@ -172,6 +176,7 @@
           fleet.log().runs[index].lose.cancel();
         }
       }
+      Event::LoseNextAnswer => fleet.loses_next_answer.store(true, Ordering::Relaxed),
       Event::RestartTargets => self.start_targets(),
       Event::RestartHosts => self.start_hosts(false),
       Event::Slow { copy_ms, report_ms } => {
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -518,10 +518,15 @@
         self.relay_from(destination, response);
         None
       }
-      Ok(_) | Err(_) => {
+      result => {
         if let Some(copied) = copied {
           self.release_copy(copied);
         }
+        if result.err().is_none_or(|failure| !failure.outcome.is_not_run()) {
+          // The run is lost where it went on; the source has been told to stop it.
+          self.lost_at.push(self.assignment.key);
+          self.assignment = destination;
+        }
         self.recover().await
       }
     }
