A host that goes on with a stream of a host without links stops its run first

What callers saw: nothing, but two engines worked on their stream. A host that loses its links to the engines passes its streams on to another host. It can't stop the run where its answer was lost, and the other host did not know that there was one: it went on at another engine, or at the very one, while the first run went on.

Fix: a request that is passed on names the targets, by their fingerprints, that may still run it: those that did not confirm that they stopped. A target that confirms may be chosen again; with one engine the stream still goes on.

The names are a fourth value of the header between hosts. Hosts that state no protocol accept exactly three and would take the request for one of a caller, so they are told three; those of protocol 1 pass over it, and behave as before.

--- a/yuccarudder/src/dialect.rs
+++ b/yuccarudder/src/dialect.rs
@@ -31,6 +31,8 @@
   pub resume: Option<(u64, &'a str)>,
   /// Remaining time that the caller waits for the response.
   pub timeout: Duration,
+  /// Fingerprints of the targets that may still run the request, as their answers were lost.
+  pub unstopped_at: &'a [u64],
 }
 
 /// Metadata that a caller sends with its request.
@@ -57,6 +59,8 @@
   pub request_id: Option<String>,
   /// ID of the attempt that brought the first event of the stream that this request continues.
   pub resumes: Option<String>,
+  /// Fingerprints of the targets that may still run the request for the host that passed it on.
+  pub unstopped_at: Vec<u64>,
 }
 
 impl RequestMetadata {
--- a/yuccarudder/src/gateway/buffered.rs
+++ b/yuccarudder/src/gateway/buffered.rs
@@ -133,7 +133,7 @@
   host: SocketAddr,
   history: &History,
 ) -> Result<Response<Body>, Failure> {
-  match call.hand_over(host, history, None).await {
+  match call.hand_over(host, history, None, &[]).await {
     Ok(response) => {
       let whole = read_body(response, call.time_left()).await;
       whole.ok_or_else(|| Outcome::Lost.into())
--- a/yuccarudder/src/gateway/forwarding.rs
+++ b/yuccarudder/src/gateway/forwarding.rs
@@ -5,7 +5,9 @@
 //! limits and budgets, and retries it. It does not pass it on again.
 
 use {
-  super::{call::Call, directory, gateway::State, ingress, sending::Failure, verdict::Verdict},
+  super::{
+    Gateway, call::Call, directory, gateway::State, ingress, sending::Failure, verdict::Verdict,
+  },
   crate::{
     attempt::{History, Outcome},
     dialect::{Forwarded, HandoverMetadata},
@@ -157,6 +159,15 @@
   }
 }
 
+impl Gateway {
+  /// Returns whether a host can be told more of a request than its build may read.
+  fn passes_over_further_values(&self, host: SocketAddr) -> bool {
+    let state = self.lock();
+    let mut members = state.members.live(self.clock.since_boot());
+    members.any(|(_, member)| member.callers == host && member.passes_over_further_values)
+  }
+}
+
 impl Call {
   /// Returns whether a target may run the request although another one may have run it.
   pub fn is_repeatable(&self) -> bool {
@@ -191,7 +202,8 @@
   }
 
   /// Passes the request on to another host and waits for the head of its response. `last_event_id` is
-  /// that of the last event that the caller got from this host, if any.
+  /// that of the last event that the caller got from this host, if any, and `unstopped_at` names the targets
+  /// that may still run it.
   ///
   /// # Errors
   ///
@@ -201,8 +213,14 @@
     host: SocketAddr,
     history: &History,
     last_event_id: Option<u64>,
+    unstopped_at: &[u64],
   ) -> Result<Response<Incoming>, Failure> {
-    let request = self.build_handover(history, last_event_id);
+    let unstopped_at = if self.gateway.passes_over_further_values(host) {
+      unstopped_at
+    } else {
+      &[]
+    };
+    let request = self.build_handover(history, last_event_id, unstopped_at);
     let response = self
       .gateway
       .pool
@@ -234,7 +252,7 @@
     self.gateway.instruments.handovers.with_label_values(&[outcome]).inc();
     log::info!(
       target: PREFIX, id = self.id(), host:% = host, outcome, runs = history.possible_runs,
-      elapsed_ms = self.elapsed().as_millis() as u64, resumed = last_event_id.is_some();
+      elapsed_ms = self.elapsed().as_millis() as u64, resumed = last_event_id.is_some(), unstopped = unstopped_at.len();
       "Passed a request on to another host."
     );
     result
@@ -273,7 +291,12 @@
     }
   }
 
-  fn build_handover(&self, history: &History, last_event_id: Option<u64>) -> Request<Body> {
+  fn build_handover(
+    &self,
+    history: &History,
+    last_event_id: Option<u64>,
+    unstopped_at: &[u64],
+  ) -> Request<Body> {
     let mut request = Request::new(http::full(self.body.bytes.clone()));
     *request.method_mut() = self.method.clone();
     *request.uri_mut() =
@@ -292,6 +315,7 @@
         (last_event_id, first_request.unwrap_or(self.id()))
       }),
       timeout: self.time_left(),
+      unstopped_at,
     };
     (self.gateway.dialect.write_handover)(&mut headers, &metadata);
     *request.headers_mut() = headers;
--- a/yuccarudder/src/gateway/migration.rs
+++ b/yuccarudder/src/gateway/migration.rs
@@ -10,7 +10,7 @@
   crate::{
     dialect::{CopyFn, ReleaseFn},
     relocation::{Copied, CopyRequest, Failure, Plan, Position, Run, Source, Window},
-    roster::Target,
+    roster::{Key, Target},
   },
   futures::future::{self, BoxFuture},
   std::{
@@ -185,7 +185,7 @@
 /// stop the run and copy it again, so that the run does not stay active on two engines; that copy
 /// is released.
 pub fn ensure_stopped(call: &Call, source: &Assignment, destination: &Assignment) {
-  let stop = Stop::request(call, source, destination.target.listing.address);
+  let stop = Stop::request(call, &source.target, destination.target.listing.address);
   tokio::spawn(async move {
     time::sleep(DISCONNECT_GRACE_PERIOD).await;
     if let Some(handle) = stop.finish().await.1 {
@@ -194,56 +194,91 @@
   });
 }
 
-/// Stops a run whose answer was lost, before the request goes on at `destination`; returns its copy there if
-/// the engine had not stopped it.
+/// What became of the order to stop a run whose answer was lost.
+#[derive(Default)]
+pub struct Stopped {
+  /// The copy of the run at its destination, if the engine had not stopped it.
+  pub copied: Option<Copied>,
+  /// Whether the engine has confirmed that it does not run it any more.
+  pub is_certain: bool,
+}
+
+/// Stops a run whose answer was lost, before the request goes on at `destination`.
 ///
 /// An engine that does not answer in time is not waited for: it has crashed or is out of reach. It is told
 /// to free the copy once it answers.
-pub async fn stop_lost_run(
-  call: &Call,
-  source: &Assignment,
-  destination: SocketAddr,
-) -> Option<Copied> {
-  if !call.service()?.engine.as_ref()?.relocatable {
-    return None;
+pub async fn stop_lost_run(call: &Call, source: &Target, destination: SocketAddr) -> Stopped {
+  let engine = call.service().and_then(|service| service.engine.as_ref());
+  if engine.is_none_or(|engine| !engine.relocatable) {
+    return Stopped::default();
   }
   let stop = Stop::request(call, source, destination);
   let (sender, receiver) = oneshot::channel();
   tokio::spawn(async move {
-    let (copied, handle) = stop.finish().await;
-    let unused_handle = match copied {
-      Some(copied) => sender.send(copied).err().map(|copied| copied.handle),
-      None => handle,
+    let (stopped, handle) = stop.finish().await;
+    let unused_handle = match &stopped.copied {
+      Some(_) => sender.send(stopped).err().and(handle),
+      None => {
+        let _ = sender.send(stopped);
+        handle
+      }
     };
     if let Some(handle) = unused_handle {
       stop.release(handle).await;
     }
   });
-  time::timeout(STOP_TIMEOUT, receiver).await.ok()?.ok()
+  let stopped = time::timeout(STOP_TIMEOUT, receiver).await;
+  stopped.ok().and_then(Result::ok).unwrap_or_default()
 }
 
-/// Stops a run whose answer was lost before its first event, before the request starts anew.
-pub async fn stop_lost_start(call: &Call, source: &Assignment, destination: SocketAddr) {
-  if let Some(copied) = stop_lost_run(call, source, destination).await {
-    let address = source.target.listing.address;
-    tokio::spawn((call.gateway.dialect.release)(address, copied.handle));
+/// Stops a run whose answer was lost before its first event, before the request starts anew; returns whether
+/// that is certain.
+pub async fn stop_lost_start(call: &Call, source: &Target, destination: SocketAddr) -> bool {
+  let stopped = stop_lost_run(call, source, destination).await;
+  if let Some(copied) = stopped.copied {
+    tokio::spawn((call.gateway.dialect.release)(
+      source.listing.address,
+      copied.handle,
+    ));
   }
+  stopped.is_certain
 }
 
-/// Stops a run whose answer was lost, before another host goes on with the request.
-///
-/// Links that are only in doubt may reach the engine, and the other host does not know the run. Which engine it
-/// will choose is not known either, so the copy goes to any and is freed.
-pub async fn stop_before_handover(call: &Call, source: &Assignment) {
-  if call.gateway.has_lost_links(&call.service_name) {
-    return;
-  }
+/// Stops a run whose answer was lost, before it is known where the request goes on: the copy goes to any
+/// engine and is freed. Returns whether that is certain.
+async fn stop_unplaced(call: &Call, source: &Target) -> bool {
   let other = {
     let state = call.gateway.lock();
-    let mut accepting = state.roster.accepting(&call.service_name);
-    accepting.find(|(key, _)| *key != source.key).map(|(_, target)| target.listing.address)
+    let mut accepting = state.roster.accepting(&call.service_name).map(|(_, target)| target);
+    let other = accepting.find(|target| target.fingerprint != source.fingerprint);
+    other.map(|target| target.listing.address)
+  };
+  stop_lost_start(call, source, other.unwrap_or(source.listing.address)).await
+}
+
+/// Stops a run whose answer was lost, before another host goes on with the request; returns whether that is
+/// certain.
+///
+/// Links that are only in doubt may reach the engine.
+pub async fn stop_before_handover(call: &Call, source: &Target) -> bool {
+  !call.gateway.has_lost_links(&call.service_name) && stop_unplaced(call, source).await
+}
+
+/// Stops the runs of a request that the host which passed it on could not stop; returns the targets that may
+/// still run it.
+pub async fn stop_for_other_host(call: &Call) -> Vec<Key> {
+  let sources: Vec<(Key, Target)> = {
+    let state = call.gateway.lock();
+    let fingerprints = call.metadata.unstopped_at.iter();
+    let sources = fingerprints.flat_map(|fingerprint| state.roster.keys_of(*fingerprint));
+    let sources = sources.filter_map(|key| Some((key, state.roster.get(key)?.clone())));
+    sources.filter(|(_, source)| source.listing.service == call.service_name).collect()
   };
-  stop_lost_start(call, source, other.unwrap_or(source.target.listing.address)).await;
+  let stops = sources.iter().map(|(key, source)| async {
+    let is_stopped = stop_unplaced(call, source).await;
+    (!is_stopped).then_some(*key)
+  });
+  future::join_all(stops).await.into_iter().flatten().collect()
 }
 
 /// A request to an engine to stop a run.
@@ -256,12 +291,12 @@
 }
 
 impl Stop {
-  fn request(call: &Call, source: &Assignment, destination: SocketAddr) -> Self {
-    let address = source.target.listing.address;
+  fn request(call: &Call, source: &Target, destination: SocketAddr) -> Self {
+    let address = source.listing.address;
     Self {
       address,
       copy: Arc::clone(&call.gateway.dialect.copy),
-      engine: Arc::clone(&source.target.id),
+      engine: Arc::clone(&source.id),
       release: Arc::clone(&call.gateway.dialect.release),
       request: CopyRequest {
         destination,
@@ -272,19 +307,24 @@
     }
   }
 
-  /// Sends the request; returns the copy at the destination, and the handle of the copy wherever it is, if
-  /// the run was still active.
-  async fn finish(&self) -> (Option<Copied>, Option<String>) {
+  /// Sends the request; returns what became of it and the handle of the copy, wherever that is, if the run
+  /// was still active.
+  async fn finish(&self) -> (Stopped, Option<String>) {
     let result = (self.copy)(self.request.clone()).await;
+    let is_certain = matches!(
+      result,
+      Ok(_) | Err(Failure::NoRoom(Some(_)) | Failure::Unknown)
+    );
     let (copied, handle) = match result {
       Ok(copied) => (Some(copied.clone()), Some(copied.handle)),
-      Err(Failure::NoRoom(Some(handle))) => (None, Some(handle)),
+      Err(Failure::NoRoom(handle)) => (None, handle),
       Err(_) => (None, None),
     };
     if handle.is_some() {
       log::warn!(target: PREFIX, id = self.request.request_id.as_str(), engine:% = self.engine; "An engine did not cancel a run when its connection was closed; the run was stopped.");
     }
-    (copied, handle)
+    let stopped = Stopped { copied, is_certain };
+    (stopped, handle)
   }
 
   async fn release(&self, handle: String) {
--- a/yuccarudder/src/gateway/retrying.rs
+++ b/yuccarudder/src/gateway/retrying.rs
@@ -143,6 +143,11 @@
     })
   }
 
+  /// Has the request sent to other targets.
+  pub fn avoid(&mut self, targets: impl IntoIterator<Item = Key>) {
+    self.tried_targets.extend(targets);
+  }
+
   /// Records that the request is sent to the target of an assignment.
   pub fn record_assignment(&mut self, assignment: &Assignment) {
     self.history.attempts += 1;
--- a/yuccarudder/src/gateway/run_life_tests/fleet.rs
+++ b/yuccarudder/src/gateway/run_life_tests/fleet.rs
@@ -1,6 +1,7 @@
 use {
   super::{
-    log::Log,
+    host,
+    log::{self, Log},
     target::{self, Target},
   },
   crate::{
@@ -16,7 +17,10 @@
     sync::{Arc, Mutex, MutexGuard, atomic::AtomicBool},
     time::Duration,
   },
-  tokio::time::{self, Instant},
+  tokio::{
+    sync::watch,
+    time::{self, Instant},
+  },
 };
 
 /// Age of what an engine reports.
@@ -67,6 +71,10 @@
 
 /// The targets, their store and what was seen of them.
 pub struct Fleet {
+  /// Whether the links of each host to the targets are cut.
+  pub cuts: Vec<watch::Sender<bool>>,
+  /// When the links of each host were last found again.
+  healed_at: Mutex<Vec<Option<Instant>>>,
   pub delays: Mutex<Delays>,
   /// Whether the answer of the next run is lost before its head.
   pub loses_next_answer: AtomicBool,
@@ -76,13 +84,15 @@
 }
 
 impl Fleet {
-  pub async fn start(engines: usize, slots: u32) -> Arc<Self> {
+  pub async fn start(hosts: usize, engines: usize, slots: u32) -> Arc<Self> {
     let mut targets = Vec::new();
     let services = iter::repeat_n(target::ENGINES, engines).chain([target::PLAIN; 2]);
     for service in services {
-      targets.push(Target::new(targets.len(), service, slots).await);
+      targets.push(Target::new(hosts, targets.len(), service, slots).await);
     }
     let fleet = Arc::new(Self {
+      cuts: (0..hosts).map(|_| watch::Sender::new(false)).collect(),
+      healed_at: Mutex::new(vec![None; hosts]),
       delays: Mutex::new(Delays {
         copy: Duration::from_millis(20),
         report: Duration::ZERO,
@@ -111,11 +121,58 @@
   }
 
   fn at(&self, address: SocketAddr) -> &Target {
-    self.targets.iter().find(|target| target.address == address).unwrap()
+    self.targets.iter().find(|target| target.addresses.contains(&address)).unwrap()
+  }
+
+  /// Returns the address for a host of the target that has an address for another one.
+  pub fn address_for(&self, host: usize, address: SocketAddr) -> SocketAddr {
+    self.at(address).addresses[host]
+  }
+
+  /// Returns whether the host to which a target has an address reaches it.
+  fn reaches(&self, address: SocketAddr) -> bool {
+    let host = self.at(address).addresses.iter().position(|it| *it == address).unwrap();
+    !*self.cuts[host].borrow()
+  }
+
+  /// Cuts the links of a host to the targets, which go on with its runs, or ends the cut.
+  pub fn toggle_links(&self, host: usize) {
+    let now = Instant::now();
+    self.cuts[host].send_modify(|is_cut| *is_cut = !*is_cut);
+    if !*self.cuts[host].borrow() {
+      self.healed_at.lock().unwrap()[host] = Some(now);
+      return;
+    }
+    for run in self.log().runs.iter_mut().filter(|run| run.host == host) {
+      run.is_in_touch &= run.started_at + log::MAX_OVERLAP < now;
+      run.lose.cancel();
+    }
+  }
+
+  /// Returns whether the links of a host have been sound for some time.
+  pub fn is_in_touch(&self, host: usize) -> bool {
+    let healed_at = self.healed_at.lock().unwrap()[host];
+    let is_recent = healed_at.is_some_and(|at| at.elapsed() < host::CONTACT);
+    !is_recent && !*self.cuts[host].borrow()
+  }
+
+  /// Returns the entries of the store as a host reads them.
+  pub fn snapshot(&self, host: usize) -> Changes {
+    let mut snapshot = self.store().snapshot();
+    for change in &mut snapshot.changes {
+      if let Subject::Target {
+        listing: Some(listing),
+        ..
+      } = &mut change.subject
+      {
+        listing.address = self.address_for(host, listing.address);
+      }
+    }
+    snapshot
   }
 
   pub fn is_running(&self, address: SocketAddr) -> bool {
-    self.at(address).process().is_some()
+    self.reaches(address) && self.at(address).process().is_some()
   }
 
   /// Reports the status of an engine as it was some time ago.
@@ -123,7 +180,7 @@
     time::sleep(CALL_TIME).await;
     let report = self.report(address);
     time::sleep(self.delays().report).await;
-    report
+    report.filter(|_| self.reaches(address))
   }
 
   fn report(&self, address: SocketAddr) -> Option<Report> {
@@ -149,7 +206,7 @@
   /// Returns whether a plain target answers that has an ID.
   pub async fn identify(self: Arc<Self>, address: SocketAddr, id: Arc<str>) -> Option<bool> {
     time::sleep(CALL_TIME).await;
-    let process = self.at(address).process()?;
+    let process = self.at(address).process().filter(|_| self.reaches(address))?;
     Some(process.id.to_string() == *id)
   }
 
@@ -157,10 +214,13 @@
   pub async fn copy(self: Arc<Self>, request: CopyRequest) -> Result<Copied, Failure> {
     let unreachable = || Failure::Unclear("no connection".to_owned());
     time::sleep(CALL_TIME).await;
+    if !self.reaches(request.source) {
+      return Err(unreachable());
+    }
     let process = self.at(request.source).process().ok_or_else(unreachable)?;
     {
       let log = self.log();
-      let is_run = |run: &&super::log::Run| {
+      let is_run = |run: &&log::Run| {
         run.process == process.id && run.request == request.request_id && run.ended_at.is_none()
       };
       let run = log.runs.iter().find(is_run).ok_or(Failure::Unknown)?;
@@ -181,6 +241,9 @@
     if self.at(request.destination).process().is_none_or(|now| now.id != place) {
       return Err(Failure::NoRoom(kept));
     }
+    if !self.reaches(request.source) {
+      return Err(unreachable());
+    }
     let log = self.log();
     let run = log.runs.iter().rev().find(|run| run.request == request.request_id);
     let events = run.map_or(0, |run| run.first + run.events.len() as u64);
@@ -188,8 +251,11 @@
   }
 
   /// Frees a copy at both ends.
-  pub async fn release(self: Arc<Self>, handle: String) {
+  pub async fn release(self: Arc<Self>, address: SocketAddr, handle: String) {
     time::sleep(CALL_TIME).await;
+    if !self.reaches(address) {
+      return;
+    }
     for target in &self.targets {
       target.drop_copy(&handle);
     }
--- a/yuccarudder/src/gateway/run_life_tests/host.rs
+++ b/yuccarudder/src/gateway/run_life_tests/host.rs
@@ -35,6 +35,8 @@
 
 /// Pause between two reads of the store.
 const READ_PAUSE: Duration = Duration::from_millis(300);
+/// Time after which a host whose links were cut has to keep all rules again.
+pub const CONTACT: Duration = Duration::from_secs(3);
 /// Time for a heartbeat to arrive.
 const HEARTBEAT_TIME: Duration = Duration::from_millis(2);
 
@@ -89,7 +91,7 @@
     };
     let listener = TcpListener::bind(peers).await.unwrap();
     tasks.spawn(member::serve_calls(listener, Arc::new(handlers)));
-    tasks.spawn(read(gateway.clone(), Arc::clone(&network.fleet)));
+    tasks.spawn(read(gateway.clone(), number, Arc::clone(&network.fleet)));
     tasks.spawn(exchange(gateway.clone(), number, network.clone()));
     tasks.spawn(engine_polling::run(gateway.clone()));
     tasks.spawn(reachability::run(gateway.clone()));
@@ -114,7 +116,7 @@
 }
 
 /// Reads the store again and again.
-async fn read(gateway: Gateway, fleet: Arc<Fleet>) {
+async fn read(gateway: Gateway, number: usize, fleet: Arc<Fleet>) {
   loop {
     let now = gateway.clock.since_boot();
     let catalog = Changes {
@@ -126,7 +128,7 @@
       version: Version::new(0, 1),
     };
     gateway.apply_snapshot(Area::Operator, catalog, now);
-    let snapshot = fleet.store().snapshot();
+    let snapshot = fleet.snapshot(number);
     gateway.apply_snapshot(Area::Targets, snapshot, now);
     gateway.record_targets_read(now, now);
     gateway.record_read_success(Area::Operator);
@@ -148,12 +150,17 @@
         let cut = network.cut.lock().unwrap();
         !cut.contains(to) && !cut.contains(&number)
       });
-      let receiver = to.and_then(|to| network.gateways.lock().unwrap()[to].clone());
+      let Some(to) = to else { continue };
+      let receiver = network.gateways.lock().unwrap()[to].clone();
       if let Some(receiver) = receiver {
-        let heartbeat = Heartbeat {
+        let mut heartbeat = Heartbeat {
           echo: recipient.echo,
           ..heartbeat.clone()
         };
+        for announcement in &mut heartbeat.announcements {
+          let address = announcement.address.parse().unwrap();
+          announcement.address = network.fleet.address_for(to, address).to_string();
+        }
         heartbeats::receive(&receiver, &heartbeat);
       }
     }
@@ -256,6 +263,9 @@
     prompt_tokens: 100,
     request_id: text(headers, "request"),
     resumes: text(headers, "resumes"),
+    unstopped_at: text(headers, "forwarded-unstopped")
+      .map(|text| text.split(',').filter_map(|it| it.parse().ok()).collect())
+      .unwrap_or_default(),
   }
 }
 
@@ -284,7 +294,9 @@
     read_catalog: |_| Ok(catalog()),
     read_request,
     read_response,
-    release: Arc::new(move |_, handle| Box::pin(Arc::clone(&releasing).release(handle))),
+    release: Arc::new(move |address, handle| {
+      Box::pin(Arc::clone(&releasing).release(address, handle))
+    }),
     copy: Arc::new(move |request| Box::pin(Arc::clone(&copying).copy(request))),
     write_handover: |headers, metadata| {
       set(headers, "timeout", metadata.timeout.as_millis());
@@ -294,6 +306,8 @@
       if metadata.forwarded.is_counted {
         set(headers, "forwarded-counted", true);
       }
+      let unstopped: Vec<_> = metadata.unstopped_at.iter().map(u64::to_string).collect();
+      set(headers, "forwarded-unstopped", unstopped.join(","));
       if let Some((last_event_id, began)) = metadata.resume {
         set(headers, "last-event-id", last_event_id);
         set(headers, "resumes", began);
--- a/yuccarudder/src/gateway/run_life_tests/log.rs
+++ b/yuccarudder/src/gateway/run_life_tests/log.rs
@@ -6,7 +6,7 @@
 };
 
 /// Time for which a run may go on at a target after the request has gone on at another one.
-const MAX_OVERLAP: Duration = Duration::from_millis(400);
+pub const MAX_OVERLAP: Duration = Duration::from_millis(400);
 /// Time after its caller has left at which a request may still reach a target.
 const MAX_DEPARTED: Duration = Duration::from_millis(500);
 /// Time for which requests may still be sent to a target that leaves.
@@ -22,8 +22,12 @@
   pub events: Vec<Instant>,
   /// Number of the last piece of the runs before it.
   pub first: u64,
+  /// The host that sent it there.
+  pub host: usize,
   /// Whether it goes on from a copy of another run.
   pub is_copy: bool,
+  /// Whether the links of its host were sound when it began and for some time before and after.
+  pub is_in_touch: bool,
   /// Whether its answer was lost.
   pub is_lost: bool,
   /// Loses its answer.
@@ -83,7 +87,8 @@
     };
     let earlier = self.runs[..index].iter().filter(|earlier| earlier.request == run.request);
     let mut others = earlier.clone().filter(|earlier| earlier.process != run.process);
-    if request.kind.is_stream()
+    if run.is_in_touch
+      && request.kind.is_stream()
       && others.any(|other| is_active_at(other, run.started_at + MAX_OVERLAP))
     {
       return Some("TWICE: a request goes on at another target while the first still works on it");
@@ -149,10 +154,18 @@
     self.runs.iter().filter(|run| run.is_copy).count()
   }
 
-  /// Returns whether a run began while the one before it was still at work.
+  /// Returns whether a run began while an earlier one of its request was still at work.
   pub fn overlaps(&self) -> bool {
-    let mut pairs = self.runs.windows(2);
-    pairs.any(|pair| pair[0].ended_at.is_none_or(|ended_at| ended_at > pair[1].started_at))
+    self.runs.iter().enumerate().any(|(index, run)| {
+      let mut earlier = self.runs[..index].iter().filter(|earlier| earlier.request == run.request);
+      earlier.any(|earlier| earlier.ended_at.is_none_or(|ended_at| ended_at > run.started_at))
+    })
+  }
+
+  /// Returns whether two hosts had runs of one request.
+  pub fn is_passed_on(&self) -> bool {
+    let mut pairs = self.runs.iter().flat_map(|a| self.runs.iter().map(move |b| (a, b)));
+    pairs.any(|(a, b)| a.request == b.request && a.host != b.host)
   }
 
   /// Returns how many callers have their whole answer.
--- a/yuccarudder/src/gateway/run_life_tests/mod.rs
+++ b/yuccarudder/src/gateway/run_life_tests/mod.rs
@@ -45,6 +45,8 @@
   Crash { run: usize },
   /// The two directions between two hosts lose all heartbeats, or no longer.
   CutHosts { host: usize },
+  /// A host loses its links to the targets, which go on with its runs, or finds them again.
+  CutLinks { host: usize },
   /// A host ends with its requests in hand.
   EndHost { host: usize },
   /// The target of a run begins to leave, and ends after a notice.
@@ -118,6 +120,7 @@
       8 => begin,
       2 => run.clone().prop_map(|run| Event::Crash { run }),
       1 => host.clone().prop_map(|host| Event::CutHosts { host }),
+      1 => host.clone().prop_map(|host| Event::CutLinks { host }),
       1 => host.prop_map(|host| Event::EndHost { host }),
       3 => leave.clone().prop_map(|(run, notice_ms)| Event::Leave { run, notice_ms }),
       3 => leave.prop_map(|(run, notice_ms)| Event::LeaveElsewhere { run, notice_ms }),
@@ -381,3 +384,22 @@
   assert!(!world.log().overlaps(), "{}", world.log().describe());
   assert_eq!(world.log().whole_answers(), 1);
 }
+
+/// Guards against a run that goes on beside the run of another host, if its own host has lost its links to the
+/// engines and can't stop it.
+#[test]
+fn run_of_a_host_that_lost_its_links_is_stopped_before_another_host_goes_on() {
+  // The runs begin at two engines.
+  let mut world = World::with_engines(2, 3, 1);
+  play(
+    &mut world,
+    &[
+      (begin(Kind::Resumable, 100), 50),
+      (begin(Kind::Resumable, 100), 500),
+      (Event::CutLinks { host: 0 }, 6_000),
+    ],
+  );
+  assert!(world.log().is_passed_on(), "{}", world.log().describe());
+  assert!(!world.log().overlaps(), "{}", world.log().describe());
+  assert_eq!(world.log().whole_answers(), 2);
+}
--- a/yuccarudder/src/gateway/run_life_tests/target.rs
+++ b/yuccarudder/src/gateway/run_life_tests/target.rs
@@ -63,9 +63,10 @@
   starts: u64,
 }
 
-/// A target, which serves at one address whenever it runs.
+/// A target, which serves whenever it runs.
 pub struct Target {
-  pub address: SocketAddr,
+  /// Its address for each host.
+  pub addresses: Vec<SocketAddr>,
   memory: Mutex<Memory>,
   number: usize,
   service: &'static str,
@@ -109,9 +110,13 @@
 }
 
 impl Target {
-  pub async fn new(number: usize, service: &'static str, slots: u32) -> Self {
+  pub async fn new(hosts: usize, number: usize, service: &'static str, slots: u32) -> Self {
+    let mut addresses = Vec::new();
+    for _ in 0..hosts {
+      addresses.push(super::free_address().await);
+    }
     Self {
-      address: super::free_address().await,
+      addresses,
       memory: Mutex::default(),
       number,
       service,
@@ -160,7 +165,6 @@
     if self.process().is_some() {
       return;
     }
-    let listener = TcpListener::bind(self.address).await.unwrap();
     let process = {
       let mut memory = self.memory.lock().unwrap();
       memory.starts += 1;
@@ -175,24 +179,20 @@
       process
     };
     self.publish(fleet, &process);
-    let (fleet, number) = (Arc::clone(fleet), self.number);
-    tokio::spawn(async move {
-      loop {
-        tokio::select! {
-          biased;
-          () = process.end.cancelled() => return,
-          accepted = listener.accept() => {
-            let (stream, _) = accepted.unwrap();
-            tokio::spawn(serve(Arc::clone(&fleet), number, process.clone(), stream));
-          }
-        }
-      }
-    });
+    for (host, address) in self.addresses.iter().enumerate() {
+      let link = Link {
+        host,
+        process: process.clone(),
+        target: self.number,
+      };
+      let listener = TcpListener::bind(address).await.unwrap();
+      tokio::spawn(link.accept(Arc::clone(fleet), listener));
+    }
   }
 
   fn publish(&self, fleet: &Fleet, process: &Process) {
     let listing = Listing {
-      address: self.address,
+      address: self.addresses[0],
       started_ms: Some(process.id.started_ms()),
       data_centre: "kochi".to_owned(),
       service: self.service.to_owned(),
@@ -248,7 +248,13 @@
   }
 
   /// Begins a run if the request is for this process and there is a place; returns its index.
-  fn begin(&self, fleet: &Fleet, process: Id, head: &Head) -> Result<usize, &'static str> {
+  fn begin(
+    &self,
+    fleet: &Fleet,
+    host: usize,
+    process: Id,
+    head: &Head,
+  ) -> Result<usize, &'static str> {
     let current = self.process().filter(|current| current.id == process).ok_or("503 Ended")?;
     if head.expected.as_deref() != Some(&process.to_string()) {
       return Err("421 Misdirected");
@@ -267,7 +273,9 @@
       ended_at: None,
       events: Vec::new(),
       first: head.last_event_id,
+      host,
       is_copy: has_copy,
+      is_in_touch: fleet.is_in_touch(host),
       is_lost: false,
       lose: CancellationToken::new(),
       process,
@@ -279,15 +287,56 @@
   }
 }
 
+/// The way from a host to a process of a target.
+#[derive(Clone)]
+struct Link {
+  host: usize,
+  process: Process,
+  target: usize,
+}
+
+impl Link {
+  /// Accepts connections; refuses them while the links of the host are cut.
+  async fn accept(self, fleet: Arc<Fleet>, listener: TcpListener) {
+    let address = listener.local_addr().unwrap();
+    let mut cut = fleet.cuts[self.host].subscribe();
+    let mut listener = Some(listener);
+    loop {
+      if *cut.borrow_and_update() {
+        listener = None;
+      } else if listener.is_none() {
+        listener = Some(TcpListener::bind(address).await.unwrap());
+      }
+      let accepted = async {
+        match &listener {
+          Some(listener) => listener.accept().await.unwrap().0,
+          None => std::future::pending().await,
+        }
+      };
+      tokio::select! {
+        biased;
+        () = self.process.end.cancelled() => return,
+        changed = cut.changed() => changed.unwrap(),
+        stream = accepted => drop(tokio::spawn(serve(Arc::clone(&fleet), self.clone(), stream))),
+      }
+    }
+  }
+}
+
 /// Serves the one request of a connection.
-async fn serve(fleet: Arc<Fleet>, number: usize, process: Process, mut stream: TcpStream) {
+async fn serve(fleet: Arc<Fleet>, link: Link, mut stream: TcpStream) {
+  let Link {
+    host,
+    process,
+    target,
+  } = link;
   let read = read_head(&mut stream);
   let Some(head) = process.end.run_until_cancelled(read).await.flatten() else {
     return;
   };
-  let target = &fleet.targets[number];
+  let target = &fleet.targets[target];
   let signed = format!("request: {}\r\nsigned: true", head.request);
-  let run = match target.begin(&fleet, process.id, &head) {
+  let run = match target.begin(&fleet, host, process.id, &head) {
     Ok(run) => run,
     Err(status) => {
       let text =
--- a/yuccarudder/src/gateway/run_life_tests/world.rs
+++ b/yuccarudder/src/gateway/run_life_tests/world.rs
@@ -42,7 +42,7 @@
 
   pub fn with_engines(host_count: usize, engines: usize, slots: u32) -> Self {
     let runtime = Builder::new_current_thread().enable_all().start_paused(true).build().unwrap();
-    let fleet = runtime.block_on(Fleet::start(engines, slots));
+    let fleet = runtime.block_on(Fleet::start(host_count, engines, slots));
     let addresses = runtime.block_on(async {
       let mut addresses = Vec::new();
       for _ in 0..host_count {
@@ -114,7 +114,7 @@
   fn find_other_target(&self, run: usize) -> Option<&Target> {
     let target = self.find_target(run)?;
     let mut others = self.fleet.targets.iter();
-    others.find(|it| it.is_engine() == target.is_engine() && it.address != target.address)
+    others.find(|it| it.is_engine() == target.is_engine() && it.addresses != target.addresses)
   }
 
   pub fn play(&mut self, event: Event) {
@@ -149,6 +149,7 @@
           cut.insert(host % hosts);
         }
       }
+      Event::CutLinks { host } => fleet.toggle_links(host % hosts),
       Event::EndHost { host } => {
         if let Some(host) = self.hosts[host % hosts].take() {
           host.end();
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -99,6 +99,8 @@
   cursor: Cursor,
   /// Targets that lost the stream. An order to stop its run there may still be under way.
   lost_at: Vec<Key>,
+  /// Fingerprints of the targets that may still run the stream, as they did not confirm that they stopped.
+  unstopped_at: Vec<u64>,
   /// Whether another host relays the current run, as this one has lost its links to the targets.
   is_at_other_host: bool,
   /// How the response of the last run ended; `None` while it goes on.
@@ -135,6 +137,7 @@
       call,
       chunk_sender,
       lost_at: Vec::new(),
+      unstopped_at: Vec::new(),
       ending: None,
       framing,
       is_at_other_host: false,
@@ -556,10 +559,12 @@
     let Some(host) = self.call.helper(&self.history, &[]) else {
       return false;
     };
-    migration::stop_before_handover(&self.call, &self.assignment).await;
+    let is_stopped = migration::stop_before_handover(&self.call, &self.assignment.target).await;
+    self.record_stop(is_stopped);
     self.history.attempts += 1;
     let last_event_id = self.cursor.last_event_id();
-    let response = self.call.hand_over(host, &self.history, last_event_id).await;
+    let response =
+      self.call.hand_over(host, &self.history, last_event_id, &self.unstopped_at).await;
     let Some(response) = response.ok().filter(stream::has_events) else {
       return false;
     };
@@ -590,8 +595,10 @@
       "Resuming a stream at another target."
     );
     let destination = assignment.target.listing.address;
-    let copied = migration::stop_lost_run(&self.call, &self.assignment, destination).await;
-    match self.resume_at(&assignment, copied).await {
+    let source = &self.assignment.target;
+    let stopped = migration::stop_lost_run(&self.call, source, destination).await;
+    self.record_stop(stopped.is_certain);
+    match self.resume_at(&assignment, stopped.copied).await {
       Ok(response) if stream::has_events(&response) => {
         self.relay_from(assignment, response);
         None
@@ -600,6 +607,15 @@
     }
   }
 
+  /// Records whether the current run has stopped at its target.
+  fn record_stop(&mut self, is_certain: bool) {
+    let fingerprint = self.assignment.target.fingerprint;
+    self.unstopped_at.retain(|other| *other != fingerprint);
+    if !is_certain {
+      self.unstopped_at.push(fingerprint);
+    }
+  }
+
   /// Sends the request to another engine, which goes on from a copy of the run if it holds one.
   async fn resume_at(
     &mut self,
--- a/yuccarudder/src/gateway/stream.rs
+++ b/yuccarudder/src/gateway/stream.rs
@@ -36,13 +36,17 @@
   }
   constrain_version(&mut call).await?;
   let mut attempts = Attempts::new(&call);
+  attempts.avoid(migration::stop_for_other_host(&call).await);
   let mut lost: Option<Assignment> = None;
+  let mut unstopped_at = Vec::new();
   loop {
     if let Some(host) = attempts.next_helper(&call) {
-      if let Some(lost) = lost.take() {
-        migration::stop_before_handover(&call, &lost).await;
+      if let Some(lost) = lost.take()
+        && !migration::stop_before_handover(&call, &lost.target).await
+      {
+        unstopped_at.push(lost.target.fingerprint);
       }
-      let failure = match call.hand_over(host, &attempts.history, None).await {
+      let failure = match call.hand_over(host, &attempts.history, None, &unstopped_at).await {
         Ok(response) => return Ok(forwarding::relay(&call, response)),
         Err(failure) => failure,
       };
@@ -56,7 +60,10 @@
     }
     let assignment = attempts.assign_next(&call).await?;
     if let Some(lost) = lost.take() {
-      migration::stop_lost_start(&call, &lost, assignment.target.listing.address).await;
+      let destination = assignment.target.listing.address;
+      if !migration::stop_lost_start(&call, &lost.target, destination).await {
+        unstopped_at.push(lost.target.fingerprint);
+      }
     }
     let failure = match call.send(&assignment, None, call.time_left()).await {
       Ok(response) if has_events(&response) => {
--- a/yuccarudder/src/member/heartbeat.rs
+++ b/yuccarudder/src/member/heartbeat.rs
@@ -12,6 +12,8 @@
 
 /// Protocol that this build speaks.
 pub const PROTOCOL: u32 = 1;
+/// Lowest protocol of hosts that pass over further values in what they are told of a request passed on.
+const FURTHER_VALUES_PROTOCOL: u32 = 1;
 /// Lowest protocol of hosts that know requests which other hosts pass on, and questions whether a target
 /// listens.
 const ASSISTING_PROTOCOL: u32 = 1;
@@ -650,4 +652,10 @@
   pub fn can_assist(&self) -> bool {
     self.protocol >= ASSISTING_PROTOCOL || self.versions_known_for_ms.is_some()
   }
+
+  /// Returns whether the sender takes a request that is passed on for what it is although more is told of it
+  /// than the sender reads.
+  pub fn passes_over_further_values(&self) -> bool {
+    self.protocol >= FURTHER_VALUES_PROTOCOL
+  }
 }
--- a/yuccarudder/src/member/table.rs
+++ b/yuccarudder/src/member/table.rs
@@ -46,6 +46,9 @@
   catalog_version: u64,
   last_heard: Duration,
   incarnation: u64,
+  /// Whether its build takes a request that is passed on for what it is although more is told of it than the
+  /// build reads.
+  pub passes_over_further_values: bool,
   /// Its readiness.
   pub phase: Phase,
   /// Whether it has listed the targets and its last reads of the platform succeeded.
@@ -254,6 +257,7 @@
         catalog_version: heartbeat.catalog_version,
         last_heard: now,
         incarnation: heartbeat.incarnation,
+        passes_over_further_values: heartbeat.passes_over_further_values(),
         phase: Phase::from_number(heartbeat.phase),
         reads_platform: heartbeat.reads,
         sequence: heartbeat.sequence,
--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -657,6 +657,24 @@
   assert!(!can_assist(restarted));
 }
 
+/// Guards against a request that a host of the last build that states no protocol takes for one of a caller, as
+/// it is told more of it than three values.
+#[test]
+fn host_of_a_build_that_states_no_protocol_is_told_three_values() {
+  let passes_over = |heartbeat| {
+    let mut table = table();
+    table.receive(&heartbeat, ms(0)).unwrap();
+    table.live(ms(0)).all(|(_, member)| member.passes_over_further_values)
+  };
+  let older = Heartbeat {
+    protocol: 0,
+    versions_known_for_ms: Some(0),
+    ..heartbeat(2, 1)
+  };
+  assert!(!passes_over(older));
+  assert!(passes_over(heartbeat(2, 1)));
+}
+
 /// Guards against hosts of a build that does not know rooms, whose silence would count as a finding.
 #[test]
 fn room_is_told_as_it_was_found_and_its_absence_tells_nothing() {
