The model of a run's life kills and freezes hosts

Each host has a runtime of its own, with its own clock, and all take turns in steps of 2 ms. A host is killed by ending its runtime: its tasks end nowhere in particular, and the kernel closes its connections. A frozen host gets no turns; when it runs again, its clock has gone on, and what other hosts sent it waits.

--- a/yuccarudder/src/gateway/run_life_tests/caller.rs
+++ b/yuccarudder/src/gateway/run_life_tests/caller.rs
@@ -153,7 +153,7 @@
   ) -> Option<Response<Incoming>> {
     let order = &self.order;
     let hosts = self.hosts.lock().unwrap().clone();
-    let host = hosts.get((order.host + attempt) % hosts.len().max(1))?;
+    let (host, address) = *hosts.get((order.host + attempt) % hosts.len().max(1))?;
     let path = format!("{}{}", order.kind.prefix(), order.key);
     let timeout = deadline.saturating_duration_since(Instant::now());
     let mut request = hyper::Request::get(path)
@@ -167,13 +167,14 @@
       request = request.header("last-event-id", self.last).header("resumes", began);
     }
     let sent = Request {
+      host,
       kind: order.kind,
       left_at: None,
       status: None,
     };
     self.fleet.log().requests.insert(id.to_owned(), sent);
     let request = request.body(http::empty()).unwrap();
-    let call = upstream::Call::new(*host, CONNECT_TIMEOUT, request).on_dedicated_connection();
+    let call = upstream::Call::new(address, CONNECT_TIMEOUT, request).on_dedicated_connection();
     let response = self.pool.send(call).await.ok()?;
     let mut log = self.fleet.log();
     log.requests.get_mut(id).unwrap().status = Some(response.status().as_u16());
--- a/yuccarudder/src/gateway/run_life_tests/fleet.rs
+++ b/yuccarudder/src/gateway/run_life_tests/fleet.rs
@@ -1,7 +1,6 @@
 use {
   super::{
-    host,
-    log::{self, Log},
+    log::{self, Log, Trouble},
     target::{self, Target},
   },
   crate::{
@@ -73,8 +72,6 @@
 pub struct Fleet {
   /// Whether the links of each host to the targets are cut.
   pub cuts: Vec<watch::Sender<bool>>,
-  /// When the links of each host were last found again.
-  healed_at: Mutex<Vec<Option<Instant>>>,
   pub delays: Mutex<Delays>,
   /// Whether the answer of the next run is lost before its head.
   pub loses_next_answer: AtomicBool,
@@ -92,7 +89,6 @@
     }
     let fleet = Arc::new(Self {
       cuts: (0..hosts).map(|_| watch::Sender::new(false)).collect(),
-      healed_at: Mutex::new(vec![None; hosts]),
       delays: Mutex::new(Delays {
         copy: Duration::from_millis(20),
         report: Duration::ZERO,
@@ -137,25 +133,18 @@
 
   /// Cuts the links of a host to the targets, which go on with its runs, or ends the cut.
   pub fn toggle_links(&self, host: usize) {
-    let now = Instant::now();
     self.cuts[host].send_modify(|is_cut| *is_cut = !*is_cut);
+    let mut log = self.log();
     if !*self.cuts[host].borrow() {
-      self.healed_at.lock().unwrap()[host] = Some(now);
+      log.end_absence(host, Trouble::Cut);
       return;
     }
-    for run in self.log().runs.iter_mut().filter(|run| run.host == host) {
-      run.is_in_touch &= run.started_at + log::MAX_OVERLAP < now;
+    log.begin_absence(host, Trouble::Cut);
+    for run in log.runs.iter().filter(|run| run.host == host) {
       run.lose.cancel();
     }
   }
 
-  /// Returns whether the links of a host have been sound for some time.
-  pub fn is_in_touch(&self, host: usize) -> bool {
-    let healed_at = self.healed_at.lock().unwrap()[host];
-    let is_recent = healed_at.is_some_and(|at| at.elapsed() < host::CONTACT);
-    !is_recent && !*self.cuts[host].borrow()
-  }
-
   /// Returns the entries of the store as a host reads them.
   pub fn snapshot(&self, host: usize) -> Changes {
     let mut snapshot = self.store().snapshot();
--- a/yuccarudder/src/gateway/run_life_tests/host.rs
+++ b/yuccarudder/src/gateway/run_life_tests/host.rs
@@ -2,6 +2,7 @@
   super::{
     caller::{Kind, TIMEOUT},
     fleet::Fleet,
+    log::Trouble,
     target,
   },
   crate::{
@@ -15,6 +16,7 @@
     settings,
     upstream::Pool,
   },
+  futures::future::BoxFuture,
   hyper::{HeaderMap, StatusCode, header::HeaderValue},
   std::{
     collections::HashSet,
@@ -24,19 +26,18 @@
   },
   tokio::{
     net::TcpListener,
+    runtime::{Builder, Handle, Runtime},
     task::JoinSet,
     time::{self, Instant},
   },
   tokio_util::sync::CancellationToken,
 };
 
-/// The addresses of the hosts that run.
-pub type Addresses = Arc<Mutex<Vec<SocketAddr>>>;
+/// The numbers and addresses of the hosts that run.
+pub type Addresses = Arc<Mutex<Vec<(usize, SocketAddr)>>>;
 
 /// Pause between two reads of the store.
 const READ_PAUSE: Duration = Duration::from_millis(300);
-/// Time after which a host whose links were cut has to keep all rules again.
-pub const CONTACT: Duration = Duration::from_secs(3);
 /// Time for a heartbeat to arrive.
 const HEARTBEAT_TIME: Duration = Duration::from_millis(2);
 
@@ -48,20 +49,28 @@
   pub fleet: Arc<Fleet>,
   /// The addresses of all hosts, those that do not run too: for callers, and for other hosts.
   pub addresses: Arc<Vec<(SocketAddr, SocketAddr)>>,
-  pub gateways: Arc<Mutex<Vec<Option<Gateway>>>>,
+  pub gateways: Arc<Mutex<Vec<Option<(Gateway, Handle)>>>>,
+  /// Runs all that is no host.
+  pub outside: Handle,
 }
 
-/// A host that runs.
+/// A process of a host.
 pub struct Host {
+  /// For how long it has been frozen, if it is.
+  frozen_for: Option<Duration>,
   gateway: Gateway,
   number: usize,
   network: Network,
+  runtime: Runtime,
   stop_accepting: CancellationToken,
-  _tasks: JoinSet<()>,
+  tasks: JoinSet<()>,
 }
 
 impl Host {
-  pub async fn start(number: usize, network: &Network, first_start: bool) -> Self {
+  pub fn start(number: usize, network: &Network, first_start: bool) -> Self {
+    let runtime = Builder::new_current_thread().enable_all().start_paused(true).build().unwrap();
+    let handle = runtime.handle().clone();
+    let _context = handle.enter();
     let (callers, peers) = network.addresses[number];
     let text = format!(
       "name: host-{number}\nfirst_start: {first_start}\ndata_centre: kochi\ncallers: {callers}\n\
@@ -74,13 +83,13 @@
     );
     let settings = settings::Gateway::parse("test", &text).unwrap();
     let clock = Clock::new(|| Instant::now().into_std(), || UNIX_EPOCH);
-    let dialect = dialect(&network.fleet);
+    let dialect = dialect(&network.fleet, &network.outside);
     let gateway = Gateway::new(settings, dialect, Pool::new(clock.clone()), clock);
     let stop_accepting = CancellationToken::new();
     let mut tasks = JoinSet::new();
     let handling = gateway.clone();
     tasks.spawn(connections::serve(
-      TcpListener::bind(callers).await.unwrap(),
+      runtime.block_on(TcpListener::bind(callers)).unwrap(),
       move |request| ingress::handle(handling.clone(), request),
       stop_accepting.clone(),
     ));
@@ -89,7 +98,7 @@
       catalog: Box::new(|_| Default::default()),
       is_listening: Box::new(move |target| Box::pin(asked.clone().check_listening(target))),
     };
-    let listener = TcpListener::bind(peers).await.unwrap();
+    let listener = runtime.block_on(TcpListener::bind(peers)).unwrap();
     tasks.spawn(member::serve_calls(listener, Arc::new(handlers)));
     tasks.spawn(read(gateway.clone(), number, Arc::clone(&network.fleet)));
     tasks.spawn(exchange(gateway.clone(), number, network.clone()));
@@ -97,22 +106,63 @@
     tasks.spawn(reachability::run(gateway.clone()));
     let judging = gateway.clone();
     tasks.spawn(async move { judging.keep_judging_crashes().await });
-    network.gateways.lock().unwrap()[number] = Some(gateway.clone());
+    network.gateways.lock().unwrap()[number] = Some((gateway.clone(), handle.clone()));
     Self {
+      frozen_for: None,
       gateway,
       number,
       network: network.clone(),
+      runtime,
       stop_accepting,
-      _tasks: tasks,
+      tasks,
     }
   }
 
-  /// Ends the host with the requests that it has in hand.
-  pub fn end(self) {
-    self.network.gateways.lock().unwrap()[self.number] = None;
+  /// Lets the host run until some time has passed for it, unless it is frozen.
+  pub fn run(&mut self, duration: Duration) {
+    match &mut self.frozen_for {
+      Some(frozen_for) => *frozen_for += duration,
+      None => self.runtime.block_on(async { time::sleep(duration).await }),
+    }
+  }
+
+  /// Begins to end the host with the requests that it has in hand.
+  pub fn end(&mut self) {
+    self.leave();
+    self.tasks.abort_all();
     self.stop_accepting.cancel();
     self.gateway.closing.cancel();
   }
+
+  /// Ends the process at once; the kernel closes its connections.
+  pub fn kill(self) {
+    self.leave();
+    self.runtime.shutdown_background();
+  }
+
+  pub fn is_frozen(&self) -> bool {
+    self.frozen_for.is_some()
+  }
+
+  pub fn freeze(&mut self) {
+    self.frozen_for = Some(Duration::ZERO);
+    self.network.fleet.log().begin_absence(self.number, Trouble::Frozen);
+  }
+
+  /// Lets the process run again; its clock has gone on.
+  pub fn thaw(&mut self) {
+    if let Some(frozen_for) = self.frozen_for.take() {
+      self.runtime.block_on(time::advance(frozen_for));
+      self.network.fleet.log().end_absence(self.number, Trouble::Frozen);
+    }
+  }
+
+  fn leave(&self) {
+    self.network.gateways.lock().unwrap()[self.number] = None;
+    if self.is_frozen() {
+      self.network.fleet.log().end_absence(self.number, Trouble::Frozen);
+    }
+  }
 }
 
 /// Reads the store again and again.
@@ -152,7 +202,7 @@
       });
       let Some(to) = to else { continue };
       let receiver = network.gateways.lock().unwrap()[to].clone();
-      if let Some(receiver) = receiver {
+      if let Some((receiver, handle)) = receiver {
         let mut heartbeat = Heartbeat {
           echo: recipient.echo,
           ..heartbeat.clone()
@@ -161,7 +211,7 @@
           let address = announcement.address.parse().unwrap();
           announcement.address = network.fleet.address_for(to, address).to_string();
         }
-        heartbeats::receive(&receiver, &heartbeat);
+        handle.spawn(async move { heartbeats::receive(&receiver, &heartbeat) });
       }
     }
     let min_pause = member::min_heartbeat_interval(hosts);
@@ -278,15 +328,26 @@
   }
 }
 
+/// Has a call run outside of the host that makes it.
+fn call<T: Send + 'static>(
+  outside: &Handle,
+  answer: impl Future<Output = T> + Send + 'static,
+) -> BoxFuture<'static, T> {
+  let outside = outside.clone();
+  Box::pin(async move { outside.spawn(answer).await.unwrap() })
+}
+
 /// Returns functions that ask targets directly, and write and read headers that they understand.
-fn dialect(fleet: &Arc<Fleet>) -> Dialect {
+fn dialect(fleet: &Arc<Fleet>, outside: &Handle) -> Dialect {
+  let (identify, inspect) = (outside.clone(), outside.clone());
+  let (release, copy) = (outside.clone(), outside.clone());
   let (identifying, inspecting) = (Arc::clone(fleet), Arc::clone(fleet));
   let (pinging, releasing, copying) = (Arc::clone(fleet), Arc::clone(fleet), Arc::clone(fleet));
   Dialect {
     identify: Arc::new(move |address, _, id| {
-      Box::pin(Arc::clone(&identifying).identify(address, id))
+      call(&identify, Arc::clone(&identifying).identify(address, id))
     }),
-    inspect: Arc::new(move |address| Box::pin(Arc::clone(&inspecting).inspect(address))),
+    inspect: Arc::new(move |address| call(&inspect, Arc::clone(&inspecting).inspect(address))),
     ping: Arc::new(move |address, _| {
       let fleet = Arc::clone(&pinging);
       Box::pin(async move { fleet.is_running(address) })
@@ -295,9 +356,9 @@
     read_request,
     read_response,
     release: Arc::new(move |address, handle| {
-      Box::pin(Arc::clone(&releasing).release(address, handle))
+      call(&release, Arc::clone(&releasing).release(address, handle))
     }),
-    copy: Arc::new(move |request| Box::pin(Arc::clone(&copying).copy(request))),
+    copy: Arc::new(move |request| call(&copy, Arc::clone(&copying).copy(request))),
     write_handover: |headers, metadata| {
       set(headers, "timeout", metadata.timeout.as_millis());
       set(headers, "forwarded-runs", metadata.forwarded.possible_runs);
--- a/yuccarudder/src/gateway/run_life_tests/log.rs
+++ b/yuccarudder/src/gateway/run_life_tests/log.rs
@@ -5,8 +5,10 @@
   tokio_util::sync::CancellationToken,
 };
 
+/// Time after which a host that was out of touch has to keep all rules again.
+const CONTACT: Duration = Duration::from_secs(3);
 /// Time for which a run may go on at a target after the request has gone on at another one.
-pub const MAX_OVERLAP: Duration = Duration::from_millis(400);
+const MAX_OVERLAP: Duration = Duration::from_millis(400);
 /// Time after its caller has left at which a request may still reach a target.
 const MAX_DEPARTED: Duration = Duration::from_millis(500);
 /// Time for which requests may still be sent to a target that leaves.
@@ -26,8 +28,6 @@
   pub host: usize,
   /// Whether it goes on from a copy of another run.
   pub is_copy: bool,
-  /// Whether the links of its host were sound when it began and for some time before and after.
-  pub is_in_touch: bool,
   /// Whether its answer was lost.
   pub is_lost: bool,
   /// Loses its answer.
@@ -39,9 +39,29 @@
   pub stop: CancellationToken,
 }
 
+/// Why a host is out of touch.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Trouble {
+  /// Its links to the targets are cut.
+  Cut,
+  /// Its process does not run.
+  Frozen,
+}
+
+/// A time in which a host was out of touch.
+#[derive(Clone, Copy, Debug)]
+struct Absence {
+  host: usize,
+  since: Instant,
+  trouble: Trouble,
+  until: Option<Instant>,
+}
+
 /// One request of a caller.
 #[derive(Clone, Debug)]
 pub struct Request {
+  /// The host to which it was sent.
+  pub host: usize,
   pub kind: Kind,
   /// When its caller went away without its answer.
   pub left_at: Option<Instant>,
@@ -52,6 +72,7 @@
 /// What callers and targets have seen.
 #[derive(Debug, Default)]
 pub struct Log {
+  absences: Vec<Absence>,
   /// Rules that callers found broken.
   pub faults: Vec<String>,
   pub requests: HashMap<String, Request>,
@@ -60,6 +81,42 @@
 }
 
 impl Log {
+  /// Records that a host is out of touch from now on.
+  pub fn begin_absence(&mut self, host: usize, trouble: Trouble) {
+    self.absences.push(Absence {
+      host,
+      since: Instant::now(),
+      trouble,
+      until: None,
+    });
+  }
+
+  /// Records that a host is in touch again but for other troubles.
+  pub fn end_absence(&mut self, host: usize, trouble: Trouble) {
+    let mut absences = self.absences.iter_mut().rev();
+    let absence = absences.find(|absence| absence.host == host && absence.trouble == trouble);
+    absence.unwrap().until = Some(Instant::now());
+  }
+
+  /// Returns from when on, after a time, hosts are in touch for some time; `None` if they are not yet.
+  fn in_touch_from(&self, hosts: &[usize], time: Instant, period: Duration) -> Option<Instant> {
+    let mut from = time;
+    let is_in_the_way = |absence: &&Absence, from: Instant| {
+      hosts.contains(&absence.host)
+        && absence.since <= from + period
+        && absence.until.is_none_or(|until| from < until + CONTACT)
+    };
+    while let Some(absence) = self.absences.iter().find(|absence| is_in_the_way(absence, from)) {
+      from = absence.until? + CONTACT;
+    }
+    Some(from)
+  }
+
+  /// Returns whether a host is in touch from a time on for some time.
+  fn is_in_touch(&self, host: usize, time: Instant, period: Duration) -> bool {
+    self.in_touch_from(&[host], time, period) == Some(time)
+  }
+
   /// Checks the rules, as far as what has been seen by now shows.
   pub fn check(&self, now: Instant) {
     assert!(
@@ -87,7 +144,7 @@
     };
     let earlier = self.runs[..index].iter().filter(|earlier| earlier.request == run.request);
     let mut others = earlier.clone().filter(|earlier| earlier.process != run.process);
-    if run.is_in_touch
+    if self.is_in_touch(run.host, run.started_at, MAX_OVERLAP)
       && request.kind.is_stream()
       && others.any(|other| is_active_at(other, run.started_at + MAX_OVERLAP))
     {
@@ -97,11 +154,16 @@
     if is_repeated && !request.kind.is_repeatable() {
       return Some("TWICE: a request that must not be repeated runs again");
     }
-    if run.draining_since.is_some_and(|since| run.started_at > since + MAX_DRAINING) {
+    let was_in_touch = self.is_in_touch(run.host, run.started_at, Duration::ZERO);
+    if was_in_touch && run.draining_since.is_some_and(|since| run.started_at > since + MAX_DRAINING)
+    {
       return Some("DRAIN: a run is sent to a target that leaves");
     }
-    if let Some(left_at) = request.left_at {
-      if run.started_at > left_at + MAX_DEPARTED {
+    let hosts = [run.host, request.host];
+    let left_at =
+      request.left_at.and_then(|left_at| self.in_touch_from(&hosts, left_at, MAX_DEPARTED));
+    if let Some(left_at) = left_at {
+      if was_in_touch && run.started_at > left_at + MAX_DEPARTED {
         return Some("GONE: a run begins after its caller has left");
       }
       if !run.is_lost && is_active_at(run, left_at + MAX_DEPARTED) {
--- a/yuccarudder/src/gateway/run_life_tests/mod.rs
+++ b/yuccarudder/src/gateway/run_life_tests/mod.rs
@@ -49,6 +49,10 @@
   CutLinks { host: usize },
   /// A host ends with its requests in hand.
   EndHost { host: usize },
+  /// The process of a host is frozen, or runs again.
+  FreezeHost { host: usize },
+  /// The process of a host is killed; the kernel closes its connections.
+  KillHost { host: usize },
   /// The target of a run begins to leave, and ends after a notice.
   Leave { run: usize, notice_ms: u64 },
   /// A target that does not run it begins to leave.
@@ -121,7 +125,9 @@
       2 => run.clone().prop_map(|run| Event::Crash { run }),
       1 => host.clone().prop_map(|host| Event::CutHosts { host }),
       1 => host.clone().prop_map(|host| Event::CutLinks { host }),
-      1 => host.prop_map(|host| Event::EndHost { host }),
+      1 => host.clone().prop_map(|host| Event::EndHost { host }),
+      1 => host.clone().prop_map(|host| Event::FreezeHost { host }),
+      1 => host.prop_map(|host| Event::KillHost { host }),
       3 => leave.clone().prop_map(|(run, notice_ms)| Event::Leave { run, notice_ms }),
       3 => leave.prop_map(|(run, notice_ms)| Event::LeaveElsewhere { run, notice_ms }),
       2 => run.clone().prop_map(|run| Event::LeaveCaller { run }),
@@ -259,6 +265,23 @@
   assert_eq!(world.log().whole_answers(), 1);
 }
 
+/// Guards against a model in which the streams of a killed host do not go on, or those of a frozen one.
+#[test]
+fn stream_goes_on_after_its_host_was_killed_or_frozen() {
+  for (events, runs) in [
+    (vec![(Event::KillHost { host: 0 }, 6_000)], 2),
+    (vec![(Event::FreezeHost { host: 0 }, 1_000); 2], 1),
+  ] {
+    let mut world = World::new(2, 2);
+    play(&mut world, &[(begin(Kind::Resumable, 60), 500)]);
+    play(&mut world, &events);
+    world.settle();
+    world.check();
+    assert_eq!(world.log().runs(), runs, "{events:?}");
+    assert_eq!(world.log().whole_answers(), 1, "{events:?}");
+  }
+}
+
 /// Guards against a model whose requests are not served.
 #[test]
 fn requests_of_all_kinds_are_answered() {
--- a/yuccarudder/src/gateway/run_life_tests/target.rs
+++ b/yuccarudder/src/gateway/run_life_tests/target.rs
@@ -275,7 +275,6 @@
       first: head.last_event_id,
       host,
       is_copy: has_copy,
-      is_in_touch: fleet.is_in_touch(host),
       is_lost: false,
       lose: CancellationToken::new(),
       process,
--- a/yuccarudder/src/gateway/run_life_tests/world.rs
+++ b/yuccarudder/src/gateway/run_life_tests/world.rs
@@ -18,7 +18,9 @@
 };
 
 /// Virtual time passes by this much whenever nothing else is to be done; packets on loopback take no longer.
-const TICK: Duration = Duration::from_millis(1);
+const TICK: Duration = Duration::from_millis(2);
+/// Time for which a host that ends still sends its last answers.
+const LAST_ANSWERS: Duration = Duration::from_millis(50);
 /// Time in which hosts that have started know each other and the targets.
 const START: Duration = Duration::from_millis(700);
 /// Time after the deadlines of all requests in which the last runs are stopped.
@@ -29,6 +31,8 @@
   /// The addresses of the hosts that run, for callers.
   addresses: Addresses,
   callers: Vec<Caller>,
+  /// Hosts that end, and for how long they still run.
+  ending: Vec<(Host, Duration)>,
   fleet: Arc<Fleet>,
   hosts: Vec<Option<Host>>,
   network: Network,
@@ -55,10 +59,12 @@
       fleet: Arc::clone(&fleet),
       addresses: Arc::new(addresses),
       gateways: Arc::new(Mutex::new((0..host_count).map(|_| None).collect())),
+      outside: runtime.handle().clone(),
     };
     let mut world = Self {
       addresses: Addresses::default(),
       callers: Vec::new(),
+      ending: Vec::new(),
       fleet,
       hosts: (0..host_count).map(|_| None).collect(),
       network,
@@ -72,16 +78,15 @@
   fn start_hosts(&mut self, first_start: bool) {
     for number in 0..self.hosts.len() {
       if self.hosts[number].is_none() {
-        let host = self.runtime.block_on(Host::start(number, &self.network, first_start));
-        self.hosts[number] = Some(host);
+        self.hosts[number] = Some(Host::start(number, &self.network, first_start));
       }
     }
     self.list_hosts();
   }
 
   fn list_hosts(&self) {
-    let running = self.hosts.iter().zip(&*self.network.addresses);
-    let running = running.filter(|(host, _)| host.is_some()).map(|(_, (callers, _))| *callers);
+    let addresses = self.network.addresses.iter().map(|(callers, _)| *callers).enumerate();
+    let running = addresses.filter(|(number, _)| self.hosts[*number].is_some());
     *self.addresses.lock().unwrap() = running.collect();
   }
 
@@ -151,8 +156,25 @@
       }
       Event::CutLinks { host } => fleet.toggle_links(host % hosts),
       Event::EndHost { host } => {
-        if let Some(host) = self.hosts[host % hosts].take() {
+        if let Some(mut host) = self.hosts[host % hosts].take() {
+          host.thaw();
           host.end();
+          self.ending.push((host, LAST_ANSWERS));
+        }
+        self.list_hosts();
+      }
+      Event::FreezeHost { host } => {
+        if let Some(host) = &mut self.hosts[host % hosts] {
+          if host.is_frozen() {
+            host.thaw();
+          } else {
+            host.freeze();
+          }
+        }
+      }
+      Event::KillHost { host } => {
+        if let Some(host) = self.hosts[host % hosts].take() {
+          host.kill();
         }
         self.list_hosts();
       }
@@ -191,16 +213,31 @@
 
   /// Lets virtual time pass.
   pub fn run(&mut self, duration: Duration) {
-    self.runtime.block_on(async {
-      let end = Instant::now() + duration;
-      while Instant::now() < end {
-        time::sleep(TICK).await;
+    let end = self.now() + duration;
+    while self.now() < end {
+      self.runtime.block_on(async { time::sleep(TICK).await });
+      for host in self.hosts.iter_mut().flatten() {
+        host.run(TICK);
       }
-    });
+      for (host, time_left) in &mut self.ending {
+        host.run(TICK);
+        *time_left -= TICK;
+      }
+      self.ending.retain(|(_, time_left)| !time_left.is_zero());
+    }
+  }
+
+  fn now(&self) -> Instant {
+    let _context = self.runtime.enter();
+    Instant::now()
   }
 
   /// Lets all requests come to their ends.
   pub fn settle(&mut self) {
+    let runtime = self.runtime.handle().clone();
+    let context = runtime.enter();
+    self.hosts.iter_mut().flatten().for_each(Host::thaw);
+    drop(context);
     for _ in 0..TIMEOUT.as_secs() {
       if !self.callers.iter().any(Caller::is_waiting) {
         break;
@@ -211,7 +248,7 @@
   }
 
   pub fn check(&self) {
-    let now = self.runtime.block_on(async { Instant::now() });
+    let now = self.now();
     self.fleet.log().check(now);
   }
 
