Copies of runs have one owner

A copy that no engine takes was freed in three places: by the order to stop a run, before a handover, and by the session, each for the ends that it knew. `Offer` owns the handle and frees the copy when it is dropped, unless an engine has taken it: so also if the session ends between the answer of the engine and the moment at which the session reads it.

--- a/yuccarudder/src/gateway/migration.rs
+++ b/yuccarudder/src/gateway/migration.rs
@@ -6,9 +6,9 @@
 //! leave together, so that the migrations of all hosts do not collide.
 
 use {
-  super::{assignment::Assignment, call::Call},
+  super::{Gateway, assignment::Assignment, call::Call, offer::Offer},
   crate::{
-    dialect::{CopyFn, ReleaseFn},
+    dialect::CopyFn,
     relocation::{Copied, CopyRequest, Failure, Plan, Position, Run, Source, Window},
     roster::{Key, Target},
   },
@@ -71,13 +71,13 @@
   /// Cancels the migration; a copy in progress is released once it completes.
   pub fn cancel(&mut self, call: &Call, source: &Assignment) {
     if let Some(Wait::Copy { reply, destination }) = self.wait.take() {
-      let release = call.gateway.dialect.release.clone();
+      let gateway = call.gateway.clone();
       let address = source.target.listing.address;
       tokio::spawn(async move {
         // The reservation at the destination is held until the engines have freed the memory.
         let _destination = destination;
         if let Ok(copied) = reply.await {
-          release(address, copied.handle).await;
+          Offer::new(&gateway, address, copied.handle).free().await;
         }
       });
     }
@@ -188,9 +188,7 @@
   let stop = Stop::request(call, &source.target, destination.target.listing.address);
   tokio::spawn(async move {
     time::sleep(DISCONNECT_GRACE_PERIOD).await;
-    if let Some(handle) = stop.finish().await.1 {
-      stop.release(handle).await;
-    }
+    drop(stop.finish().await);
   });
 }
 
@@ -198,7 +196,7 @@
 #[derive(Default)]
 pub struct Stopped {
   /// The copy of the run at its destination, if the engine had not stopped it.
-  pub copied: Option<Copied>,
+  pub offer: Option<Offer>,
   /// Whether the engine has confirmed that it does not run it any more.
   pub is_certain: bool,
 }
@@ -215,17 +213,8 @@
   let stop = Stop::request(call, source, destination);
   let (sender, receiver) = oneshot::channel();
   tokio::spawn(async move {
-    let (stopped, handle) = stop.finish().await;
-    let unused_handle = match &stopped.copied {
-      Some(_) => sender.send(stopped).err().and(handle),
-      None => {
-        let _ = sender.send(stopped);
-        handle
-      }
-    };
-    if let Some(handle) = unused_handle {
-      stop.release(handle).await;
-    }
+    // The task that waits may have given up.
+    let _ = sender.send(stop.finish().await);
   });
   let stopped = time::timeout(STOP_TIMEOUT, receiver).await;
   stopped.ok().and_then(Result::ok).unwrap_or_default()
@@ -234,14 +223,7 @@
 /// Stops a run whose answer was lost before its first event, before the request starts anew; returns whether
 /// that is certain.
 pub async fn stop_lost_start(call: &Call, source: &Target, destination: SocketAddr) -> bool {
-  let stopped = stop_lost_run(call, source, destination).await;
-  if let Some(copied) = stopped.copied {
-    tokio::spawn((call.gateway.dialect.release)(
-      source.listing.address,
-      copied.handle,
-    ));
-  }
-  stopped.is_certain
+  stop_lost_run(call, source, destination).await.is_certain
 }
 
 /// Stops a run whose answer was lost, before it is known where the request goes on: the copy goes to any
@@ -283,52 +265,47 @@
 
 /// A request to an engine to stop a run.
 struct Stop {
-  address: SocketAddr,
   copy: CopyFn,
   engine: Arc<str>,
-  release: ReleaseFn,
+  gateway: Gateway,
   request: CopyRequest,
 }
 
 impl Stop {
   fn request(call: &Call, source: &Target, destination: SocketAddr) -> Self {
-    let address = source.listing.address;
     Self {
-      address,
       copy: Arc::clone(&call.gateway.dialect.copy),
       engine: Arc::clone(&source.id),
-      release: Arc::clone(&call.gateway.dialect.release),
+      gateway: call.gateway.clone(),
       request: CopyRequest {
         destination,
         request_id: call.id().to_owned(),
-        source: address,
+        source: source.listing.address,
         stop_first: true,
       },
     }
   }
 
-  /// Sends the request; returns what became of it and the handle of the copy, wherever that is, if the run
-  /// was still active.
-  async fn finish(&self) -> (Stopped, Option<String>) {
+  /// Sends the request. A copy that only the source holds is freed.
+  async fn finish(&self) -> Stopped {
     let result = (self.copy)(self.request.clone()).await;
-    let is_certain = matches!(
-      result,
-      Ok(_) | Err(Failure::NoRoom(Some(_)) | Failure::Unknown)
-    );
-    let (copied, handle) = match result {
-      Ok(copied) => (Some(copied.clone()), Some(copied.handle)),
-      Err(Failure::NoRoom(handle)) => (None, handle),
-      Err(_) => (None, None),
+    let (handle, is_complete, is_certain) = match result {
+      Ok(copied) => (Some(copied.handle), true, true),
+      Err(Failure::NoRoom(handle)) => {
+        let is_stopped = handle.is_some();
+        (handle, false, is_stopped)
+      }
+      Err(Failure::Unknown) => (None, false, true),
+      Err(Failure::Busy | Failure::Unclear(_)) => (None, false, false),
     };
     if handle.is_some() {
       log::warn!(target: PREFIX, id = self.request.request_id.as_str(), engine:% = self.engine; "An engine did not cancel a run when its connection was closed; the run was stopped.");
     }
-    let stopped = Stopped { copied, is_certain };
-    (stopped, handle)
-  }
-
-  async fn release(&self, handle: String) {
-    (self.release)(self.address, handle).await;
+    let offer = handle.map(|handle| Offer::new(&self.gateway, self.request.source, handle));
+    Stopped {
+      offer: offer.filter(|_| is_complete),
+      is_certain,
+    }
   }
 }
 
--- a/yuccarudder/src/gateway/mod.rs
+++ b/yuccarudder/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod instruments;
 mod limits;
 mod migration;
+mod offer;
 mod race;
 mod reachability;
 mod response;
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -4,6 +4,7 @@
     breaks::{Cause, SILENCE},
     call::Call,
     migration::{self, Migration, Step},
+    offer::Offer,
     sending, stream,
     timing::Timing,
   },
@@ -114,8 +115,6 @@
   target_body: Option<Incoming>,
   migration: Migration,
   migrations: u32,
-  /// The copy of the run that an engine is asked to go on from and has not taken yet.
-  offered_copy: Option<Copied>,
   timing: Timing,
   assignment: Assignment,
   history: History,
@@ -145,7 +144,6 @@
       target_body: Some(target_body),
       migration: Migration::default(),
       migrations: 0,
-      offered_copy: None,
       timing: Timing::default(),
       assignment,
       history,
@@ -170,9 +168,6 @@
       end = self.relay() => end,
       () = closing.cancelled() => End::HostStopped,
     };
-    if let Some(copied) = self.offered_copy.take() {
-      self.release_copy(copied);
-    }
     log::info!(
       target: PREFIX, id = self.call.id(), target:% = self.assignment.target.id, end = end.name(),
       framing = self.framing.name(), ending = self.ending.map(Ending::name), events = self.cursor.event_count(), moves = self.migrations, runs = self.history.possible_runs,
@@ -476,18 +471,14 @@
       Err(Failure::NoRoom(_)) => "no_room",
       Err(_) => "failed",
     });
-    let unused_copy = match result {
-      Ok(copied)
-        if self.cursor.is_resumable() && self.call.gateway.accepts_runs(destination.key) =>
-      {
-        return self.resume_from_copy(copied, destination).await;
+    if let Ok(copied) = result {
+      let source = self.assignment.target.listing.address;
+      let offer = Offer::new(&self.call.gateway, source, copied.handle);
+      if self.cursor.is_resumable() && self.call.gateway.accepts_runs(destination.key) {
+        return self.resume_from_copy(offer, destination).await;
       }
-      result => result.ok(),
-    };
-    drop(destination);
-    if let Some(copied) = unused_copy {
-      self.release_copy(copied);
     }
+    drop(destination);
     if broken {
       return self.recover().await;
     }
@@ -500,31 +491,27 @@
   /// Closing the connection to the source cancels the run there. The destination regenerates
   /// the tokens that the copy lacks, so the caller sees no gap and the KV cache is transferred
   /// over the network only once.
-  async fn resume_from_copy(&mut self, copied: Copied, destination: Assignment) -> Option<End> {
+  async fn resume_from_copy(&mut self, offer: Offer, destination: Assignment) -> Option<End> {
     self.migration = Migration::default();
     self.target_body = None;
     // Also if the connection broke before: the answer may have been lost, and the run may go on.
     migration::ensure_stopped(&self.call, &self.assignment, &destination);
-    let source = self.assignment.target.listing.address;
     let resume = Resume {
-      cache_location: Some(format!("{source}/{}", copied.handle)),
+      cache_location: offer.location(),
       last_event_id: self.cursor.last_event_id(),
     };
     let timeout = RESUME_TIMEOUT.min(self.call.time_left());
-    self.offered_copy = Some(copied);
     let result = self.call.send(&destination, Some(&resume), timeout).await;
-    let copied = self.offered_copy.take();
     match result {
       Ok(response) if stream::has_events(&response) => {
+        offer.accept();
         self.migrations += 1;
         self.count_migration_step("continued");
         self.relay_from(destination, response);
         None
       }
       result => {
-        if let Some(copied) = copied {
-          self.release_copy(copied);
-        }
+        drop(offer);
         if result.err().is_none_or(|failure| !failure.outcome.is_not_run()) {
           // The run is lost where it went on; the source has been told to stop it.
           self.lost_at.push(self.assignment.key);
@@ -598,7 +585,7 @@
     let source = &self.assignment.target;
     let stopped = migration::stop_lost_run(&self.call, source, destination).await;
     self.record_stop(stopped.is_certain);
-    match self.resume_at(&assignment, stopped.copied).await {
+    match self.resume_at(&assignment, stopped.offer).await {
       Ok(response) if stream::has_events(&response) => {
         self.relay_from(assignment, response);
         None
@@ -620,19 +607,21 @@
   async fn resume_at(
     &mut self,
     assignment: &Assignment,
-    copied: Option<Copied>,
+    offer: Option<Offer>,
   ) -> Result<Response<Incoming>, sending::Failure> {
-    let source = self.assignment.target.listing.address;
     let mut resume = Resume {
-      cache_location: copied.as_ref().map(|copied| format!("{source}/{}", copied.handle)),
+      cache_location: offer.as_ref().and_then(Offer::location),
       last_event_id: self.cursor.last_event_id(),
     };
-    self.offered_copy = copied;
     let result = self.call.send(assignment, Some(&resume), self.call.time_left()).await;
-    let (Some(copied), Err(failure)) = (self.offered_copy.take(), &result) else {
+    let Some(offer) = offer else {
       return result;
     };
-    self.release_copy(copied);
+    let Err(failure) = &result else {
+      offer.accept();
+      return result;
+    };
+    drop(offer);
     if !failure.outcome.is_not_run() || !self.call.grant_retry(&self.history, failure.outcome) {
       return result;
     }
@@ -640,11 +629,6 @@
     resume.cache_location = None;
     self.call.send(assignment, Some(&resume), self.call.time_left()).await
   }
-
-  fn release_copy(&self, copied: Copied) {
-    let source = self.assignment.target.listing.address;
-    tokio::spawn((self.call.gateway.dialect.release)(source, copied.handle));
-  }
 }
 
 /// Returns the next frame of a response body; never resolves without a body.
