--- a/yuccarudder/src/quarantine/ledger.rs
+++ b/yuccarudder/src/quarantine/ledger.rs
@@ -447,9 +447,7 @@
           doubted.push(ban.features.clone());
         }
       }
-      if !rivals.is_empty() {
-        doubts.push((ban.clone(), rivals));
-      }
+      doubts.push((ban.clone(), rivals));
     }
     self.bans.retain(|record| !lifted.contains(&record.ban.features));
     for record in &mut self.bans {
