--- a/yuccarudder/src/gateway/migration.rs
+++ b/yuccarudder/src/gateway/migration.rs
@@ -6,11 +6,11 @@
 //! leave together, so that the migrations of all hosts do not collide.
 
 use {
-  super::{assignment::Assignment, call::Call},
+  super::{Gateway, assignment::Assignment, call::Call, offer::Offer},
   crate::{
-    dialect::{CopyFn, ReleaseFn},
+    dialect::CopyFn,
     relocation::{Copied, CopyRequest, Failure, Plan, Position, Run, Source, Window},
-    roster::Target,
+    roster::{Key, Target},
   },
   futures::future::{self, BoxFuture},
   std::{
@@ -71,13 +71,13 @@
   /// Cancels the migration; a copy in progress is released once it completes.
   pub fn cancel(&mut self, call: &Call, source: &Assignment) {
     if let Some(Wait::Copy { reply, destination }) = self.wait.take() {
-      let release = call.gateway.dialect.release.clone();
+      let gateway = call.gateway.clone();
       let address = source.target.listing.address;
       tokio::spawn(async move {
         // The reservation at the destination is held until the engines have freed the memory.
         let _destination = destination;
         if let Ok(copied) = reply.await {
-          release(address, copied.handle).await;
+          Offer::new(&gateway, address, copied.handle).free().await;
         }
       });
     }
@@ -185,110 +185,127 @@
 /// stop the run and copy it again, so that the run does not stay active on two engines; that copy
 /// is released.
 pub fn ensure_stopped(call: &Call, source: &Assignment, destination: &Assignment) {
-  let stop = Stop::request(call, source, destination.target.listing.address);
+  let stop = Stop::request(call, &source.target, destination.target.listing.address);
   tokio::spawn(async move {
     time::sleep(DISCONNECT_GRACE_PERIOD).await;
-    if let Some(handle) = stop.finish().await.1 {
-      stop.release(handle).await;
-    }
+    drop(stop.finish().await);
   });
 }
 
-/// Stops a run whose answer was lost, before the request goes on at `destination`; returns its copy there if
-/// the engine had not stopped it.
+/// What became of the order to stop a run whose answer was lost.
+#[derive(Default)]
+pub struct Stopped {
+  /// The copy of the run at its destination, if the engine had not stopped it.
+  pub offer: Option<Offer>,
+  /// Whether the engine has confirmed that it does not run it any more.
+  pub is_certain: bool,
+}
+
+/// Stops a run whose answer was lost, before the request goes on at `destination`.
 ///
 /// An engine that does not answer in time is not waited for: it has crashed or is out of reach. It is told
 /// to free the copy once it answers.
-pub async fn stop_lost_run(
-  call: &Call,
-  source: &Assignment,
-  destination: SocketAddr,
-) -> Option<Copied> {
-  if !call.service()?.engine.as_ref()?.relocatable {
-    return None;
+pub async fn stop_lost_run(call: &Call, source: &Target, destination: SocketAddr) -> Stopped {
+  let engine = call.service().and_then(|service| service.engine.as_ref());
+  if engine.is_none_or(|engine| !engine.relocatable) {
+    return Stopped::default();
   }
   let stop = Stop::request(call, source, destination);
   let (sender, receiver) = oneshot::channel();
   tokio::spawn(async move {
-    let (copied, handle) = stop.finish().await;
-    let unused_handle = match copied {
-      Some(copied) => sender.send(copied).err().map(|copied| copied.handle),
-      None => handle,
-    };
-    if let Some(handle) = unused_handle {
-      stop.release(handle).await;
-    }
+    // The task that waits may have given up.
+    let _ = sender.send(stop.finish().await);
   });
-  time::timeout(STOP_TIMEOUT, receiver).await.ok()?.ok()
+  let stopped = time::timeout(STOP_TIMEOUT, receiver).await;
+  stopped.ok().and_then(Result::ok).unwrap_or_default()
 }
 
-/// Stops a run whose answer was lost before its first event, before the request starts anew.
-pub async fn stop_lost_start(call: &Call, source: &Assignment, destination: SocketAddr) {
-  if let Some(copied) = stop_lost_run(call, source, destination).await {
-    let address = source.target.listing.address;
-    tokio::spawn((call.gateway.dialect.release)(address, copied.handle));
-  }
+/// Stops a run whose answer was lost before its first event, before the request starts anew; returns whether
+/// that is certain.
+pub async fn stop_lost_start(call: &Call, source: &Target, destination: SocketAddr) -> bool {
+  stop_lost_run(call, source, destination).await.is_certain
 }
 
-/// Stops a run whose answer was lost, before another host goes on with the request.
-///
-/// Links that are only in doubt may reach the engine, and the other host does not know the run. Which engine it
-/// will choose is not known either, so the copy goes to any and is freed.
-pub async fn stop_before_handover(call: &Call, source: &Assignment) {
-  if call.gateway.has_lost_links(&call.service_name) {
-    return;
-  }
+/// Stops a run whose answer was lost, before it is known where the request goes on: the copy goes to any
+/// engine and is freed. Returns whether that is certain.
+async fn stop_unplaced(call: &Call, source: &Target) -> bool {
   let other = {
     let state = call.gateway.lock();
-    let mut accepting = state.roster.accepting(&call.service_name);
-    accepting.find(|(key, _)| *key != source.key).map(|(_, target)| target.listing.address)
+    let mut accepting = state.roster.accepting(&call.service_name).map(|(_, target)| target);
+    let other = accepting.find(|target| target.fingerprint != source.fingerprint);
+    other.map(|target| target.listing.address)
   };
-  stop_lost_start(call, source, other.unwrap_or(source.target.listing.address)).await;
+  stop_lost_start(call, source, other.unwrap_or(source.listing.address)).await
+}
+
+/// Stops a run whose answer was lost, before another host goes on with the request; returns whether that is
+/// certain.
+///
+/// Links that are only in doubt may reach the engine.
+pub async fn stop_before_handover(call: &Call, source: &Target) -> bool {
+  !call.gateway.has_lost_links(&call.service_name) && stop_unplaced(call, source).await
+}
+
+/// Stops the runs of a request that the host which passed it on could not stop; returns the targets that may
+/// still run it.
+pub async fn stop_for_other_host(call: &Call) -> Vec<Key> {
+  let sources: Vec<(Key, Target)> = {
+    let state = call.gateway.lock();
+    let fingerprints = call.metadata.unstopped_at.iter();
+    let sources = fingerprints.flat_map(|fingerprint| state.roster.keys_of(*fingerprint));
+    let sources = sources.filter_map(|key| Some((key, state.roster.get(key)?.clone())));
+    sources.filter(|(_, source)| source.listing.service == call.service_name).collect()
+  };
+  let stops = sources.iter().map(|(key, source)| async {
+    let is_stopped = stop_unplaced(call, source).await;
+    (!is_stopped).then_some(*key)
+  });
+  future::join_all(stops).await.into_iter().flatten().collect()
 }
 
 /// A request to an engine to stop a run.
 struct Stop {
-  address: SocketAddr,
   copy: CopyFn,
   engine: Arc<str>,
-  release: ReleaseFn,
+  gateway: Gateway,
   request: CopyRequest,
 }
 
 impl Stop {
-  fn request(call: &Call, source: &Assignment, destination: SocketAddr) -> Self {
-    let address = source.target.listing.address;
+  fn request(call: &Call, source: &Target, destination: SocketAddr) -> Self {
     Self {
-      address,
       copy: Arc::clone(&call.gateway.dialect.copy),
-      engine: Arc::clone(&source.target.id),
-      release: Arc::clone(&call.gateway.dialect.release),
+      engine: Arc::clone(&source.id),
+      gateway: call.gateway.clone(),
       request: CopyRequest {
         destination,
         request_id: call.id().to_owned(),
-        source: address,
+        source: source.listing.address,
         stop_first: true,
       },
     }
   }
 
-  /// Sends the request; returns the copy at the destination, and the handle of the copy wherever it is, if
-  /// the run was still active.
-  async fn finish(&self) -> (Option<Copied>, Option<String>) {
+  /// Sends the request. A copy that only the source holds is freed.
+  async fn finish(&self) -> Stopped {
     let result = (self.copy)(self.request.clone()).await;
-    let (copied, handle) = match result {
-      Ok(copied) => (Some(copied.clone()), Some(copied.handle)),
-      Err(Failure::NoRoom(Some(handle))) => (None, Some(handle)),
-      Err(_) => (None, None),
+    let (handle, is_complete, is_certain) = match result {
+      Ok(copied) => (Some(copied.handle), true, true),
+      Err(Failure::NoRoom(handle)) => {
+        let is_stopped = handle.is_some();
+        (handle, false, is_stopped)
+      }
+      Err(Failure::Unknown) => (None, false, true),
+      Err(Failure::Busy | Failure::Unclear(_)) => (None, false, false),
     };
     if handle.is_some() {
       log::warn!(target: PREFIX, id = self.request.request_id.as_str(), engine:% = self.engine; "An engine did not cancel a run when its connection was closed; the run was stopped.");
     }
-    (copied, handle)
-  }
-
-  async fn release(&self, handle: String) {
-    (self.release)(self.address, handle).await;
+    let offer = handle.map(|handle| Offer::new(&self.gateway, self.request.source, handle));
+    Stopped {
+      offer: offer.filter(|_| is_complete),
+      is_certain,
+    }
   }
 }
 
--- a/yuccarudder/src/gateway/run_life_tests/mod.rs
+++ b/yuccarudder/src/gateway/run_life_tests/mod.rs
@@ -25,6 +25,7 @@
 struct Site {
   /// Time for a copy of a run.
   copy_ms: u64,
+  engines: usize,
   hosts: usize,
   /// Places of each target.
   slots: u32,
@@ -44,8 +45,14 @@
   Crash { run: usize },
   /// The two directions between two hosts lose all heartbeats, or no longer.
   CutHosts { host: usize },
+  /// A host loses its links to the targets, which go on with its runs, or finds them again.
+  CutLinks { host: usize },
   /// A host ends with its requests in hand.
   EndHost { host: usize },
+  /// The process of a host is frozen, or runs again.
+  FreezeHost { host: usize },
+  /// The process of a host is killed; the kernel closes its connections.
+  KillHost { host: usize },
   /// The target of a run begins to leave, and ends after a notice.
   Leave { run: usize, notice_ms: u64 },
   /// A target that does not run it begins to leave.
@@ -54,6 +61,8 @@
   LeaveCaller { run: usize },
   /// The answer of a run is lost; the run goes on.
   LoseAnswer { run: usize },
+  /// The answer of the next run is lost before its head; the run goes on.
+  LoseNextAnswer,
   /// Targets that have ended start again, under other IDs.
   RestartTargets,
   /// Hosts that have ended start again.
@@ -81,9 +90,10 @@
   type Transition = Step;
 
   fn init_state() -> BoxedStrategy<Site> {
-    let sites = (copy_ms(), 2_usize..=3, 1_u32..=2);
-    let site = |(copy_ms, hosts, slots)| Site {
+    let sites = (copy_ms(), 2_usize..=3, 2_usize..=3, 1_u32..=2);
+    let site = |(copy_ms, engines, hosts, slots)| Site {
       copy_ms,
+      engines,
       hosts,
       slots,
     };
@@ -114,11 +124,15 @@
       8 => begin,
       2 => run.clone().prop_map(|run| Event::Crash { run }),
       1 => host.clone().prop_map(|host| Event::CutHosts { host }),
-      1 => host.prop_map(|host| Event::EndHost { host }),
+      1 => host.clone().prop_map(|host| Event::CutLinks { host }),
+      1 => host.clone().prop_map(|host| Event::EndHost { host }),
+      1 => host.clone().prop_map(|host| Event::FreezeHost { host }),
+      1 => host.prop_map(|host| Event::KillHost { host }),
       3 => leave.clone().prop_map(|(run, notice_ms)| Event::Leave { run, notice_ms }),
       3 => leave.prop_map(|(run, notice_ms)| Event::LeaveElsewhere { run, notice_ms }),
       2 => run.clone().prop_map(|run| Event::LeaveCaller { run }),
       2 => run.prop_map(|run| Event::LoseAnswer { run }),
+      1 => Just(Event::LoseNextAnswer),
       2 => Just(Event::RestartTargets),
       1 => Just(Event::RestartHosts),
       1 => slow.prop_map(|(copy_ms, report_ms)| Event::Slow { copy_ms, report_ms }),
@@ -137,7 +151,7 @@
   type Reference = Self;
 
   fn init_test(site: &Site) -> World {
-    let mut world = World::new(site.hosts, site.slots);
+    let mut world = World::with_engines(site.hosts, site.engines, site.slots);
     world.play(Event::Slow {
       copy_ms: site.copy_ms,
       report_ms: 0,
@@ -251,6 +265,23 @@
   assert_eq!(world.log().whole_answers(), 1);
 }
 
+/// Guards against a model in which the streams of a killed host do not go on, or those of a frozen one.
+#[test]
+fn stream_goes_on_after_its_host_was_killed_or_frozen() {
+  for (events, runs) in [
+    (vec![(Event::KillHost { host: 0 }, 6_000)], 2),
+    (vec![(Event::FreezeHost { host: 0 }, 1_000); 2], 1),
+  ] {
+    let mut world = World::new(2, 2);
+    play(&mut world, &[(begin(Kind::Resumable, 60), 500)]);
+    play(&mut world, &events);
+    world.settle();
+    world.check();
+    assert_eq!(world.log().runs(), runs, "{events:?}");
+    assert_eq!(world.log().whole_answers(), 1, "{events:?}");
+  }
+}
+
 /// Guards against a model whose requests are not served.
 #[test]
 fn requests_of_all_kinds_are_answered() {
@@ -354,3 +385,44 @@
   assert_eq!(world.log().moved_runs(), 0);
   assert_eq!(world.log().whole_answers(), 1);
 }
+
+/// Guards against a moved run that goes on at its destination, which lost its answer, beside the run that takes
+/// its place.
+#[test]
+fn moved_run_whose_destination_loses_its_answer_is_stopped_there() {
+  let mut world = World::with_engines(2, 3, 2);
+  let leave = Event::Leave {
+    run: 0,
+    notice_ms: 2_500,
+  };
+  play(
+    &mut world,
+    &[
+      (begin(Kind::Resumable, 80), 500),
+      (Event::LoseNextAnswer, 1),
+      (leave, 5_000),
+    ],
+  );
+  assert_eq!(world.log().runs(), 3);
+  assert!(!world.log().overlaps(), "{}", world.log().describe());
+  assert_eq!(world.log().whole_answers(), 1);
+}
+
+/// Guards against a run that goes on beside the run of another host, if its own host has lost its links to the
+/// engines and can't stop it.
+#[test]
+fn run_of_a_host_that_lost_its_links_is_stopped_before_another_host_goes_on() {
+  // The runs begin at two engines.
+  let mut world = World::with_engines(2, 3, 1);
+  play(
+    &mut world,
+    &[
+      (begin(Kind::Resumable, 100), 50),
+      (begin(Kind::Resumable, 100), 500),
+      (Event::CutLinks { host: 0 }, 6_000),
+    ],
+  );
+  assert!(world.log().is_passed_on(), "{}", world.log().describe());
+  assert!(!world.log().overlaps(), "{}", world.log().describe());
+  assert_eq!(world.log().whole_answers(), 2);
+}
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -4,6 +4,7 @@
     breaks::{Cause, SILENCE},
     call::Call,
     migration::{self, Migration, Step},
+    offer::Offer,
     sending, stream,
     timing::Timing,
   },
@@ -99,6 +100,8 @@
   cursor: Cursor,
   /// Targets that lost the stream. An order to stop its run there may still be under way.
   lost_at: Vec<Key>,
+  /// Fingerprints of the targets that may still run the stream, as they did not confirm that they stopped.
+  unstopped_at: Vec<u64>,
   /// Whether another host relays the current run, as this one has lost its links to the targets.
   is_at_other_host: bool,
   /// How the response of the last run ended; `None` while it goes on.
@@ -112,8 +115,6 @@
   target_body: Option<Incoming>,
   migration: Migration,
   migrations: u32,
-  /// The copy of the run that an engine is asked to go on from and has not taken yet.
-  offered_copy: Option<Copied>,
   timing: Timing,
   assignment: Assignment,
   history: History,
@@ -135,6 +136,7 @@
       call,
       chunk_sender,
       lost_at: Vec::new(),
+      unstopped_at: Vec::new(),
       ending: None,
       framing,
       is_at_other_host: false,
@@ -142,7 +144,6 @@
       target_body: Some(target_body),
       migration: Migration::default(),
       migrations: 0,
-      offered_copy: None,
       timing: Timing::default(),
       assignment,
       history,
@@ -167,9 +168,6 @@
       end = self.relay() => end,
       () = closing.cancelled() => End::HostStopped,
     };
-    if let Some(copied) = self.offered_copy.take() {
-      self.release_copy(copied);
-    }
     log::info!(
       target: PREFIX, id = self.call.id(), target:% = self.assignment.target.id, end = end.name(),
       framing = self.framing.name(), ending = self.ending.map(Ending::name), events = self.cursor.event_count(), moves = self.migrations, runs = self.history.possible_runs,
@@ -473,18 +471,14 @@
       Err(Failure::NoRoom(_)) => "no_room",
       Err(_) => "failed",
     });
-    let unused_copy = match result {
-      Ok(copied)
-        if self.cursor.is_resumable() && self.call.gateway.accepts_runs(destination.key) =>
-      {
-        return self.resume_from_copy(copied, destination).await;
+    if let Ok(copied) = result {
+      let source = self.assignment.target.listing.address;
+      let offer = Offer::new(&self.call.gateway, source, copied.handle);
+      if self.cursor.is_resumable() && self.call.gateway.accepts_runs(destination.key) {
+        return self.resume_from_copy(offer, destination).await;
       }
-      result => result.ok(),
-    };
-    drop(destination);
-    if let Some(copied) = unused_copy {
-      self.release_copy(copied);
     }
+    drop(destination);
     if broken {
       return self.recover().await;
     }
@@ -497,30 +491,31 @@
   /// Closing the connection to the source cancels the run there. The destination regenerates
   /// the tokens that the copy lacks, so the caller sees no gap and the KV cache is transferred
   /// over the network only once.
-  async fn resume_from_copy(&mut self, copied: Copied, destination: Assignment) -> Option<End> {
+  async fn resume_from_copy(&mut self, offer: Offer, destination: Assignment) -> Option<End> {
     self.migration = Migration::default();
     self.target_body = None;
     // Also if the connection broke before: the answer may have been lost, and the run may go on.
     migration::ensure_stopped(&self.call, &self.assignment, &destination);
-    let source = self.assignment.target.listing.address;
     let resume = Resume {
-      cache_location: Some(format!("{source}/{}", copied.handle)),
+      cache_location: offer.location(),
       last_event_id: self.cursor.last_event_id(),
     };
     let timeout = RESUME_TIMEOUT.min(self.call.time_left());
-    self.offered_copy = Some(copied);
     let result = self.call.send(&destination, Some(&resume), timeout).await;
-    let copied = self.offered_copy.take();
     match result {
       Ok(response) if stream::has_events(&response) => {
+        offer.accept();
         self.migrations += 1;
         self.count_migration_step("continued");
         self.relay_from(destination, response);
         None
       }
-      Ok(_) | Err(_) => {
-        if let Some(copied) = copied {
-          self.release_copy(copied);
+      result => {
+        drop(offer);
+        if result.err().is_none_or(|failure| !failure.outcome.is_not_run()) {
+          // The run is lost where it went on; the source has been told to stop it.
+          self.lost_at.push(self.assignment.key);
+          self.assignment = destination;
         }
         self.recover().await
       }
@@ -551,10 +546,12 @@
     let Some(host) = self.call.helper(&self.history, &[]) else {
       return false;
     };
-    migration::stop_before_handover(&self.call, &self.assignment).await;
+    let is_stopped = migration::stop_before_handover(&self.call, &self.assignment.target).await;
+    self.record_stop(is_stopped);
     self.history.attempts += 1;
     let last_event_id = self.cursor.last_event_id();
-    let response = self.call.hand_over(host, &self.history, last_event_id).await;
+    let response =
+      self.call.hand_over(host, &self.history, last_event_id, &self.unstopped_at).await;
     let Some(response) = response.ok().filter(stream::has_events) else {
       return false;
     };
@@ -585,8 +582,10 @@
       "Resuming a stream at another target."
     );
     let destination = assignment.target.listing.address;
-    let copied = migration::stop_lost_run(&self.call, &self.assignment, destination).await;
-    match self.resume_at(&assignment, copied).await {
+    let source = &self.assignment.target;
+    let stopped = migration::stop_lost_run(&self.call, source, destination).await;
+    self.record_stop(stopped.is_certain);
+    match self.resume_at(&assignment, stopped.offer).await {
       Ok(response) if stream::has_events(&response) => {
         self.relay_from(assignment, response);
         None
@@ -595,23 +594,34 @@
     }
   }
 
+  /// Records whether the current run has stopped at its target.
+  fn record_stop(&mut self, is_certain: bool) {
+    let fingerprint = self.assignment.target.fingerprint;
+    self.unstopped_at.retain(|other| *other != fingerprint);
+    if !is_certain {
+      self.unstopped_at.push(fingerprint);
+    }
+  }
+
   /// Sends the request to another engine, which goes on from a copy of the run if it holds one.
   async fn resume_at(
     &mut self,
     assignment: &Assignment,
-    copied: Option<Copied>,
+    offer: Option<Offer>,
   ) -> Result<Response<Incoming>, sending::Failure> {
-    let source = self.assignment.target.listing.address;
     let mut resume = Resume {
-      cache_location: copied.as_ref().map(|copied| format!("{source}/{}", copied.handle)),
+      cache_location: offer.as_ref().and_then(Offer::location),
       last_event_id: self.cursor.last_event_id(),
     };
-    self.offered_copy = copied;
     let result = self.call.send(assignment, Some(&resume), self.call.time_left()).await;
-    let (Some(copied), Err(failure)) = (self.offered_copy.take(), &result) else {
+    let Some(offer) = offer else {
+      return result;
+    };
+    let Err(failure) = &result else {
+      offer.accept();
       return result;
     };
-    self.release_copy(copied);
+    drop(offer);
     if !failure.outcome.is_not_run() || !self.call.grant_retry(&self.history, failure.outcome) {
       return result;
     }
@@ -619,11 +629,6 @@
     resume.cache_location = None;
     self.call.send(assignment, Some(&resume), self.call.time_left()).await
   }
-
-  fn release_copy(&self, copied: Copied) {
-    let source = self.assignment.target.listing.address;
-    tokio::spawn((self.call.gateway.dialect.release)(source, copied.handle));
-  }
 }
 
 /// Returns the next frame of a response body; never resolves without a body.
