Streams from before a restart of all hosts continue where the store proves that no target ever left

Cause: what hosts knew of the versions before is lost with them, and the store was read only for what holds now. But the store gives each change a revision of its own, and the first catalog is published before any request. If each revision since then is that at which a listed item was created or last changed, and no target's entry has changed, no target has left and none took another's place.

Change: items carry the revision at which they were created; `origin::History` decides once, by the first current lists of both areas (no call more), and the host then knows all versions, as at a first start. No proof in a restored store, with items or entries that cannot be read, with pages of different revisions, or without room for all versions.

Property test store_shows_all_versions_or_nothing: changes of the store in any order, lists at two times. Not measured on the platform.

--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -78,6 +78,9 @@
   length_models: HashMap<String, LengthModel>,
   /// Crashes of targets and the prompt parts that cause them.
   pub(super) ledger: Ledger,
+  /// What the store shows of the time before this process started, until both areas were listed; `None` if
+  /// there was no such time.
+  pub(super) history: Option<origin::History>,
   /// Which software versions began streams.
   pub(super) origins: origin::Table,
   /// The other hosts.
@@ -281,6 +284,7 @@
       links: links::Table::default(),
       shutdown: None,
       ledger: Ledger::new(clock.now()),
+      history: (!settings.first_start).then(origin::History::default),
       origins,
       length_models: HashMap::new(),
       targets_differ_since: None,
@@ -426,13 +430,15 @@
     relation != Relation::Outdated
   }
 
-  /// Records the versions of the targets that are or recently were in service, of one service or all.
-  pub(super) fn observe_versions(&mut self, service: Option<&str>, now: Instant) {
+  /// Records the versions of the targets that are or recently were in service, of one service or all;
+  /// returns whether there was room for them.
+  pub(super) fn observe_versions(&mut self, service: Option<&str>, now: Instant) -> bool {
+    let mut has_room = true;
     for (_, target) in self.roster.all() {
       let listing = &target.listing;
       if service.is_none_or(|service| service == listing.service) {
         let last_seen = target.leaving_since.unwrap_or(now);
-        self.origins.record_version(
+        has_room &= self.origins.record_version(
           ingress::hash(&listing.service),
           &listing.version,
           last_seen,
@@ -440,6 +446,7 @@
         );
       }
     }
+    has_room
   }
 
   /// Records up to when the other hosts have told this one all versions that they know.
--- a/yuccarudder/src/gateway/out_of_step_tests.rs
+++ b/yuccarudder/src/gateway/out_of_step_tests.rs
@@ -210,7 +210,14 @@
   fn write(&mut self, subject: Subject) {
     self.revision += 1;
     let version = Version::new(0, self.revision);
-    self.history.push((self.now(), Change { version, subject }));
+    self.history.push((
+      self.now(),
+      Change {
+        created: None,
+        version,
+        subject,
+      },
+    ));
   }
 
   fn reads_store(&self, host: usize) -> bool {
@@ -219,6 +226,7 @@
 
   fn snapshot(&self) -> Changes {
     let changes = self.servers.iter().map(|(id, server)| Change {
+      created: None,
       version: Version::new(0, server.revision),
       subject: server.subject(id),
     });
--- a/yuccarudder/src/gateway/run_life_tests/fleet.rs
+++ b/yuccarudder/src/gateway/run_life_tests/fleet.rs
@@ -43,6 +43,7 @@
   /// Returns all entries.
   pub fn snapshot(&self) -> Changes {
     let changes = self.entries.iter().map(|(id, (revision, listing))| Change {
+      created: None,
       version: Version::new(0, *revision),
       subject: Subject::Target {
         id: id.as_str().into(),
--- a/yuccarudder/src/gateway/updates.rs
+++ b/yuccarudder/src/gateway/updates.rs
@@ -305,6 +305,29 @@
     }
   }
 
+  /// Records when all items of an area that was listed at a time since boot were written; the first lists of
+  /// both areas show whether all targets that were in service before are known.
+  pub fn record_inventory(&self, area: Area, inventory: origin::Inventory, requested_at: Duration) {
+    let mut state = self.lock();
+    let Some(history) = &mut state.history else {
+      return;
+    };
+    match area {
+      Area::Operator => history.record_documents(inventory),
+      Area::Targets => history.record_targets(inventory, requested_at),
+    }
+    let Some((is_complete, until)) = history.verdict() else {
+      return;
+    };
+    state.history = None;
+    log::info!(target: PREFIX, is_complete; "The store shows whether a target left or changed since the first catalog was published.");
+    let has_room = state.observe_versions(None, self.clock.now());
+    if is_complete && has_room && state.era.is_complete(until) {
+      let coverage = origin::Coverage::new(origin::STREAM_RETENTION, until, until);
+      state.origins.extend_coverage(coverage);
+    }
+  }
+
   /// Announces targets that leave service to the tasks of this host and to the other hosts.
   ///
   /// Waiting requests are woken even if `keys` is empty, because targets may have been added.
--- a/yuccarudder/src/origin/tests.rs
+++ b/yuccarudder/src/origin/tests.rs
@@ -2,7 +2,10 @@
   super::*,
   proptest::prelude::*,
   rand::{RngExt, SeedableRng, rngs::StdRng},
-  std::time::{Duration, Instant},
+  std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+  },
 };
 
 const SERVICE: u64 = 1;
@@ -323,3 +326,174 @@
     }
   }
 }
+
+/// The items of a store and what was in service, by the store's revisions.
+#[derive(Default)]
+struct StoreModel {
+  /// The operator's documents: the catalog is number 0.
+  documents: BTreeMap<u8, Revisions>,
+  /// The versions of all targets that were listed after the first catalog was published.
+  in_service: BTreeSet<u8>,
+  revision: u64,
+  targets: BTreeMap<u8, (Revisions, u8)>,
+}
+
+impl StoreModel {
+  /// Starts with some revisions of which nothing is known.
+  fn new() -> Self {
+    Self {
+      revision: 100,
+      ..Self::default()
+    }
+  }
+
+  fn apply(&mut self, change: Write) {
+    self.revision += 1;
+    let changed = self.revision;
+    let rewrite = |earlier: Option<&Revisions>| Revisions {
+      created: earlier.map_or(changed, |it| it.created),
+      changed,
+    };
+    match change {
+      Write::Document(number) => {
+        let written = rewrite(self.documents.get(&number));
+        self.documents.insert(number, written);
+      }
+      Write::DocumentRemoved(number) => drop(self.documents.remove(&number)),
+      Write::Target(id, version) => {
+        let written = rewrite(self.targets.get(&id).map(|(written, _)| written));
+        self.targets.insert(id, (written, version));
+      }
+      Write::TargetRemoved(id) => drop(self.targets.remove(&id)),
+    }
+    if self.documents.contains_key(&0) {
+      self.in_service.extend(self.targets.values().map(|(_, version)| *version));
+    }
+  }
+
+  fn documents(&self) -> Inventory {
+    Inventory {
+      first_catalog: self.documents.get(&0).map(|catalog| catalog.created),
+      items: self.documents.values().copied().collect(),
+      listed: self.revision,
+    }
+  }
+
+  fn targets(&self) -> Inventory {
+    Inventory {
+      first_catalog: None,
+      items: self.targets.values().map(|(written, _)| *written).collect(),
+      listed: self.revision,
+    }
+  }
+}
+
+/// A change of the store; a target is written with its version.
+#[derive(Clone, Copy, Debug)]
+enum Write {
+  Document(u8),
+  DocumentRemoved(u8),
+  Target(u8, u8),
+  TargetRemoved(u8),
+}
+
+fn any_write() -> impl Strategy<Value = Write> {
+  prop_oneof![
+    3 => (0..5_u8, 1..3_u8).prop_map(|(id, version)| Write::Target(id, version)),
+    1 => (0..5_u8).prop_map(Write::TargetRemoved),
+    1 => (0..3_u8).prop_map(Write::Document),
+    // The catalog is never removed.
+    1 => (1..3_u8).prop_map(Write::DocumentRemoved),
+  ]
+}
+
+fn verdict(documents: Inventory, targets: Inventory) -> Option<bool> {
+  let mut history = History::default();
+  history.record_targets(targets, BOOT);
+  assert_eq!(history.verdict(), None);
+  history.record_documents(documents);
+  history.verdict().map(|(is_complete, _)| is_complete)
+}
+
+/// Defines a test of what the store shows after some changes.
+macro_rules! store_shows {
+  ($name:ident, [$($change:expr),*], $expected:expr) => {
+    #[test]
+    fn $name() {
+      use Write::*;
+      let mut store = StoreModel::new();
+      for change in [$($change),*] {
+        store.apply(change);
+      }
+      assert_eq!(verdict(store.documents(), store.targets()), Some($expected));
+    }
+  };
+}
+
+store_shows!(
+  targets_that_never_left,
+  [Target(1, 1), Document(0), Target(2, 1)],
+  true
+);
+store_shows!(
+  catalog_that_was_replaced_once,
+  [Document(0), Target(1, 1), Document(0)],
+  true
+);
+store_shows!(
+  change_that_another_one_hides,
+  [Document(0), Document(0), Document(0)],
+  false
+);
+store_shows!(
+  target_that_left,
+  [Target(1, 1), Document(0), Target(2, 2), TargetRemoved(1)],
+  false
+);
+store_shows!(
+  target_that_came_and_left,
+  [Document(0), Target(1, 1), TargetRemoved(1)],
+  false
+);
+store_shows!(
+  target_that_left_before_the_catalog,
+  [Target(1, 1), TargetRemoved(1), Document(0)],
+  true
+);
+store_shows!(
+  target_that_changed,
+  [Target(1, 1), Document(0), Target(1, 2)],
+  false
+);
+store_shows!(
+  target_that_changed_before,
+  [Target(1, 1), Target(1, 2), Document(0)],
+  true
+);
+store_shows!(no_catalog, [Target(1, 1)], false);
+
+proptest! {
+  /// Guards against streams that go on at another version: whatever was changed, and if the documents were
+  /// listed earlier or later than the targets.
+  #[test]
+  fn store_shows_all_versions_or_nothing(
+    writes in prop::collection::vec(any_write(), 1..14),
+    between in prop::collection::vec(any_write(), 0..3),
+    targets_first in any::<bool>(),
+  ) {
+    let mut store = StoreModel::new();
+    writes.into_iter().for_each(|write| store.apply(write));
+    let (documents, targets) = (store.documents(), store.targets());
+    let listed = |store: &StoreModel| -> BTreeSet<u8> {
+      store.targets.values().map(|(_, version)| *version).collect()
+    };
+    let (at_first, in_service_at_first) = (listed(&store), store.in_service.clone());
+    between.into_iter().for_each(|write| store.apply(write));
+    let (is_complete, known, in_service) = if targets_first {
+      (verdict(store.documents(), targets), at_first, in_service_at_first)
+    } else {
+      (verdict(documents, store.targets()), listed(&store), store.in_service.clone())
+    };
+    prop_assert!(is_complete == Some(false) || in_service.is_subset(&known));
+  }
+}
--- a/yuccarudder/src/reader/document.rs
+++ b/yuccarudder/src/reader/document.rs
@@ -1,6 +1,6 @@
 use {
   super::Version,
-  crate::roster,
+  crate::{origin, roster},
   bytes::Bytes,
   futures::future::BoxFuture,
   std::{fmt, sync::Arc, time::Duration},
@@ -56,6 +56,8 @@
 /// A document that was written or removed.
 #[derive(Clone, Debug)]
 pub struct Change {
+  /// Revision at which it was created; `None` if that, or `version`, is not known for sure.
+  pub created: Option<u64>,
   /// State of the store with which it was written or removed.
   pub version: Version,
   /// What it describes.
@@ -73,6 +75,36 @@
   pub version: Version,
 }
 
+impl Changes {
+  /// Returns when all documents of a current list were written; `None` if that is not known of each, or if
+  /// the store was restored from a copy, since revisions of before then were assigned again.
+  pub fn inventory(&self) -> Option<origin::Inventory> {
+    if self.unreadable > 0 || self.version.era > 0 {
+      return None;
+    }
+    let mut first_catalog = None;
+    let mut items = Vec::with_capacity(self.changes.len());
+    for change in &self.changes {
+      let created = change.created?;
+      match change.subject {
+        Subject::Catalog(_) => first_catalog = Some(created),
+        // An earlier build may have read it.
+        Subject::Target { listing: None, .. } => return None,
+        _ => {}
+      }
+      items.push(origin::Revisions {
+        created,
+        changed: change.version.revision,
+      });
+    }
+    Some(origin::Inventory {
+      first_catalog,
+      items,
+      listed: self.version.revision,
+    })
+  }
+}
+
 /// All documents of an area; each is as of `version` or later.
 pub type Snapshot = Changes;
 
--- a/yuccarudder/src/reader/run.rs
+++ b/yuccarudder/src/reader/run.rs
@@ -42,11 +42,18 @@
       Ok(snapshot) => {
         backoff = Duration::ZERO;
         let version = snapshot.version;
+        let inventory = match consistency {
+          Consistency::Current => snapshot.inventory(),
+          Consistency::Stale => None,
+        };
         gateway.record_read_success(area);
         gateway.apply_snapshot(area, snapshot, requested_at);
         if consistency == Consistency::Current && area == Area::Targets {
           gateway.record_targets_read(requested_at.saturating_sub(MIN_LISTED_TIME), requested_at);
         }
+        if let Some(inventory) = inventory {
+          gateway.record_inventory(area, inventory, requested_at);
+        }
         match gateway.read_mode(area) {
           Mode::Watch(_) if consistency == Consistency::Current => {
             watch(&gateway, &store, area, version, requested_at).await;
