--- a/yuccarudder/src/relay/cursor.rs
+++ b/yuccarudder/src/relay/cursor.rs
@@ -1,7 +1,6 @@
 use {
-  super::numbering::Numbering,
+  super::{numbering::Numbering, splitter::Splitter},
   bytes::{Bytes, BytesMut},
-  memchr::memmem,
   std::fmt,
 };
 
@@ -61,6 +60,7 @@
   /// Whether an event of the current run has had an id.
   has_run_event: bool,
   numbering: Numbering,
+  splitter: Splitter,
 }
 
 impl Cursor {
@@ -84,21 +84,22 @@
     self.buffer.extend_from_slice(bytes);
     self.bytes_since_event += bytes.len();
     let mut complete_len = 0;
-    while let Some(length) = memmem::find(&self.buffer[complete_len..], b"\n\n") {
-      let event = &self.buffer[complete_len..complete_len + length];
-      if !event.split(|byte| *byte == b'\n').all(is_field) {
+    while let Some(end) = self.splitter.next_end(&self.buffer) {
+      let event = &self.buffer[complete_len..end];
+      if !has_fields_only(event) {
         return Err(Error::Malformed);
       }
       if let Some(id) = event_id(event) {
         self.advance(id)?;
         self.event_count += 1;
-        self.bytes_since_event = self.buffer.len() - complete_len - length - 2;
+        self.bytes_since_event = self.buffer.len() - end;
       } else if has_data(event) {
         self.event_count += 1;
         self.has_unnumbered_event = true;
       }
-      complete_len += length + 2;
+      complete_len = end;
     }
+    self.splitter.remove(complete_len);
     if self.bytes_since_event > MAX_EVENT_BYTES {
       return Err(Error::TooLarge);
     }
@@ -179,16 +180,26 @@
   pub fn discard_partial_event(&mut self) {
     self.bytes_since_event = 0;
     self.has_run_event = false;
+    self.splitter = Splitter::default();
     self.buffer.clear();
   }
 
   /// Removes and returns an incomplete event.
   pub fn take_partial_event(&mut self) -> Bytes {
     self.bytes_since_event = 0;
+    self.splitter = Splitter::default();
     self.buffer.split().freeze()
   }
 }
 
+/// Returns whether all lines of an event are comments or fields.
+///
+/// A CR inside an event whose lines end with LF may be part of its data.
+fn has_fields_only(event: &[u8]) -> bool {
+  let line_end = if event.contains(&b'\n') { b'\n' } else { b'\r' };
+  event.split(|byte| *byte == line_end).all(is_field)
+}
+
 /// Returns whether a line of an event is a comment or a field. The names of fields are in lower case.
 ///
 /// Text that a failing target writes into its stream is not.
@@ -202,18 +213,20 @@
   }
 }
 
+/// Returns the lines of an event; those that end with CRLF are followed by an empty one.
+fn lines(event: &[u8]) -> impl DoubleEndedIterator<Item = &[u8]> {
+  event.split(|byte| matches!(byte, b'\r' | b'\n'))
+}
+
 /// Returns the value of the last `id` field of an event, if it is a number.
 fn event_id(event: &[u8]) -> Option<u64> {
-  let lines = event.split(|byte| *byte == b'\n');
-  let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next_back()?;
+  let id = lines(event).filter_map(|line| line.strip_prefix(b"id:")).next_back()?;
   std::str::from_utf8(id).ok()?.trim().parse().ok()
 }
 
 /// Returns whether an event has data, so that it is more than a comment.
 fn has_data(event: &[u8]) -> bool {
-  event.split(|byte| *byte == b'\n').any(|line| {
-    line
-      .strip_prefix(b"data")
-      .is_some_and(|rest| matches!(rest.first(), None | Some(b':' | b'\r')))
+  lines(event).any(|line| {
+    line.strip_prefix(b"data").is_some_and(|rest| matches!(rest.first(), None | Some(b':')))
   })
 }
--- a/yuccarudder/src/relay/mod.rs
+++ b/yuccarudder/src/relay/mod.rs
@@ -2,6 +2,7 @@
 
 mod cursor;
 mod numbering;
+mod splitter;
 
 pub use cursor::{Cursor, Error};
 
--- a/yuccarudder/src/relay/tests.rs
+++ b/yuccarudder/src/relay/tests.rs
@@ -78,6 +78,69 @@
 line_test!(json, "{\"error\": \"failed\"}", false);
 line_test!(markup, "<html>", false);
 
+/// Defines a test: events of which each is relayed with the bytes that end it, however they are split. Guards
+/// against streams of which nothing is relayed because their lines end with CRLF or CR.
+macro_rules! line_end_test {
+  ($name:ident, $events:expr) => {
+    #[test]
+    fn $name() {
+      let text = $events.concat();
+      for first_length in 0..=text.len() {
+        let (first, rest) = text.as_bytes().split_at(first_length);
+        let mut cursor = Cursor::new(None);
+        let mut relayed = cursor.feed(first).unwrap().to_vec();
+        relayed.extend_from_slice(&cursor.feed(rest).unwrap());
+        assert_eq!(std::str::from_utf8(&relayed).unwrap(), text);
+        assert_eq!(cursor.last_event_id(), Some($events.len() as u64));
+        assert_eq!(cursor.event_count(), $events.len() as u64);
+        assert!(!cursor.has_partial_event());
+      }
+      let mut cursor = Cursor::new(None);
+      for event in $events {
+        assert_eq!(cursor.feed(event.as_bytes()).unwrap(), event);
+      }
+    }
+  };
+}
+
+line_end_test!(
+  lines_that_end_with_lf,
+  ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"]
+);
+line_end_test!(
+  lines_that_end_with_crlf,
+  ["id: 1\r\ndata: a\r\n\r\n", "id: 2\r\ndata: b\r\n\r\n"]
+);
+line_end_test!(
+  lines_that_end_with_cr,
+  ["id: 1\rdata: a\r\r", "id: 2\rdata: b\r\r"]
+);
+line_end_test!(
+  lines_of_an_event_that_end_with_crlf_and_others_with_lf,
+  ["id: 1\r\ndata: a\n\n", "id: 2\ndata: b\n\r\n"]
+);
+line_end_test!(
+  blank_lines_between_events,
+  ["id: 1\ndata: a\n\n\n", "id: 2\r\ndata: b\r\n\r\n\r\n"]
+);
+
+/// Guards against two events that are joined because the run of the first one broke off within its line end.
+#[test]
+fn run_that_breaks_off_within_a_line_end_is_continued_with_its_last_event() {
+  let mut cursor = Cursor::new(None);
+  assert_eq!(cursor.feed(b"id: 1\r\ndata: a\r\n\r").unwrap(), "");
+  cursor.discard_partial_event();
+  let again = "id: 1\r\ndata: a\r\n\r\n";
+  assert_eq!(cursor.feed(again.as_bytes()).unwrap(), again);
+}
+
+/// Guards against text with a CR that counts as none of an event.
+#[test]
+fn carriage_return_in_data_is_relayed() {
+  let event = "id: 1\ndata: a\rb\n\n";
+  assert_eq!(Cursor::new(None).feed(event.as_bytes()).unwrap(), event);
+}
+
 /// Returns events with the given ids.
 fn numbered(ids: &[u64]) -> String {
   ids.iter().map(|id| events(*id, *id)).collect()
@@ -288,6 +351,44 @@
     prop_assert_eq!(relayed, events(1, LAST));
   }
 
+  /// Any line ends and any chunk sizes give the same events, whose bytes are relayed unchanged.
+  #[test]
+  fn events_are_the_same_with_any_line_ends(
+    line_ends in prop::collection::vec(prop::sample::select(vec!["\n", "\r\n", "\r"]), 1..40),
+    is_mixed in any::<bool>(),
+    chunk_sizes in prop::collection::vec(1_usize..40, 1..60),
+  ) {
+    const LAST: u64 = 12;
+    let mut line_ends = line_ends.iter().cycle();
+    let mut text = String::new();
+    let lines = events(1, LAST);
+    let mut last_line_end = *line_ends.next().unwrap();
+    for line in lines.lines() {
+      // A blank line that ends with LF after a line that ends with CR would be no line.
+      let line_end = *line_ends.next().unwrap();
+      if is_mixed && (last_line_end, line_end) != ("\r", "\n") {
+        last_line_end = line_end;
+      }
+      text += line;
+      text += last_line_end;
+    }
+    let mut cursor = Cursor::new(None);
+    let mut relayed = Vec::new();
+    let mut chunk_sizes = chunk_sizes.into_iter().cycle();
+    let mut remaining = text.as_bytes();
+    while !remaining.is_empty() {
+      let (chunk, tail) = remaining.split_at(chunk_sizes.next().unwrap().min(remaining.len()));
+      relayed.extend_from_slice(&cursor.feed(chunk).unwrap());
+      remaining = tail;
+      let complete = relayed.split(|byte| matches!(byte, b'\r' | b'\n')).filter(|line| line.starts_with(b"id")).count();
+      prop_assert_eq!(cursor.event_count(), complete as u64);
+    }
+    relayed.extend_from_slice(&cursor.take_partial_event());
+    prop_assert_eq!(std::str::from_utf8(&relayed).unwrap(), text);
+    prop_assert!(cursor.event_count() >= LAST - 1);
+    prop_assert!(is_mixed || cursor.last_event_id() == Some(LAST));
+  }
+
   /// For any chunk sizes, any numbers of tokens in the events and any runs, each of which goes on after
   /// the last event, all events are relayed once, complete and in order.
   #[test]
