--- a/yuccarudder/src/server/connections.rs
+++ b/yuccarudder/src/server/connections.rs
@@ -1,4 +1,5 @@
 use {
+  super::{connection::Connection, unmarked::Unmarked},
   crate::{http::Body, socket},
   hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn},
   hyper_util::{
@@ -45,15 +46,24 @@
       continue;
     }
     let handle = handle.clone();
+    let unmarked = Unmarked::default();
+    let connection = Connection::new(stream, unmarked.clone());
     let service = service_fn(move |request| {
+      let unmarked = Unmarked::applies_to(&request).then(|| unmarked.clone());
       let response = handle(request);
-      async move { Ok::<_, Infallible>(response.await) }
+      async move {
+        let response = response.await;
+        Ok::<_, Infallible>(match unmarked {
+          Some(unmarked) => unmarked.watch(response),
+          None => response,
+        })
+      }
     });
     let connection = http1::Builder::new()
       .timer(TokioTimer::new())
       .header_read_timeout(HEADER_TIMEOUT)
       .max_buf_size(MAX_HEADER_BYTES)
-      .serve_connection(TokioIo::new(stream), service);
+      .serve_connection(TokioIo::new(connection), service);
     let connection = graceful.watch(connection);
     tokio::spawn(async move {
       let _permit = permit;
--- a/yuccarudder/src/server/mod.rs
+++ b/yuccarudder/src/server/mod.rs
@@ -2,12 +2,17 @@
 //! startup and shutdown.
 
 mod callers;
+mod connection;
 pub(crate) mod connections;
 mod models;
 mod operators;
 mod run;
 mod status;
+mod unmarked;
 
 pub use connections::serve;
 pub use run::{Server, run};
 pub use status::Status;
+
+#[cfg(test)]
+mod tests;
