--- a/yuccarudder/src/gateway/completion.rs
+++ b/yuccarudder/src/gateway/completion.rs
@@ -1,4 +1,5 @@
-//! Asks targets whether they still run after responses ended with their connections.
+//! Asks targets whether they still run after responses ended with their connections, and which of their
+//! processes continues a stream.
 //!
 //! A question proves only responses that had ended before it was asked. Those that end while a target is
 //! being asked share the next question.
@@ -29,6 +30,8 @@
 /// Longest wait for proof that a response is whole: the lag of a report, and a lost packet, which delays a
 /// question.
 const PROOF_TIMEOUT: Duration = REPORT_LAG.saturating_add(Duration::from_millis(700));
+/// Longest wait until a target tells when its process started.
+const START_TIMEOUT: Duration = Duration::from_millis(300);
 /// Pause between two questions about a response.
 const ASK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -94,6 +97,21 @@
     verdict == Verdict::Whole
   }
 
+  /// Returns whether the run of an engine, whose response has begun, is one of the process that is listed, as far
+  /// as the engine tells. One that was started again under its ID may have another software version.
+  pub(super) async fn is_at_listed_process(&self, assignment: &Assignment) -> bool {
+    if self.service().is_none_or(|service| service.engine.is_none()) {
+      return true;
+    }
+    let sign = self.gateway.ask_for_sign(self.process_of(assignment));
+    let sign = time::timeout(START_TIMEOUT, sign).await.ok().flatten();
+    let is_listed = sign != Some(Sign::Gone);
+    if !is_listed {
+      log::warn!(target: PREFIX, id = self.id(), target:% = assignment.target.id; "A target was started again since it was listed, so its run does not continue a stream.");
+    }
+    is_listed
+  }
+
   fn process_of(&self, assignment: &Assignment) -> Process {
     let service = self.service().filter(|service| service.engine.is_none());
     let listing = &assignment.target.listing;
--- a/yuccarudder/src/gateway/migration.rs
+++ b/yuccarudder/src/gateway/migration.rs
@@ -230,7 +230,7 @@
   }
 }
 
-/// Stops a run whose answer was lost, before another host goes on with the request.
+/// Stops a run whose answer was lost or is not used, before another host or engine goes on with the request.
 ///
 /// Links that are only in doubt may reach the engine, and the other host does not know the run. Which engine it
 /// will choose is not known either, so the copy goes to any and is freed.
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -564,34 +564,42 @@
     true
   }
 
-  /// Starts a new run on another target after the last relayed event, if a retry is allowed.
+  /// Starts a new run on another target after the last relayed event, as long as retries are allowed.
   async fn recover(&mut self) -> Option<End> {
     self.migration.cancel(&self.call, &self.assignment);
-    self.history.possible_runs += 1;
-    self.lost_at.push(self.assignment.key);
-    if !self.cursor.is_resumable() || !self.call.grant_retry(&self.history, Outcome::Lost) {
-      return Some(End::TargetLost);
-    }
-    if self.resume_at_other_host().await {
-      return None;
-    }
-    let Ok(assignment) = self.call.assign(&self.lost_at, Purpose::Continue).await else {
-      return Some(End::TargetLost);
-    };
-    self.history.attempts += 1;
-    log::info!(
-      target: PREFIX, id = self.call.id(), source:% = self.assignment.target.id, source_software = self.assignment.target.listing.version.as_str(),
-      destination:% = assignment.target.id, software = assignment.target.listing.version.as_str(), events = self.cursor.event_count();
-      "Resuming a stream at another target."
-    );
-    let destination = assignment.target.listing.address;
-    let copied = migration::stop_lost_run(&self.call, &self.assignment, destination).await;
-    match self.resume_at(&assignment, copied).await {
-      Ok(response) if stream::has_events(&response) => {
-        self.relay_from(assignment, response);
-        None
+    let mut lost = self.assignment.key;
+    loop {
+      self.history.possible_runs += 1;
+      self.lost_at.push(lost);
+      if !self.cursor.is_resumable() || !self.call.grant_retry(&self.history, Outcome::Lost) {
+        return Some(End::TargetLost);
+      }
+      if self.resume_at_other_host().await {
+        return None;
+      }
+      let Ok(assignment) = self.call.assign(&self.lost_at, Purpose::Continue).await else {
+        return Some(End::TargetLost);
+      };
+      self.history.attempts += 1;
+      log::info!(
+        target: PREFIX, id = self.call.id(), source:% = self.assignment.target.id, source_software = self.assignment.target.listing.version.as_str(),
+        destination:% = assignment.target.id, software = assignment.target.listing.version.as_str(), events = self.cursor.event_count();
+        "Resuming a stream at another target."
+      );
+      let destination = assignment.target.listing.address;
+      let copied = migration::stop_lost_run(&self.call, &self.assignment, destination).await;
+      match self.resume_at(&assignment, copied).await {
+        Ok(response) if stream::has_events(&response) => {
+          if self.call.is_at_listed_process(&assignment).await {
+            self.relay_from(assignment, response);
+            return None;
+          }
+          drop(response);
+          migration::stop_before_handover(&self.call, &assignment).await;
+          lost = assignment.key;
+        }
+        Ok(_) | Err(_) => return Some(End::TargetLost),
       }
-      Ok(_) | Err(_) => Some(End::TargetLost),
     }
   }
 
--- a/yuccarudder/src/gateway/stream.rs
+++ b/yuccarudder/src/gateway/stream.rs
@@ -60,7 +60,10 @@
     }
     let failure = match call.send(&assignment, None, call.time_left()).await {
       Ok(response) if has_events(&response) => {
-        return Ok(build_response(call, attempts, assignment, response));
+        if !call.continues_stream() || call.is_at_listed_process(&assignment).await {
+          return Ok(build_response(call, attempts, assignment, response));
+        }
+        Outcome::Lost.into()
       }
       Ok(response) => {
         let (response, _) = call.read_whole(&assignment, response, call.time_left()).await;
