--- a/yuccarudder/src/gateway/migration.rs
+++ b/yuccarudder/src/gateway/migration.rs
@@ -238,8 +238,8 @@
   stop_lost_start(call, source, other.unwrap_or(source.listing.address)).await
 }
 
-/// Stops a run whose answer was lost, before another host goes on with the request; returns whether that is
-/// certain.
+/// Stops a run whose answer was lost or is not used, before another host or engine goes on with the request;
+/// returns whether that is certain.
 ///
 /// Links that are only in doubt may reach the engine.
 pub async fn stop_before_handover(call: &Call, source: &Target) -> bool {
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -547,7 +547,7 @@
       return false;
     };
     let is_stopped = migration::stop_before_handover(&self.call, &self.assignment.target).await;
-    self.record_stop(is_stopped);
+    self.record_stop(self.assignment.target.fingerprint, is_stopped);
     self.history.attempts += 1;
     let last_event_id = self.cursor.last_event_id();
     let response =
@@ -561,42 +561,50 @@
     true
   }
 
-  /// Starts a new run on another target after the last relayed event, if a retry is allowed.
+  /// Starts a new run on another target after the last relayed event, as long as retries are allowed.
   async fn recover(&mut self) -> Option<End> {
     self.migration.cancel(&self.call, &self.assignment);
-    self.history.possible_runs += 1;
-    self.lost_at.push(self.assignment.key);
-    if !self.cursor.is_resumable() || !self.call.grant_retry(&self.history, Outcome::Lost) {
-      return Some(End::TargetLost);
-    }
-    if self.resume_at_other_host().await {
-      return None;
-    }
-    let Ok(assignment) = self.call.assign(&self.lost_at, Purpose::Continue).await else {
-      return Some(End::TargetLost);
-    };
-    self.history.attempts += 1;
-    log::info!(
-      target: PREFIX, id = self.call.id(), source:% = self.assignment.target.id, source_software = self.assignment.target.listing.version.as_str(),
-      destination:% = assignment.target.id, software = assignment.target.listing.version.as_str(), events = self.cursor.event_count();
-      "Resuming a stream at another target."
-    );
-    let destination = assignment.target.listing.address;
-    let source = &self.assignment.target;
-    let stopped = migration::stop_lost_run(&self.call, source, destination).await;
-    self.record_stop(stopped.is_certain);
-    match self.resume_at(&assignment, stopped.offer).await {
-      Ok(response) if stream::has_events(&response) => {
-        self.relay_from(assignment, response);
-        None
+    let mut lost = self.assignment.key;
+    loop {
+      self.history.possible_runs += 1;
+      self.lost_at.push(lost);
+      if !self.cursor.is_resumable() || !self.call.grant_retry(&self.history, Outcome::Lost) {
+        return Some(End::TargetLost);
+      }
+      if self.resume_at_other_host().await {
+        return None;
+      }
+      let Ok(assignment) = self.call.assign(&self.lost_at, Purpose::Continue).await else {
+        return Some(End::TargetLost);
+      };
+      self.history.attempts += 1;
+      log::info!(
+        target: PREFIX, id = self.call.id(), source:% = self.assignment.target.id, source_software = self.assignment.target.listing.version.as_str(),
+        destination:% = assignment.target.id, software = assignment.target.listing.version.as_str(), events = self.cursor.event_count();
+        "Resuming a stream at another target."
+      );
+      let destination = assignment.target.listing.address;
+      let source = &self.assignment.target;
+      let stopped = migration::stop_lost_run(&self.call, source, destination).await;
+      self.record_stop(self.assignment.target.fingerprint, stopped.is_certain);
+      match self.resume_at(&assignment, stopped.offer).await {
+        Ok(response) if stream::has_events(&response) => {
+          if self.call.is_at_listed_process(&assignment).await {
+            self.relay_from(assignment, response);
+            return None;
+          }
+          drop(response);
+          let is_stopped = migration::stop_before_handover(&self.call, &assignment.target).await;
+          self.record_stop(assignment.target.fingerprint, is_stopped);
+          lost = assignment.key;
+        }
+        Ok(_) | Err(_) => return Some(End::TargetLost),
       }
-      Ok(_) | Err(_) => Some(End::TargetLost),
     }
   }
 
-  /// Records whether the current run has stopped at its target.
-  fn record_stop(&mut self, is_certain: bool) {
-    let fingerprint = self.assignment.target.fingerprint;
+  /// Records whether the run at a target, given by its fingerprint, has stopped.
+  fn record_stop(&mut self, fingerprint: u64, is_certain: bool) {
     self.unstopped_at.retain(|other| *other != fingerprint);
     if !is_certain {
       self.unstopped_at.push(fingerprint);
