Crashes close to each other count separately under a part that explains all of them

Callers saw: requests with a fatal part went on to targets although five of them had crashed under it (4 or 5 more than 3 s after the fifth crash, at most 3 are allowed).

It is the decision, not the news: of five to seven crashes four counted (three in), as those within 150 ms of another count once. The next crash comes only with the late requests, of which several are sent within the 300 ms that a target takes to crash.

That rule keeps requests in common use from being blamed for targets that are lost together. Such targets run other requests as well, and are lost at the same moment. Now, under a feature that was sound before, crashes 20 ms or more apart count separately if it is under all crashes of that time that no ban explains. A ban that needs them waits until the service has answered other requests for 1.5 s since the last of them, as requests in common use are answered by then. What counted before counts as before, with no further wait.

--- a/yuccarudder/src/quarantine/evidence.rs
+++ b/yuccarudder/src/quarantine/evidence.rs
@@ -10,6 +10,18 @@
 /// Differences between the times that hosts report, due to delays of messages.
 const CLOCK_TOLERANCE: Duration = Duration::from_millis(20);
 
+/// Which crashes at about the same time count separately though the run of the later one was sent before the
+/// earlier one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Overlap {
+  /// All: the feature is in no common use.
+  All,
+  /// Those that are not at the same moment, if the feature explains all crashes of that time.
+  Explained,
+  /// None: requests in common use run on all targets, and would explain targets that are lost together.
+  None,
+}
+
 /// The runs under one feature that ended because their target crashed.
 #[derive(Clone, Copy, Debug)]
 pub struct CrashedRun {
@@ -28,6 +40,8 @@
   pub targets: BTreeMap<u64, CrashedRun>,
   /// Targets whose crash no ban covers.
   pub uncovered: HashSet<u64>,
+  /// Times of the crashes of the service that neither the feature nor a ban explains, if it is under several.
+  pub unexplained: Vec<Instant>,
 }
 
 impl Evidence {
@@ -41,11 +55,9 @@
   /// Returns the times of the crashes that the feature explains, of those that are `counted`, in
   /// ascending order.
   ///
-  /// Of crashes at about the same time, only those of runs that were sent after the crash before
-  /// count: requests in common use run on all targets, and would explain targets that are lost
-  /// together. With `is_rare`, the feature is in no common use, so those of runs that were sent before
-  /// it count as well.
-  pub fn crash_times(&self, is_rare: bool, counted: impl Fn(u64) -> bool) -> Vec<Instant> {
+  /// Of crashes at about the same time, those of runs that were sent after the crash before count, and
+  /// further ones by `overlap`.
+  pub fn crash_times(&self, overlap: Overlap, counted: impl Fn(u64) -> bool) -> Vec<Instant> {
     let runs = self.targets.iter().filter(|(target, _)| counted(**target));
     let mut runs: Vec<CrashedRun> = runs.map(|(_, run)| *run).collect();
     runs.sort_unstable_by_key(|run| run.at);
@@ -56,7 +68,13 @@
         let is_explained = if is_sent_after {
           run.at >= *last + MIN_RUN
         } else {
-          is_rare
+          match overlap {
+            Overlap::All => true,
+            Overlap::Explained => {
+              run.at >= *last + CLOCK_TOLERANCE && self.explains_all_near(run.at)
+            }
+            Overlap::None => false,
+          }
         };
         is_explained || run.at >= *last + COMMON_CAUSE_WINDOW
       };
@@ -67,6 +85,13 @@
     times
   }
 
+  /// Returns whether the feature explains all crashes at about a time.
+  fn explains_all_near(&self, at: Instant) -> bool {
+    let is_near =
+      |other: &Instant| *other < at + COMMON_CAUSE_WINDOW && at < *other + COMMON_CAUSE_WINDOW;
+    !self.unexplained.iter().any(is_near)
+  }
+
   /// Returns when the first target crashed.
   pub fn first(&self) -> Option<Instant> {
     self.targets.values().map(|run| run.at).min()
--- a/yuccarudder/src/quarantine/ledger.rs
+++ b/yuccarudder/src/quarantine/ledger.rs
@@ -3,7 +3,7 @@
     Ban, Crash, Feature, Sound,
     activity::Activity,
     ban,
-    evidence::{CrashedRun, Evidence},
+    evidence::{CrashedRun, Evidence, Overlap},
     suspect::{MIN_CRASHES_OF_NEW_FEATURE, Suspect},
   },
   std::{
@@ -413,6 +413,15 @@
         }
       }
     }
+    let crashes = self.crashes.iter().map(|record| &record.crash);
+    let uncovered: Vec<&Crash> =
+      crashes.filter(|crash| covering[&crash.target].is_empty()).collect();
+    for evidence in evidence.values_mut().filter(|evidence| evidence.targets.len() > 1) {
+      let unexplained = uncovered.iter().filter(|crash| {
+        crash.service == evidence.service && !evidence.targets.contains_key(&crash.target)
+      });
+      evidence.unexplained = unexplained.map(|crash| crash.at).collect();
+    }
     evidence
   }
 
@@ -536,13 +545,19 @@
       .iter()
       .map(|(feature, evidence)| {
         let is_new = self.is_new(*feature, now);
-        let is_rare = is_new && feature.is_content() && self.has_seen_traffic(now);
+        let overlap = if !is_new {
+          Overlap::Explained
+        } else if feature.is_content() && self.has_seen_traffic(now) {
+          Overlap::All
+        } else {
+          Overlap::None
+        };
         Suspect {
-          crash_times: evidence.crash_times(is_rare, |_| true),
+          crash_times: evidence.crash_times(overlap, |_| true),
           evidence,
           feature: *feature,
           is_new,
-          is_rare,
+          overlap,
         }
       })
       .collect();
@@ -598,18 +613,29 @@
       return false;
     }
     // The silence of a feature in use means nothing while no request can be answered.
-    let others_answered = self.activity.first_answer_after(evidence.service, *decisive_crash);
-    if !suspect.is_new && others_answered.is_none() {
+    let answered_after = |at| self.activity.first_answer_after(evidence.service, at);
+    if !suspect.is_new && answered_after(*decisive_crash).is_none() {
+      return false;
+    }
+    // Requests in common use that ran on targets which are lost one soon after the other are answered once
+    // others are.
+    let lone_crashes = evidence.crash_times(Overlap::None, |_| true);
+    let is_silent_after = |crash| answered_after(crash).is_some_and(|at| since(at) >= MIN_SILENCE);
+    if !suspect.is_new
+      && lone_crashes.len() < min_crashes
+      && let Some(last) = suspect.crash_times.iter().rfind(|crash| !lone_crashes.contains(crash))
+      && !is_silent_after(*last)
+    {
       return false;
     }
     if self.certain_bans().any(|ban| ban.features.contains(&suspect.feature)) {
       let is_uncovered = |target| evidence.uncovered.contains(&target);
-      return evidence.crash_times(suspect.is_rare, is_uncovered).len() >= MIN_CRASHES_ALONE;
+      return evidence.crash_times(suspect.overlap, is_uncovered).len() >= MIN_CRASHES_ALONE;
     }
     let rivals: Vec<&Suspect<'_>> =
       suspects.iter().filter(|other| other.explains_better(suspect)).collect();
     let is_left = |target| !rivals.iter().any(|rival| rival.evidence.targets.contains_key(&target));
-    evidence.crash_times(suspect.is_rare, is_left).len() >= min_crashes
+    evidence.crash_times(suspect.overlap, is_left).len() >= min_crashes
   }
 
   fn ban(&self, culprit: &Suspect<'_>, is_uncertain: bool) -> Ban {
--- a/yuccarudder/src/quarantine/suspect.rs
+++ b/yuccarudder/src/quarantine/suspect.rs
@@ -1,5 +1,8 @@
 use {
-  super::{evidence::Evidence, feature::Feature},
+  super::{
+    evidence::{Evidence, Overlap},
+    feature::Feature,
+  },
   std::time::Instant,
 };
 
@@ -14,8 +17,8 @@
   pub feature: Feature,
   /// Whether no target is known to have answered it soundly.
   pub is_new: bool,
-  /// Whether it is in no common use, as far as is known.
-  pub is_rare: bool,
+  /// Which crashes at about the same time count.
+  pub overlap: Overlap,
 }
 
 impl Suspect<'_> {
--- a/yuccarudder/src/quarantine/tests.rs
+++ b/yuccarudder/src/quarantine/tests.rs
@@ -161,6 +161,44 @@
   ],
   [&[9], &[8]]
 );
+// Guards against requests with a fatal part that are sent on, as crashes close to each other count once.
+bans!(
+  crashes_soon_after_each_other_under_a_part_that_explains_them_all,
+  [(1, 1_500), (9, -5_000)],
+  [
+    (0, [1, 9]),
+    (300, [1, 9]),
+    (350, [1, 9]),
+    (700, [1, 9]),
+    (1_100, [1, 9])
+  ],
+  [&[9]]
+);
+bans!(
+  crashes_soon_after_each_other_under_a_part_that_explains_some_of_them,
+  [(1, 1_500), (9, -5_000)],
+  [
+    (0, [1, 9]),
+    (300, [1, 9]),
+    (350, [1, 9]),
+    (400, [0; 0]),
+    (700, [1, 9]),
+    (1_100, [1, 9])
+  ],
+  []
+);
+bans!(
+  crashes_at_the_same_moment_count_once,
+  [(1, 1_500), (9, -5_000)],
+  [
+    (0, [1, 9]),
+    (300, [1, 9]),
+    (310, [1, 9]),
+    (700, [1, 9]),
+    (1_100, [1, 9])
+  ],
+  []
+);
 bans!(
   lost_rack_bans_nothing,
   [],
@@ -262,6 +300,24 @@
   assert_eq!(banned(&ledger), Vec::<Vec<u64>>::new());
 }
 
+/// Guards against blaming a request in common use for targets that are lost one soon after the other: it is
+/// answered as soon as others are.
+#[test]
+fn popular_request_on_targets_that_are_lost_in_turn_is_not_banned_before_it_can_be_answered() {
+  let (mut ledger, start) = ledger();
+  ledger.record_sound(&[Feature::Content(1)], SERVICE, start - ms(5), start);
+  for target in 0..6 {
+    let at = start + ms(40 + 30 * target);
+    ledger.record_crash(crash_under(target, 1, start, at), true, at);
+  }
+  let answered_at = start + ms(3_000);
+  ledger.record_sound(&[Feature::Content(2)], SERVICE, answered_at, answered_at);
+  ledger.judge(ms(600), answered_at + ms(1_400));
+  assert_eq!(banned(&ledger), Vec::<Vec<u64>>::new());
+  ledger.judge(ms(600), answered_at + ms(1_600));
+  assert_eq!(banned(&ledger), [[1]]);
+}
+
 /// Guards against a content that is banned for crashes which turn out to have another cause before they
 /// are judged.
 #[test]
@@ -1125,6 +1181,43 @@
   assert!(fleet.late_fatal_requests <= MAX_LATE_ARRIVALS);
 }
 
+/// Guards against requests with a fatal part that are sent on, as crashes of targets that are lost soon after
+/// each other count once: in fleets that differ in their number of hosts, lost messages, lost rack and restarts.
+#[test]
+fn fatal_parts_are_kept_away_when_their_crashes_are_close_to_each_other() {
+  for (hosts, loss, rack, restarts, seed) in [
+    (2, 0.1, 0, false, 10105927642749730129),
+    (2, 0.1, 0, false, 12453674934329648182),
+    (2, 0.1, 0, false, 5854272186865956102),
+    (30, 0.1, 6, false, 18359571513845783244),
+    (2, 0.3, 6, false, 1388919360810631386),
+    (6, 0.0, 0, true, 3553777855994411544),
+  ] {
+    let scenario = Scenario {
+      fatal_parts: 2,
+      hosts,
+      loss,
+      rack,
+      restarts,
+      seed,
+      turns_bad: true,
+      ..CALM
+    };
+    let fleet = Fleet::run(scenario);
+    for late in fleet.late_arrivals {
+      assert!(
+        late <= MAX_LATE_ARRIVALS,
+        "{late} late requests, {scenario:?}"
+      );
+    }
+    assert!(fleet.wrongly_banned().is_empty(), "{scenario:?}");
+    assert!(
+      fleet.sound_refused * 100 <= fleet.sound_sent,
+      "{scenario:?}"
+    );
+  }
+}
+
 /// Guards against one request that ends target after target in a fleet of hundreds of hosts, of which
 /// each sees one crash at most.
 #[test]
