The later crashes decide between two contents that explain as many

Callers saw: five fatal requests at targets more than 3 s after the third crash, and meanwhile a sound request refused with 400. The only host that had noticed one of them under the fatal request restarted 0.3 s later, so that the others knew two, and banned the sound one for all three. That ban explained all crashes of the fatal one. When this crashed a fourth target, without the banned one, each had three known crashes, and nothing was revised: hosts went on with the ban until the crash after that.

Now a ban of a content is lifted, and not made, if another content is under as many crashes and the later ones, and leaves the banned one fewer than three. A banned request is not sent, so that it cannot be to blame for the later ones.

--- a/yuccarudder/src/quarantine/ledger.rs
+++ b/yuccarudder/src/quarantine/ledger.rs
@@ -7,7 +7,7 @@
     suspect::{MIN_CRASHES_OF_NEW_FEATURE, Suspect},
   },
   std::{
-    cmp::Reverse,
+    cmp::{Ordering, Reverse},
     collections::{BTreeMap, HashMap, HashSet, VecDeque},
     time::{Duration, Instant},
   },
@@ -85,13 +85,6 @@
   own: bool,
 }
 
-/// Returns whether a content that explains more crashes than another leaves too few of `targets`, the
-/// crashes of the other one, to blame that as well.
-fn is_outdone(targets: &HashSet<u64>, explained: &HashSet<u64>) -> bool {
-  explained.len() > targets.len()
-    && targets.difference(explained).count() < MIN_CRASHES_OF_NEW_FEATURE
-}
-
 /// Returns whether `targets`, which are known to have crashed under a ban, are all that it rests on.
 fn rests_on(ban: &Ban, targets: &HashSet<u64>) -> bool {
   u32::try_from(targets.len()).is_ok_and(|known| known >= ban.crashes)
@@ -450,7 +443,7 @@
       let rivals = self.rivals(ban, &targets);
       for (rival, explained) in &rivals {
         let is_banned = self.certain_bans().any(|other| other.features.contains(rival));
-        if !is_banned || is_outdone(&targets, explained) {
+        if !is_banned || self.is_outdone(&targets, explained) {
           lifted.push(ban.features.clone());
         } else {
           doubted.push(ban.features.clone());
@@ -498,11 +491,25 @@
       .copied()
       .collect();
     let rivals = contents.into_iter().map(|content| (content, self.targets_under(&[content])));
-    let is_rival =
-      |explained: &HashSet<u64>| targets.is_subset(explained) || is_outdone(targets, explained);
+    let is_rival = |explained: &HashSet<u64>| {
+      targets.is_subset(explained) || self.is_outdone(targets, explained)
+    };
     rivals.filter(|(_, explained)| is_rival(explained)).collect()
   }
 
+  /// Returns whether a content that explains more crashes than another, or as many and the later ones,
+  /// leaves too few of `targets`, the crashes of the other one, to blame that as well.
+  fn is_outdone(&self, targets: &HashSet<u64>, explained: &HashSet<u64>) -> bool {
+    let last =
+      |targets: &HashSet<u64>| targets.iter().filter_map(|target| self.crash_time(*target)).max();
+    let explains_better = match explained.len().cmp(&targets.len()) {
+      Ordering::Greater => true,
+      Ordering::Equal => last(explained) > last(targets),
+      Ordering::Less => false,
+    };
+    explains_better && targets.difference(explained).count() < MIN_CRASHES_OF_NEW_FEATURE
+  }
+
   /// Returns the targets that crashed under requests with the given features.
   fn targets_under(&self, features: &[Feature]) -> HashSet<u64> {
     let crashes = self.crashes.iter().map(|record| &record.crash);
@@ -576,7 +583,7 @@
         let ban = self.ban(culprit, false);
         let targets = self.targets_under(&ban.features);
         let rivals = self.rivals(&ban, &targets);
-        if rivals.iter().any(|(_, explained)| is_outdone(&targets, explained)) {
+        if rivals.iter().any(|(_, explained)| self.is_outdone(&targets, explained)) {
           continue;
         }
         return vec![ban];
--- a/yuccarudder/src/quarantine/tests.rs
+++ b/yuccarudder/src/quarantine/tests.rs
@@ -477,6 +477,14 @@
   assert_eq!(banned(&ledger), [[1]]);
 }
 
+/// Guards against a fatal request that is let through, and a sound one that stays banned in its stead: the only
+/// host that noticed one of the three crashes has restarted, so that the sound one had more of them.
+#[test]
+fn ban_of_a_content_is_lifted_when_another_explains_as_many_crashes_and_the_later_ones() {
+  let ledger = ledger_with_two_bans([&[2, 3, 4], &[1, 2, 3]]);
+  assert_eq!(banned(&ledger), [[1]]);
+}
+
 #[test]
 fn crash_of_one_target_counts_once_whoever_reports_it() {
   let (mut ledger, start) = ledger();
@@ -1181,6 +1189,24 @@
   assert!(fleet.late_fatal_requests <= MAX_LATE_ARRIVALS);
 }
 
+/// Guards against a sound request that is banned for the crashes of a fatal one, and the fatal one let through: the
+/// only host that noticed one of them restarts before its heartbeat.
+#[test]
+fn fatal_request_is_kept_away_although_a_sound_one_is_known_of_more_crashes() {
+  let fleet = Fleet::run(Scenario {
+    fatal_request_rate: 0.4,
+    hosts: 30,
+    is_plain: true,
+    loss: 0.3,
+    restarts: true,
+    seed: 6602595127714979281,
+    targets: 3,
+    ..CALM
+  });
+  assert_eq!(fleet.wrongly_banned(), HashSet::new());
+  assert!(fleet.late_fatal_requests <= MAX_LATE_ARRIVALS);
+}
+
 /// Guards against requests with a fatal part that are sent on, as crashes of targets that are lost soon after
 /// each other count once: in fleets that differ in their number of hosts, lost messages, lost rack and restarts.
 #[test]
