--- a/yuccarudder/src/quarantine/ledger.rs
+++ b/yuccarudder/src/quarantine/ledger.rs
@@ -3,11 +3,11 @@
     Ban, Crash, Feature, Sound,
     activity::Activity,
     ban,
-    evidence::{CrashedRun, Evidence},
+    evidence::{CrashedRun, Evidence, Overlap},
     suspect::{MIN_CRASHES_OF_NEW_FEATURE, Suspect},
   },
   std::{
-    cmp::Reverse,
+    cmp::{Ordering, Reverse},
     collections::{BTreeMap, HashMap, HashSet, VecDeque},
     time::{Duration, Instant},
   },
@@ -85,13 +85,6 @@
   own: bool,
 }
 
-/// Returns whether a content that explains more crashes than another leaves too few of `targets`, the
-/// crashes of the other one, to blame that as well.
-fn is_outdone(targets: &HashSet<u64>, explained: &HashSet<u64>) -> bool {
-  explained.len() > targets.len()
-    && targets.difference(explained).count() < MIN_CRASHES_OF_NEW_FEATURE
-}
-
 /// Returns whether `targets`, which are known to have crashed under a ban, are all that it rests on.
 fn rests_on(ban: &Ban, targets: &HashSet<u64>) -> bool {
   u32::try_from(targets.len()).is_ok_and(|known| known >= ban.crashes)
@@ -413,6 +406,15 @@
         }
       }
     }
+    let crashes = self.crashes.iter().map(|record| &record.crash);
+    let uncovered: Vec<&Crash> =
+      crashes.filter(|crash| covering[&crash.target].is_empty()).collect();
+    for evidence in evidence.values_mut().filter(|evidence| evidence.targets.len() > 1) {
+      let unexplained = uncovered.iter().filter(|crash| {
+        crash.service == evidence.service && !evidence.targets.contains_key(&crash.target)
+      });
+      evidence.unexplained = unexplained.map(|crash| crash.at).collect();
+    }
     evidence
   }
 
@@ -441,7 +443,7 @@
       let rivals = self.rivals(ban, &targets);
       for (rival, explained) in &rivals {
         let is_banned = self.certain_bans().any(|other| other.features.contains(rival));
-        if !is_banned || is_outdone(&targets, explained) {
+        if !is_banned || self.is_outdone(&targets, explained) {
           lifted.push(ban.features.clone());
         } else {
           doubted.push(ban.features.clone());
@@ -487,11 +489,25 @@
       .copied()
       .collect();
     let rivals = contents.into_iter().map(|content| (content, self.targets_under(&[content])));
-    let is_rival =
-      |explained: &HashSet<u64>| targets.is_subset(explained) || is_outdone(targets, explained);
+    let is_rival = |explained: &HashSet<u64>| {
+      targets.is_subset(explained) || self.is_outdone(targets, explained)
+    };
     rivals.filter(|(_, explained)| is_rival(explained)).collect()
   }
 
+  /// Returns whether a content that explains more crashes than another, or as many and the later ones,
+  /// leaves too few of `targets`, the crashes of the other one, to blame that as well.
+  fn is_outdone(&self, targets: &HashSet<u64>, explained: &HashSet<u64>) -> bool {
+    let last =
+      |targets: &HashSet<u64>| targets.iter().filter_map(|target| self.crash_time(*target)).max();
+    let explains_better = match explained.len().cmp(&targets.len()) {
+      Ordering::Greater => true,
+      Ordering::Equal => last(explained) > last(targets),
+      Ordering::Less => false,
+    };
+    explains_better && targets.difference(explained).count() < MIN_CRASHES_OF_NEW_FEATURE
+  }
+
   /// Returns the targets that crashed under requests with the given features.
   fn targets_under(&self, features: &[Feature]) -> HashSet<u64> {
     let crashes = self.crashes.iter().map(|record| &record.crash);
@@ -534,13 +550,19 @@
       .iter()
       .map(|(feature, evidence)| {
         let is_new = self.is_new(*feature, now);
-        let is_rare = is_new && feature.is_content() && self.has_seen_traffic(now);
+        let overlap = if !is_new {
+          Overlap::Explained
+        } else if feature.is_content() && self.has_seen_traffic(now) {
+          Overlap::All
+        } else {
+          Overlap::None
+        };
         Suspect {
-          crash_times: evidence.crash_times(is_rare, |_| true),
+          crash_times: evidence.crash_times(overlap, |_| true),
           evidence,
           feature: *feature,
           is_new,
-          is_rare,
+          overlap,
         }
       })
       .collect();
@@ -559,7 +581,7 @@
         let ban = self.ban(culprit, false);
         let targets = self.targets_under(&ban.features);
         let rivals = self.rivals(&ban, &targets);
-        if rivals.iter().any(|(_, explained)| is_outdone(&targets, explained)) {
+        if rivals.iter().any(|(_, explained)| self.is_outdone(&targets, explained)) {
           continue;
         }
         return vec![ban];
@@ -596,18 +618,29 @@
       return false;
     }
     // The silence of a feature in use means nothing while no request can be answered.
-    let others_answered = self.activity.first_answer_after(evidence.service, *decisive_crash);
-    if !suspect.is_new && others_answered.is_none() {
+    let answered_after = |at| self.activity.first_answer_after(evidence.service, at);
+    if !suspect.is_new && answered_after(*decisive_crash).is_none() {
+      return false;
+    }
+    // Requests in common use that ran on targets which are lost one soon after the other are answered once
+    // others are.
+    let lone_crashes = evidence.crash_times(Overlap::None, |_| true);
+    let is_silent_after = |crash| answered_after(crash).is_some_and(|at| since(at) >= MIN_SILENCE);
+    if !suspect.is_new
+      && lone_crashes.len() < min_crashes
+      && let Some(last) = suspect.crash_times.iter().rfind(|crash| !lone_crashes.contains(crash))
+      && !is_silent_after(*last)
+    {
       return false;
     }
     if self.certain_bans().any(|ban| ban.features.contains(&suspect.feature)) {
       let is_uncovered = |target| evidence.uncovered.contains(&target);
-      return evidence.crash_times(suspect.is_rare, is_uncovered).len() >= MIN_CRASHES_ALONE;
+      return evidence.crash_times(suspect.overlap, is_uncovered).len() >= MIN_CRASHES_ALONE;
     }
     let rivals: Vec<&Suspect<'_>> =
       suspects.iter().filter(|other| other.explains_better(suspect)).collect();
     let is_left = |target| !rivals.iter().any(|rival| rival.evidence.targets.contains_key(&target));
-    evidence.crash_times(suspect.is_rare, is_left).len() >= min_crashes
+    evidence.crash_times(suspect.overlap, is_left).len() >= min_crashes
   }
 
   fn ban(&self, culprit: &Suspect<'_>, is_uncertain: bool) -> Ban {
