A host whose places at brittle targets are all taken passes requests on to hosts with free ones

Callers of some hosts were refused while places of other hosts were free.

Cause: each place belongs to one host, in an order that differs from target to target, and a host passed requests on only if it had no place at all. How many are served depended on how the places fell.

Now a request of a plain service whose host has no free place goes, once and as its first attempt, to a host that has one by its last heartbeat, in proportion to the number. Streams do not, as they would take up two hosts for as long as they last. Each place still belongs to one host, so the targets reject no more; where all are taken nothing is passed on.

--- a/yuccarudder/src/gateway/forwarding.rs
+++ b/yuccarudder/src/gateway/forwarding.rs
@@ -1,5 +1,5 @@
-//! Passes requests on to other hosts while this host has lost its links to the targets of a service, or
-//! has no place at brittle ones or at those in their cold start.
+//! Passes requests on to other hosts while this host has lost its links to the targets of a service, has no
+//! place at brittle ones or at those in their cold start, or has taken all its places at brittle ones.
 //!
 //! The other host handles the request like one of its own callers: it admits it, counts it against the
 //! limits and budgets, and retries it. It does not pass it on again.
@@ -11,6 +11,7 @@
     dialect::{Forwarded, HandoverMetadata},
     http::{self, Body, Framing},
     member::{Member, Phase},
+    placement::LoadTable,
     plain,
     refusal::{Reason, Refusal},
     routing::Kind,
@@ -51,15 +52,31 @@
   LinksInDoubt,
   /// The targets are brittle or in their cold start, and all their places belong to other hosts.
   NoPlace,
+  /// The targets are brittle, and all places of this host there are taken.
+  PlacesTaken,
 }
 
 /// A host that was chosen to help.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Helper {
   address: SocketAddr,
   /// Whether it takes a request that is passed on for what it is. To an older build it is one of a
   /// caller, of which no target has run any.
   knows_handovers: bool,
+  /// Address at which other hosts know it.
+  peer: SocketAddr,
+  /// The number of its places at each brittle target, if they are what it is to help with.
+  places: Vec<(u64, u32)>,
+}
+
+impl Helper {
+  /// Returns how many of its places are free, as far as it has reported its requests.
+  fn free_places(&self, load_table: &LoadTable) -> u32 {
+    let free = |(target, places): &(u64, u32)| {
+      places.saturating_sub(load_table.peer_load(self.peer, *target).requests)
+    };
+    self.places.iter().map(free).sum()
+  }
 }
 
 /// Hosts that were chosen to help, when, and why.
@@ -77,15 +94,14 @@
 }
 
 impl State {
-  /// Chooses a host that can help with a service as far as is known, in proportion to its capacity.
-  ///
-  /// Only a request that `is_untouched`, which is like that of a caller, goes to a host of an older build.
+  /// Chooses a host that can help with a service as far as is known, in proportion to its capacity or, if
+  /// places are taken, to its free ones.
   fn choose_helper(
     &mut self,
     service: &str,
     cause: Cause,
-    is_untouched: bool,
-    tried_hosts: &[SocketAddr],
+    is_eligible: impl Fn(&Helper) -> bool,
+    load_table: &LoadTable,
     now: Instant,
     since_boot: Duration,
   ) -> Option<SocketAddr> {
@@ -109,13 +125,14 @@
       .map(|(_, member)| member.callers)
       .collect();
     let helpers = &self.helpers.by_service[service].hosts;
-    let is_suitable = |helper: &&Helper| {
-      (is_untouched || helper.knows_handovers)
-        && !tried_hosts.contains(&helper.address)
-        && !cut.contains(&helper.address)
-    };
+    let is_suitable = |helper: &&Helper| is_eligible(helper) && !cut.contains(&helper.address);
     let suitable: Vec<&Helper> = helpers.iter().filter(is_suitable).collect();
-    suitable.choose(&mut rand::rng()).map(|helper| helper.address)
+    let weight = |helper: &&Helper| match cause {
+      Cause::PlacesTaken => helper.free_places(load_table),
+      Cause::LinksInDoubt | Cause::NoPlace => 1,
+    };
+    let chosen = suitable.choose_weighted(&mut rand::rng(), weight);
+    chosen.ok().map(|helper| helper.address)
   }
 
   fn select_helpers(
@@ -126,7 +143,7 @@
     since_boot: Duration,
   ) -> Vec<Helper> {
     let hash = ingress::hash(service);
-    let with_places: Option<HashSet<SocketAddr>> = (cause == Cause::NoPlace).then(|| {
+    let with_places: Option<HashSet<SocketAddr>> = (cause != Cause::LinksInDoubt).then(|| {
       let targets = self.roster.accepting(service);
       let owners = targets.map(|(key, target)| {
         let holders = self.place_holders(service, key, target, now);
@@ -139,14 +156,21 @@
         && !member.unreachable_services.contains(&hash)
         && with_places.as_ref().is_none_or(|hosts| hosts.contains(address))
     });
-    let reaching: Vec<&Member> = reaching.map(|(_, member)| member).collect();
-    let hosts = reaching.iter().map(|member| (member.callers, member.weight)).collect();
+    let reaching: Vec<(SocketAddr, &Member)> = reaching.collect();
+    let hosts = reaching.iter().map(|(_, member)| (member.callers, member.weight)).collect();
     let sample = directory::sample(hosts, HELPERS, || rand::random_range(0.0..1.0));
-    let helper = |address| Helper {
-      address,
-      knows_handovers: reaching.iter().any(|member| member.callers == address && member.can_assist),
+    let chosen = reaching.into_iter().filter(|(_, member)| sample.contains(&member.callers));
+    let helper = |(peer, member): (SocketAddr, &Member)| Helper {
+      address: member.callers,
+      knows_handovers: member.can_assist,
+      peer,
+      places: if cause == Cause::PlacesTaken {
+        self.places_of(peer, service, now)
+      } else {
+        Vec::new()
+      },
     };
-    sample.into_iter().map(helper).collect()
+    chosen.map(helper).collect()
   }
 
   /// Passes nothing on to a host for some time.
@@ -174,6 +198,8 @@
     if self.metadata.forwarded.is_some() || !may_run || tried_hosts.len() >= MAX_HANDOVERS {
       return None;
     }
+    // A stream would take up two hosts for as long as it lasts.
+    let may_leave = history.attempts == 0 && !matches!(self.route().kind, Kind::Stream { .. });
     let now = self.gateway.clock.now();
     let since_boot = self.gateway.clock.since_boot();
     let mut state = self.gateway.lock();
@@ -182,12 +208,19 @@
       Cause::LinksInDoubt
     } else if state.lacks_places(service, now, since_boot) {
       Cause::NoPlace
+    } else if may_leave && state.are_places_taken(service, &self.gateway.scheduler.lock(), now) {
+      Cause::PlacesTaken
     } else {
       return None;
     };
     let is_untouched =
       history.possible_runs == 0 && !self.counted_elsewhere.load(Ordering::Relaxed);
-    state.choose_helper(service, cause, is_untouched, tried_hosts, now, since_boot)
+    // To a host of an older build a request has to be like that of a caller.
+    let is_eligible = |helper: &Helper| {
+      (is_untouched || helper.knows_handovers) && !tried_hosts.contains(&helper.address)
+    };
+    let load_table = self.gateway.scheduler.lock();
+    state.choose_helper(service, cause, is_eligible, &load_table, now, since_boot)
   }
 
   /// Passes the request on to another host and waits for the head of its response. `last_event_id` is
--- a/yuccarudder/src/gateway/limits.rs
+++ b/yuccarudder/src/gateway/limits.rs
@@ -5,11 +5,14 @@
   crate::{
     member::Heartbeat,
     placement::{
-      Attempt, BrittleStatement, ColdLimit, LimitShare, LimitStatement, PlaceShare, Room,
+      Attempt, BrittleStatement, ColdLimit, LimitShare, LimitStatement, LoadTable, PlaceShare, Room,
     },
     roster::{Key, Target},
   },
-  std::time::{Duration, Instant},
+  std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+  },
 };
 
 const PREFIX: &str = "limits";
@@ -234,6 +237,36 @@
     targets.all(|(key, target)| (is_brittle && !has_brittle_place(key)) || !may_send(target))
   }
 
+  /// Returns whether a service is brittle and this host's requests take up all its places at the targets.
+  pub(super) fn are_places_taken(
+    &self,
+    service: &str,
+    load_table: &LoadTable,
+    now: Instant,
+  ) -> bool {
+    let hash = ingress::hash(service);
+    self.brittleness.tolerance(hash).is_some()
+      && self.roster.accepting(service).all(|(key, target)| {
+        let in_flight = load_table.local_load(target.fingerprint).requests;
+        self.brittleness.room(hash, key, in_flight, now) == Some(0)
+      })
+  }
+
+  /// Returns the number of another host's places at each brittle target of a service.
+  pub(super) fn places_of(&self, host: SocketAddr, service: &str, now: Instant) -> Vec<(u64, u32)> {
+    let hash = ingress::hash(service);
+    let hosts = self.members.fleet_size();
+    let places = |(key, target): (Key, &Target)| {
+      let share = PlaceShare {
+        hosts,
+        position: Some(self.members.position_of(host, target.fingerprint)),
+        slots: self.place_limit(hash, key, target, now),
+      };
+      (target.fingerprint, share.places())
+    };
+    self.roster.accepting(service).map(places).collect()
+  }
+
   /// Returns how many hosts have a place at a target of a service: the first in an order of all of them.
   pub(super) fn place_holders(
     &self,
--- a/yuccarudder/src/member/table.rs
+++ b/yuccarudder/src/member/table.rs
@@ -350,9 +350,14 @@
     if self.is_joining(now) {
       return None;
     }
-    let own_hash = position_hash(seed, self.own_address);
-    let preceding = self.members.keys().filter(|address| position_hash(seed, **address) < own_hash);
-    Some(preceding.count())
+    Some(self.position_of(self.own_address, seed))
+  }
+
+  /// Returns the position of a host in the order of `position`.
+  pub fn position_of(&self, host: SocketAddr, seed: u64) -> usize {
+    let hash = position_hash(seed, host);
+    let known = self.members.keys().chain([&self.own_address]);
+    known.filter(|address| position_hash(seed, **address) < hash).count()
   }
 
   /// Returns `position`, or `None` for a process that another host may not have counted within the last
