One method gives the places at a target

State::lacks_places and State::place_holders each asked for the limits of brittle and of cold targets. Both now ask State::places.

--- a/yuccarudder/src/gateway/limits.rs
+++ b/yuccarudder/src/gateway/limits.rs
@@ -129,6 +129,14 @@
   }
 }
 
+/// The places at a target that all hosts together have.
+enum Places {
+  /// Requests at a brittle target at a time.
+  Brittle(u32),
+  /// Requests that are sent to a target in its cold start.
+  Cold(ColdLimit),
+}
+
 impl State {
   /// Returns this host's share of the limit of a target.
   fn limit_share(&self, key: Key, since_boot: Duration) -> LimitShare {
@@ -217,21 +225,36 @@
   /// at any of them.
   pub(super) fn lacks_places(&mut self, service: &str, now: Instant, since_boot: Duration) -> bool {
     let is_brittle = self.brittleness.tolerance(ingress::hash(service)).is_some();
-    let cold_limit = self.cold_limit(service);
-    if !is_brittle && cold_limit.is_none() {
+    if !is_brittle && self.cold_limit(service).is_none() {
       return false;
     }
     self.update_place_shares(service, now, since_boot);
-    let has_brittle_place =
-      |key| self.brittleness.share(key, now).is_some_and(|share| share.places() > 0);
-    let may_send = |target: &Target| {
-      cold_limit
-        .as_ref()
-        .filter(|_| target.is_cold(now))
-        .is_none_or(|limit| self.cold_share(target, limit, since_boot).places() > 0)
+    let is_lacking = |key, target: &Target, places| match places {
+      Places::Brittle(_) => {
+        self.brittleness.share(key, now).is_none_or(|share| share.places() == 0)
+      }
+      Places::Cold(limit) => self.cold_share(target, &limit, since_boot).places() == 0,
     };
     let mut targets = self.roster.accepting(service);
-    targets.all(|(key, target)| (is_brittle && !has_brittle_place(key)) || !may_send(target))
+    targets.all(|(key, target)| {
+      let mut places = self.places(service, key, target, now);
+      places.any(|places| is_lacking(key, target, places))
+    })
+  }
+
+  /// Returns the places at a target of a service, by each of the limits that it has now.
+  fn places(
+    &self,
+    service: &str,
+    key: Key,
+    target: &Target,
+    now: Instant,
+  ) -> impl Iterator<Item = Places> + use<> {
+    let hash = ingress::hash(service);
+    let tolerance = self.brittleness.tolerance(hash);
+    let brittle = tolerance.map(|_| Places::Brittle(self.place_limit(hash, key, target, now)));
+    let cold_limit = target.is_cold(now).then(|| self.cold_limit(service)).flatten();
+    brittle.into_iter().chain(cold_limit.map(Places::Cold))
   }
 
   /// Returns how many hosts have a place at a target of a service: the first in an order of all of them.
@@ -242,11 +265,11 @@
     target: &Target,
     now: Instant,
   ) -> usize {
-    let hash = ingress::hash(service);
-    let places = self.brittleness.tolerance(hash).map(|_| self.place_limit(hash, key, target, now));
-    let requests =
-      self.cold_limit(service).filter(|_| target.is_cold(now)).map(|limit| limit.requests());
-    places.into_iter().chain(requests).min().map_or(usize::MAX, |holders| holders as usize)
+    let places = self.places(service, key, target, now).map(|places| match places {
+      Places::Brittle(places) => places,
+      Places::Cold(limit) => limit.requests(),
+    });
+    places.min().map_or(usize::MAX, |holders| holders as usize)
   }
 
   /// Returns until when this host may send no request to a target because of the target's limit.
