Framing has one way to be told from a response

Framing::of was public for tests only. They now ask Framing::of_response with a response that has a body, as the program does; cases and expectations are unchanged.

--- a/yuccarudder/src/http/framing.rs
+++ b/yuccarudder/src/http/framing.rs
@@ -1,5 +1,5 @@
 use hyper::{
-  HeaderMap, Response,
+  Response,
   body::Body,
   header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
@@ -16,10 +16,14 @@
 }
 
 impl Framing {
-  /// Returns the framing that the headers of a response state.
+  /// Returns the framing of a response; one that cannot have a body has a length.
   ///
   /// A body also ends with its connection if the last transfer coding is not `chunked`.
-  pub fn of(headers: &HeaderMap) -> Self {
+  pub fn of_response<B: Body>(response: &Response<B>) -> Self {
+    if response.body().is_end_stream() {
+      return Self::Length;
+    }
+    let headers = response.headers();
     let Some(codings) = headers.get_all(TRANSFER_ENCODING).iter().next_back() else {
       return if headers.contains_key(CONTENT_LENGTH) {
         Self::Length
@@ -35,14 +39,6 @@
     }
   }
 
-  /// Returns the framing of a response; one that cannot have a body has a length.
-  pub fn of_response<B: Body>(response: &Response<B>) -> Self {
-    if response.body().is_end_stream() {
-      return Self::Length;
-    }
-    Self::of(response.headers())
-  }
-
   /// Returns what marks the end, for logs.
   pub fn name(self) -> &'static str {
     match self {
--- a/yuccarudder/src/http/tests.rs
+++ b/yuccarudder/src/http/tests.rs
@@ -40,11 +40,11 @@
   ($name:ident, $headers:expr, $framing:ident) => {
     #[test]
     fn $name() {
-      let mut headers = HeaderMap::new();
+      let mut response = Response::new(full("body"));
       for (name, value) in $headers {
-        headers.append(name, HeaderValue::from_static(value));
+        response.headers_mut().append(name, HeaderValue::from_static(value));
       }
-      assert_eq!(Framing::of(&headers), Framing::$framing);
+      assert_eq!(Framing::of_response(&response), Framing::$framing);
     }
   };
 }
