--- a/yuccarudder/src/gateway/run_life_tests/host.rs
+++ b/yuccarudder/src/gateway/run_life_tests/host.rs
@@ -41,6 +41,9 @@
 /// Time for a heartbeat to arrive.
 const HEARTBEAT_TIME: Duration = Duration::from_millis(2);
 
+/// A gateway and what runs its tasks.
+pub type Running = (Gateway, Handle);
+
 /// What the hosts have in common.
 #[derive(Clone)]
 pub struct Network {
@@ -49,7 +52,7 @@
   pub fleet: Arc<Fleet>,
   /// The addresses of all hosts, those that do not run too: for callers, and for other hosts.
   pub addresses: Arc<Vec<(SocketAddr, SocketAddr)>>,
-  pub gateways: Arc<Mutex<Vec<Option<(Gateway, Handle)>>>>,
+  pub gateways: Arc<Mutex<Vec<Option<Running>>>>,
   /// Runs all that is no host.
   pub outside: Handle,
 }
