A stream that nobody knows continues only where no service of its route can have begun it at another version

What callers could see (found by reading, not seen): after a restart of all hosts a resumption of a split route, with a request ID of its own, is led to another service than the stream was, and went on at the only version of that one. So did a stream whose route was led elsewhere by a later catalog.

Cause: the decision looked at the versions of the service that is chosen now.

Now it looks at all services of the route, and the store proves nothing once the catalog was replaced.

Tests: unknown_stream_of_a_route_of_two_services_continues_only_at_their_common_version (new); catalog_that_was_replaced_once expected the proof, which encoded the fault, and now expects none.

--- a/yuccarudder/src/gateway/out_of_step_tests.rs
+++ b/yuccarudder/src/gateway/out_of_step_tests.rs
@@ -344,7 +344,7 @@
         self.pending.push(resumption);
         continue;
       }
-      match self.hosts[host].gateway.decide_origin(key, SERVICE, asked_at) {
+      match self.hosts[host].gateway.decide_origin(key, &[SERVICE], asked_at) {
         Decision::Version(version) => {
           assert_eq!(*version, *resumption.version, "host {host} at {now:?}");
           self.continued += 1;
--- a/yuccarudder/src/gateway/stream.rs
+++ b/yuccarudder/src/gateway/stream.rs
@@ -93,10 +93,13 @@
     return Ok(());
   }
   let asked_at = call.gateway.clock.since_boot();
+  // Any of them may have begun a stream that nobody knows.
+  let destinations = call.route().destinations.iter();
+  let services: Vec<String> = destinations.map(|it| it.service.clone()).collect();
   let give_up_at = call.deadline.min(call.gateway.clock.now() + MAX_CONFIRMATION_WAIT);
   let mut is_first_check = true;
   loop {
-    match call.gateway.decide_origin(call.stream_key(), &call.service_name, asked_at) {
+    match call.gateway.decide_origin(call.stream_key(), &services, asked_at) {
       Decision::Version(version) => {
         call.version = Some(version);
         return Ok(());
@@ -117,19 +120,23 @@
 }
 
 impl Gateway {
-  /// Decides at which software version a stream may be continued, for which its caller asked at a time
-  /// since boot.
+  /// Decides at which software version a stream of one of some services may be continued, for which its caller
+  /// asked at a time since boot.
   pub(super) fn decide_origin(
     &self,
     stream: Option<u64>,
-    service: &str,
+    services: &[impl AsRef<str>],
     asked_at: Duration,
   ) -> Decision {
     let now = self.clock.now();
     let mut state = self.lock();
-    state.observe_versions(Some(service), now);
+    let services = services.iter().map(AsRef::as_ref);
+    for service in services.clone() {
+      state.observe_versions(Some(service), now);
+    }
     state.confirm_versions(self.clock.since_boot());
-    state.origins.decide(stream, ingress::hash(service), asked_at, now)
+    let services: Vec<u64> = services.map(ingress::hash).collect();
+    state.origins.decide(stream, &services, asked_at, now)
   }
 }
 
--- a/yuccarudder/src/origin/history.rs
+++ b/yuccarudder/src/origin/history.rs
@@ -51,7 +51,7 @@
 }
 
 /// Returns whether no target can have left or changed since the first catalog was published, before which no
-/// request was served.
+/// request was served, and the catalog is still that one: another may have led a route to other services.
 ///
 /// Each change has a revision of its own. One that no listed item accounts for may be the removal of a
 /// target, and the last change of a target may have replaced its version.
@@ -59,6 +59,10 @@
   let Some(first_catalog) = documents.first_catalog else {
     return false;
   };
+  let is_first = |item: &Revisions| item.created == first_catalog && item.changed == first_catalog;
+  if !documents.items.iter().any(is_first) {
+    return false;
+  }
   let is_unchanged =
     |item: &Revisions| item.changed == item.created || item.changed <= first_catalog;
   if targets.listed < first_catalog || !targets.items.iter().all(is_unchanged) {
--- a/yuccarudder/src/origin/table.rs
+++ b/yuccarudder/src/origin/table.rs
@@ -2,7 +2,7 @@
   super::Coverage,
   siphasher::sip::SipHasher13,
   std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeSet, HashMap, VecDeque},
     hash::{Hash, Hasher},
     sync::Arc,
     time::{Duration, Instant},
@@ -66,7 +66,7 @@
     streams.map(|(key, record)| (*key, &record.version))
   }
 
-  /// Decides at which version a stream of a service may be continued, for which its caller asked at
+  /// Decides at which version a stream of one of some services may be continued, for which its caller asked at
   /// `asked_at`, a time since boot.
   ///
   /// `stream` is the key of the stream, if the caller named it. A stream that nobody knows began at the
@@ -76,7 +76,7 @@
   pub fn decide(
     &mut self,
     stream: Option<u64>,
-    service: u64,
+    services: &[u64],
     asked_at: Duration,
     now: Instant,
   ) -> Decision {
@@ -91,10 +91,11 @@
       return Decision::Unknown;
     }
     let is_confirmed = self.coverages.iter().any(|it| reaches_back(it) && it.until() >= asked_at);
-    let versions = self.recent_versions(now).filter(|((of, _), _)| *of == service);
-    match versions.collect::<Vec<_>>()[..] {
-      [((_, version), _)] if is_confirmed => Decision::Version(Arc::clone(version)),
-      [] | [_] if !is_confirmed => Decision::Unconfirmed,
+    let versions = self.recent_versions(now).filter(|((of, _), _)| services.contains(of));
+    let versions: BTreeSet<_> = versions.map(|((_, version), _)| version).collect();
+    match (versions.len(), versions.first()) {
+      (1, Some(version)) if is_confirmed => Decision::Version(Arc::clone(version)),
+      (0 | 1, _) if !is_confirmed => Decision::Unconfirmed,
       _ => Decision::Unknown,
     }
   }
--- a/yuccarudder/src/origin/tests.rs
+++ b/yuccarudder/src/origin/tests.rs
@@ -40,7 +40,7 @@
       for (version, age) in versions {
         table.record_version(SERVICE, version, now - Duration::from_secs(age), now);
       }
-      assert_eq!(table.decide($stream, SERVICE, BOOT, now), $expected);
+      assert_eq!(table.decide($stream, &[SERVICE], BOOT, now), $expected);
     }
   };
 }
@@ -96,7 +96,7 @@
   let mut table = Table::default();
   table.record(1, "v1", now + Duration::from_secs(1), now);
   table.merge(1, "v2", now);
-  assert_eq!(table.decide(Some(1), SERVICE, BOOT, now), version("v1"));
+  assert_eq!(table.decide(Some(1), &[SERVICE], BOOT, now), version("v1"));
 }
 
 #[test]
@@ -112,7 +112,7 @@
     let asked_at = BOOT + Duration::from_secs(seconds);
     table.extend_coverage(Coverage::new(Duration::ZERO, BOOT, asked_at));
     table.record_version(SERVICE, "v2", later, later);
-    assert_eq!(table.decide(None, SERVICE, asked_at, later), expected);
+    assert_eq!(table.decide(None, &[SERVICE], asked_at, later), expected);
   }
 }
 
@@ -123,14 +123,14 @@
   let mut table = Table::default();
   table.extend_coverage(coverage(300, BOOT));
   table.record_version(SERVICE, "v1", now, now);
-  assert_eq!(table.decide(None, SERVICE, BOOT, now), version("v1"));
+  assert_eq!(table.decide(None, &[SERVICE], BOOT, now), version("v1"));
   let later = BOOT + Duration::from_millis(1);
   assert_eq!(
-    table.decide(None, SERVICE, later, now),
+    table.decide(None, &[SERVICE], later, now),
     Decision::Unconfirmed
   );
   table.extend_coverage(Coverage::new(Duration::ZERO, BOOT, later));
-  assert_eq!(table.decide(None, SERVICE, later, now), version("v1"));
+  assert_eq!(table.decide(None, &[SERVICE], later, now), version("v1"));
 }
 
 /// Guards against a host that takes up what it knew before a gap although nobody has told it of the gap.
@@ -143,11 +143,11 @@
   table.extend_coverage(coverage(300, BOOT));
   table.extend_coverage(coverage(2, at(10)));
   assert_eq!(
-    table.decide(None, SERVICE, at(10), now),
+    table.decide(None, &[SERVICE], at(10), now),
     Decision::Unconfirmed
   );
   table.extend_coverage(Coverage::new(Duration::from_secs(20), at(11), at(9)));
-  assert_eq!(table.decide(None, SERVICE, at(10), now), version("v1"));
+  assert_eq!(table.decide(None, &[SERVICE], at(10), now), version("v1"));
 }
 
 /// Guards against statements of the other hosts that are taken for knowledge of what an earlier process of
@@ -199,10 +199,13 @@
   // Versions are missing, so nothing is concluded from the others.
   assert_eq!((table.coverage(), table.memory()), (None, None));
   assert_eq!(
-    table.decide(Some(19_999), SERVICE, BOOT, now),
+    table.decide(Some(19_999), &[SERVICE], BOOT, now),
     version("v1")
   );
-  assert_eq!(table.decide(Some(0), SERVICE, BOOT, now), Decision::Unknown);
+  assert_eq!(
+    table.decide(Some(0), &[SERVICE], BOOT, now),
+    Decision::Unknown
+  );
 }
 
 proptest! {
@@ -250,7 +253,7 @@
         }
       }
       let resumed = random.random_range(0..hosts);
-      match tables[resumed].decide(Some(stream), SERVICE, BOOT, now) {
+      match tables[resumed].decide(Some(stream), &[SERVICE], BOOT, now) {
         Decision::Version(version) => {
           prop_assert_eq!(version.as_ref(), origin);
           continued += 1;
@@ -320,7 +323,7 @@
       let first = step.saturating_sub(299) as usize;
       let origin = begun[random.random_range(first..begun.len())];
       let resumed = random.random_range(0..hosts);
-      if let Decision::Version(version) = tables[resumed].decide(Some(step), SERVICE, since_boot, now) {
+      if let Decision::Version(version) = tables[resumed].decide(Some(step), &[SERVICE], since_boot, now) {
         prop_assert_eq!(version.as_ref(), origin, "at {} s", step);
       }
     }
@@ -438,7 +441,7 @@
 store_shows!(
   catalog_that_was_replaced_once,
   [Document(0), Target(1, 1), Document(0)],
-  true
+  false
 );
 store_shows!(
   change_that_another_one_hides,
@@ -472,6 +475,22 @@
 );
 store_shows!(no_catalog, [Target(1, 1)], false);
 
+/// Guards against a stream that goes on at the version of another service of its route.
+#[test]
+fn unknown_stream_of_a_route_of_two_services_continues_only_at_their_common_version() {
+  let now = Instant::now();
+  for (other_version, expected) in [("v1", version("v1")), ("v2", Decision::Unknown)] {
+    let mut table = Table::default();
+    table.extend_coverage(coverage(300, BOOT));
+    table.record_version(SERVICE, "v1", now, now);
+    table.record_version(SERVICE + 1, other_version, now, now);
+    assert_eq!(
+      table.decide(None, &[SERVICE, SERVICE + 1], BOOT, now),
+      expected
+    );
+  }
+}
+
 proptest! {
   /// Guards against streams that go on at another version: whatever was changed, and if the documents were
   /// listed earlier or later than the targets.
