A response to a caller of HTTP/1.0 stays subject to a reset until all its bytes are written

What callers could see (found by reading): a response whose body had ended, while its last bytes waited for a slow caller, was closed in order if the process ended then, and looked whole.

Cause: the mark was taken back by the write after the end of the body. Now only shutting down takes it back, which happens after all bytes.

Test: response_whose_last_bytes_are_not_written_is_reset failed before (the read ends without an error).

--- a/yuccarudder/src/server/connection.rs
+++ b/yuccarudder/src/server/connection.rs
@@ -33,12 +33,21 @@
     }
   }
 
-  /// Tells the kernel how to close the connection.
-  fn update_close(&mut self) -> io::Result<()> {
-    let is_under_way = self.unmarked.is_under_way();
-    if self.is_reset_on_close != is_under_way {
-      SockRef::from(&self.stream).set_linger(is_under_way.then_some(Duration::ZERO))?;
-      self.is_reset_on_close = is_under_way;
+  /// Tells the kernel whether to reset the connection if it is closed.
+  fn set_reset_on_close(&mut self, is_reset_on_close: bool) -> io::Result<()> {
+    if self.is_reset_on_close != is_reset_on_close {
+      let linger = is_reset_on_close.then_some(Duration::ZERO);
+      SockRef::from(&self.stream).set_linger(linger)?;
+      self.is_reset_on_close = is_reset_on_close;
+    }
+    Ok(())
+  }
+
+  /// Has the connection reset if a response is under way. One whose body has ended may still have bytes to
+  /// write.
+  fn begin_write(&mut self) -> io::Result<()> {
+    if self.unmarked.is_under_way() {
+      self.set_reset_on_close(true)?;
     }
     Ok(())
   }
@@ -60,7 +69,7 @@
     cx: &mut Context<'_>,
     bytes: &[u8],
   ) -> Poll<io::Result<usize>> {
-    self.update_close()?;
+    self.begin_write()?;
     Pin::new(&mut self.stream).poll_write(cx, bytes)
   }
 
@@ -69,7 +78,7 @@
     cx: &mut Context<'_>,
     slices: &[IoSlice<'_>],
   ) -> Poll<io::Result<usize>> {
-    self.update_close()?;
+    self.begin_write()?;
     Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
   }
 
@@ -82,7 +91,9 @@
   }
 
   fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-    self.update_close()?;
+    // Shut down once all is written.
+    let is_under_way = self.unmarked.is_under_way();
+    self.set_reset_on_close(is_under_way)?;
     if self.is_reset_on_close {
       return Poll::Ready(Ok(()));
     }
--- a/yuccarudder/src/server/tests.rs
+++ b/yuccarudder/src/server/tests.rs
@@ -72,6 +72,24 @@
   response
 }
 
+/// Guards against a response that looks whole to a caller which reads slowly, if this process ends after the
+/// end of the body and before its last bytes are written.
+#[tokio::test]
+async fn response_whose_last_bytes_are_not_written_is_reset() {
+  let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+  let mut caller = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+  let unmarked = unmarked::Unmarked::default();
+  let mut connection =
+    connection::Connection::new(listener.accept().await.unwrap().0, unmarked.clone());
+  let response = unmarked.watch(respond_with(StatusCode::OK, true));
+  connection.write_all(b"a").await.unwrap();
+  response.into_body().collect().await.unwrap();
+  assert!(!unmarked.is_under_way());
+  connection.write_all(b"b").await.unwrap();
+  drop(connection);
+  assert!(caller.read_to_end(&mut Vec::new()).await.is_err());
+}
+
 const GET: &str = "GET / HTTP/1.0\r\n\r\n";
 
 end_test!(
