A host whose neighbours have all lost their links does not take that for crashes

Cause: with no host left to ask, as all others had announced that they lost their links, the answer was "nobody reaches the target", as in a fleet of one, and crashes were counted. Now the host goes by its own links then.

Test: links_that_all_hosts_lost_are_not_taken_for_crashes_of_targets failed before (3 crashes), found by a reader.

--- a/yuccarudder/src/gateway/breaks.rs
+++ b/yuccarudder/src/gateway/breaks.rs
@@ -300,22 +300,24 @@
   }
 
   /// Asks some of the other hosts whether a target that refuses connections of this host accepts theirs;
-  /// returns `None` if there are some and none of them can tell.
+  /// returns `None` if there are hosts and none of them can tell.
   ///
   /// Links that break look like crashes of all targets from here; from elsewhere they do not.
   async fn is_reached_by_others(&self, target: u64) -> Option<bool> {
-    let hosts = {
+    let (hosts, is_alone) = {
       let state = self.lock();
-      let live = state.members.live(self.clock.since_boot());
-      let sound = live.filter(|(_, member)| member.unreachable_services.is_empty());
+      let live: Vec<_> = state.members.live(self.clock.since_boot()).collect();
+      let is_alone = live.is_empty();
+      let sound = live.into_iter().filter(|(_, member)| member.unreachable_services.is_empty());
       let mut sound: Vec<(SocketAddr, &Member)> = sound.collect();
       sound.shuffle(&mut rand::rng());
       // Older builds do not know the question.
       sound.sort_by_key(|(_, member)| !member.can_assist);
       sound.truncate(MAX_ASKED_HOSTS);
-      sound.into_iter().map(|(address, _)| address).collect::<Vec<_>>()
+      let hosts = sound.into_iter().map(|(address, _)| address);
+      (hosts.collect::<Vec<_>>(), is_alone)
     };
-    let mut is_reached = hosts.is_empty().then_some(false);
+    let mut is_reached = is_alone.then_some(false);
     let questions = hosts.into_iter().map(|host| async move {
       let answer = time::timeout(ASK_TIMEOUT, member::ask_is_listening(host, target)).await;
       answer.ok()?.ok()?
