Targets that may still run a stream stay known when it starts, moves and is passed on

Three gaps, found by reading. A target whose run was lost before the first event and not certainly stopped was forgotten once another one answered, and could be chosen again or stay unknown to another host. A host that takes a request over could send it to the very target that confirmed to have stopped it, while the order of the first host was still under way and would stop the new run; another target goes first now. And a moved run was not checked for the process that takes it; as only the process that took the copy goes on from it, it is asked meanwhile, without a delay.

--- a/yuccarudder/src/gateway/migration.rs
+++ b/yuccarudder/src/gateway/migration.rs
@@ -246,21 +246,43 @@
   !call.gateway.has_lost_links(&call.service_name) && stop_unplaced(call, source).await
 }
 
-/// Stops the runs of a request that the host which passed it on could not stop; returns the targets that may
-/// still run it.
-pub async fn stop_for_other_host(call: &Call) -> Vec<Key> {
-  let sources: Vec<(Key, Target)> = {
+/// Targets that ran a request which another host passed on, and could not stop there.
+pub struct OtherRuns {
+  /// Those to which the request is not sent.
+  pub avoided: Vec<Key>,
+  /// Those that may still run it, with their fingerprints.
+  pub unstopped: Vec<(Key, u64)>,
+}
+
+/// Stops the runs of a request that the host which passed it on could not stop.
+///
+/// The order of that host may still arrive and would stop a new run as well, so another target is preferred even
+/// to one that confirms.
+pub async fn stop_for_other_host(call: &Call) -> OtherRuns {
+  let (sources, has_others) = {
     let state = call.gateway.lock();
     let fingerprints = call.metadata.unstopped_at.iter();
-    let sources = fingerprints.flat_map(|fingerprint| state.roster.keys_of(*fingerprint));
-    let sources = sources.filter_map(|key| Some((key, state.roster.get(key)?.clone())));
-    sources.filter(|(_, source)| source.listing.service == call.service_name).collect()
+    let keys: Vec<Key> =
+      fingerprints.flat_map(|fingerprint| state.roster.keys_of(*fingerprint)).collect();
+    let has_others = state
+      .roster
+      .accepting(&call.service_name)
+      .any(|(key, target)| !keys.contains(&key) && call.accepts_version(&target.listing.version));
+    let sources = keys.into_iter().filter_map(|key| Some((key, state.roster.get(key)?.clone())));
+    let sources = sources.filter(|(_, source)| source.listing.service == call.service_name);
+    (sources.collect::<Vec<(Key, Target)>>(), has_others)
   };
   let stops = sources.iter().map(|(key, source)| async {
     let is_stopped = stop_unplaced(call, source).await;
-    (!is_stopped).then_some(*key)
+    (!is_stopped).then_some((*key, source.fingerprint))
   });
-  future::join_all(stops).await.into_iter().flatten().collect()
+  let unstopped: Vec<_> = future::join_all(stops).await.into_iter().flatten().collect();
+  let avoided = if has_others {
+    sources.into_iter().map(|(key, _)| key).collect()
+  } else {
+    unstopped.iter().map(|(key, _)| *key).collect()
+  };
+  OtherRuns { avoided, unstopped }
 }
 
 /// A request to an engine to stop a run.
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -121,11 +121,13 @@
 }
 
 impl Session {
-  /// Spawns a task that relays the events, and returns the response body for the caller.
+  /// Spawns a task that relays the events, and returns the response body for the caller. `unstopped` are the
+  /// targets that may still run the request, with their fingerprints.
   pub fn start(
     call: Call,
     history: History,
     assignment: Assignment,
+    unstopped: Vec<(Key, u64)>,
     target_body: Incoming,
     framing: Framing,
   ) -> Body {
@@ -135,8 +137,8 @@
       cursor: Cursor::new(call.metadata.last_event_id),
       call,
       chunk_sender,
-      lost_at: Vec::new(),
-      unstopped_at: Vec::new(),
+      lost_at: unstopped.iter().map(|(key, _)| *key).collect(),
+      unstopped_at: unstopped.into_iter().map(|(_, fingerprint)| fingerprint).collect(),
       ending: None,
       framing,
       is_at_other_host: false,
@@ -501,9 +503,13 @@
       last_event_id: self.cursor.last_event_id(),
     };
     let timeout = RESUME_TIMEOUT.min(self.call.time_left());
-    let result = self.call.send(&destination, Some(&resume), timeout).await;
+    // Only the process that took the copy goes on from it, so it may be asked for meanwhile.
+    let (result, is_listed) = tokio::join!(
+      self.call.send(&destination, Some(&resume), timeout),
+      self.call.is_at_listed_process(&destination)
+    );
     match result {
-      Ok(response) if stream::has_events(&response) => {
+      Ok(response) if stream::has_events(&response) && is_listed => {
         offer.accept();
         self.migrations += 1;
         self.count_migration_step("continued");
--- a/yuccarudder/src/gateway/stream.rs
+++ b/yuccarudder/src/gateway/stream.rs
@@ -1,7 +1,12 @@
 use {
   super::{
-    Gateway, assignment::Assignment, call::Call, forwarding, ingress, migration,
-    retrying::Attempts, session::Session,
+    Gateway,
+    assignment::Assignment,
+    call::Call,
+    forwarding, ingress,
+    migration::{self, OtherRuns},
+    retrying::Attempts,
+    session::Session,
   },
   crate::{
     attempt::Outcome,
@@ -9,6 +14,7 @@
     origin::Decision,
     plain,
     refusal::{Reason, Refusal},
+    roster::Key,
   },
   hyper::{Response, StatusCode, body::Incoming, header::CONTENT_LENGTH},
   std::time::Duration,
@@ -36,16 +42,20 @@
   }
   constrain_version(&mut call).await?;
   let mut attempts = Attempts::new(&call);
-  attempts.avoid(migration::stop_for_other_host(&call).await);
+  let OtherRuns {
+    avoided,
+    mut unstopped,
+  } = migration::stop_for_other_host(&call).await;
+  attempts.avoid(avoided);
   let mut lost: Option<Assignment> = None;
-  let mut unstopped_at = Vec::new();
   loop {
     if let Some(host) = attempts.next_helper(&call) {
       if let Some(lost) = lost.take()
         && !migration::stop_before_handover(&call, &lost.target).await
       {
-        unstopped_at.push(lost.target.fingerprint);
+        unstopped.push((lost.key, lost.target.fingerprint));
       }
+      let unstopped_at: Vec<u64> = unstopped.iter().map(|(_, fingerprint)| *fingerprint).collect();
       let failure = match call.hand_over(host, &attempts.history, None, &unstopped_at).await {
         Ok(response) => return Ok(forwarding::relay(&call, response)),
         Err(failure) => failure,
@@ -62,13 +72,15 @@
     if let Some(lost) = lost.take() {
       let destination = assignment.target.listing.address;
       if !migration::stop_lost_start(&call, &lost.target, destination).await {
-        unstopped_at.push(lost.target.fingerprint);
+        unstopped.push((lost.key, lost.target.fingerprint));
       }
     }
     let failure = match call.send(&assignment, None, call.time_left()).await {
       Ok(response) if has_events(&response) => {
         if !call.continues_stream() || call.is_at_listed_process(&assignment).await {
-          return Ok(build_response(call, attempts, assignment, response));
+          return Ok(build_response(
+            call, attempts, assignment, unstopped, response,
+          ));
         }
         Outcome::Lost.into()
       }
@@ -149,6 +161,7 @@
   call: Call,
   attempts: Attempts,
   assignment: Assignment,
+  unstopped: Vec<(Key, u64)>,
   response: Response<Incoming>,
 ) -> Response<Body> {
   let framing = Framing::of_response(&response);
@@ -156,6 +169,13 @@
   plain::strip_response(&mut head.headers);
   // Another target may continue the stream with more bytes or fewer.
   head.headers.remove(CONTENT_LENGTH);
-  let body = Session::start(call, attempts.history, assignment, target_body, framing);
+  let body = Session::start(
+    call,
+    attempts.history,
+    assignment,
+    unstopped,
+    target_body,
+    framing,
+  );
   Response::from_parts(head, body)
 }
