--- a/yuccarudder/src/gateway/run_life_tests/host.rs
+++ b/yuccarudder/src/gateway/run_life_tests/host.rs
@@ -36,6 +36,9 @@
 /// The numbers and addresses of the hosts that run.
 pub type Addresses = Arc<Mutex<Vec<(usize, SocketAddr)>>>;
 
+/// The gateways of the hosts that run, with what runs them.
+pub type Gateways = Arc<Mutex<Vec<Option<(Gateway, Handle)>>>>;
+
 /// Pause between two reads of the store.
 const READ_PAUSE: Duration = Duration::from_millis(300);
 /// Time for a heartbeat to arrive.
@@ -49,7 +52,7 @@
   pub fleet: Arc<Fleet>,
   /// The addresses of all hosts, those that do not run too: for callers, and for other hosts.
   pub addresses: Arc<Vec<(SocketAddr, SocketAddr)>>,
-  pub gateways: Arc<Mutex<Vec<Option<(Gateway, Handle)>>>>,
+  pub gateways: Gateways,
   /// Runs all that is no host.
   pub outside: Handle,
 }
