--- a/yuccarudder/src/gateway/run_life_tests/host.rs
+++ b/yuccarudder/src/gateway/run_life_tests/host.rs
@@ -36,14 +36,14 @@
 /// The numbers and addresses of the hosts that run.
 pub type Addresses = Arc<Mutex<Vec<(usize, SocketAddr)>>>;
 
+/// The gateways of the hosts that run, with what runs them.
+pub type Gateways = Arc<Mutex<Vec<Option<(Gateway, Handle)>>>>;
+
 /// Pause between two reads of the store.
 const READ_PAUSE: Duration = Duration::from_millis(300);
 /// Time for a heartbeat to arrive.
 const HEARTBEAT_TIME: Duration = Duration::from_millis(2);
 
-/// A gateway and what runs its tasks.
-pub type Running = (Gateway, Handle);
-
 /// What the hosts have in common.
 #[derive(Clone)]
 pub struct Network {
@@ -52,7 +52,7 @@
   pub fleet: Arc<Fleet>,
   /// The addresses of all hosts, those that do not run too: for callers, and for other hosts.
   pub addresses: Arc<Vec<(SocketAddr, SocketAddr)>>,
-  pub gateways: Arc<Mutex<Vec<Option<Running>>>>,
+  pub gateways: Gateways,
   /// Runs all that is no host.
   pub outside: Handle,
 }
@@ -174,7 +174,6 @@
     let now = gateway.clock.since_boot();
     let catalog = Changes {
       changes: vec![Change {
-        created: None,
         version: Version::new(0, 1),
         subject: Subject::Catalog(Some("catalog".into())),
       }],
