Fix: a page of the store without a readable key does not stop a host

What callers saw: 503 from a host that started while the store's list had a page of which no key could be read; it never became ready. Running hosts no longer listed the targets.

Cause: the next page begins after a key, and the whole list failed without one.

Why it works: the list of the targets counts as cut there. What was read is used, what was not is neither new nor gone, the watch goes on from the list's revision, and neither proves which versions are in service. Items that cannot be read are counted.

--- a/yuccarudder/src/gateway/instruments.rs
+++ b/yuccarudder/src/gateway/instruments.rs
@@ -50,6 +50,8 @@
   pub unframed_ends: IntCounterVec,
   /// Panics of tasks that run as long as the host, by task.
   pub task_panics: IntCounterVec,
+  /// Items and events of the platform that cannot be read.
+  pub unreadable_items: IntCounter,
   /// Targets that accept requests.
   pub available_targets: IntGauge,
 }
@@ -127,6 +129,11 @@
         "Tasks that panicked and were started again",
         "task",
       ),
+      unreadable_items: IntCounter::new(
+        "yuccarudder_unreadable_items_total",
+        "Items and events of the platform that cannot be read",
+      )
+      .expect(VALID_NAMES),
       available_targets: IntGauge::new("yuccarudder_targets", "Targets that take work")
         .expect(VALID_NAMES),
     };
@@ -153,6 +160,7 @@
       Box::new(self.finished_streams.clone()),
       Box::new(self.unframed_ends.clone()),
       Box::new(self.task_panics.clone()),
+      Box::new(self.unreadable_items.clone()),
       Box::new(self.available_targets.clone()),
     ];
     for collector in collectors {
--- a/yuccarudder/src/gateway/out_of_step_tests.rs
+++ b/yuccarudder/src/gateway/out_of_step_tests.rs
@@ -224,6 +224,7 @@
     });
     Changes {
       changes: changes.collect(),
+      is_cut: false,
       unreadable: 0,
       version: Version::new(0, self.revision),
     }
@@ -234,6 +235,7 @@
     let changes = self.history.iter().filter(|(_, change)| change.version.revision > after);
     (self.now() < read_at + HISTORY).then(|| Changes {
       changes: changes.map(|(_, change)| change.clone()).collect(),
+      is_cut: false,
       unreadable: 0,
       version: Version::new(0, self.revision),
     })
--- a/yuccarudder/src/gateway/run_life_tests/fleet.rs
+++ b/yuccarudder/src/gateway/run_life_tests/fleet.rs
@@ -51,6 +51,7 @@
     });
     Changes {
       changes: changes.collect(),
+      is_cut: false,
       unreadable: 0,
       version: Version::new(0, self.revision),
     }
--- a/yuccarudder/src/gateway/run_life_tests/host.rs
+++ b/yuccarudder/src/gateway/run_life_tests/host.rs
@@ -122,6 +122,7 @@
         version: Version::new(0, 1),
         subject: Subject::Catalog(Some("catalog".into())),
       }],
+      is_cut: false,
       unreadable: 0,
       version: Version::new(0, 1),
     };
--- a/yuccarudder/src/gateway/updates.rs
+++ b/yuccarudder/src/gateway/updates.rs
@@ -23,6 +23,7 @@
     if !self.lock().observe_era(changes.version.era, &self.clock) {
       return;
     }
+    self.instruments.unreadable_items.inc_by(changes.unreadable as u64);
     let mut departing = Vec::new();
     for change in changes.changes {
       departing.extend(self.apply_change(change, requested_at));
@@ -246,6 +247,7 @@
     if !self.lock().observe_era(snapshot.version.era, &self.clock) {
       return;
     }
+    self.instruments.unreadable_items.inc_by(snapshot.unreadable as u64);
     match area {
       Area::Operator => self.apply_operator_snapshot(snapshot, requested_at),
       Area::Targets => self.apply_target_snapshot(snapshot),
@@ -283,12 +285,16 @@
     let mut state = self.lock();
     let recovering = state.is_recovering(now);
     if snapshot.unreadable > 0 {
-      log::warn!(target: PREFIX, unreadable = snapshot.unreadable; "Items of the platform cannot be read.");
+      log::warn!(target: PREFIX, unreadable = snapshot.unreadable, is_cut = snapshot.is_cut; "Items of the platform cannot be read.");
     }
     if state.targets_listed_at.is_none() {
       log::info!(target: PREFIX, targets = entries.len(), revision = snapshot.version.revision, recovering; "Listed the targets.");
     }
-    let departing = state.roster.apply_snapshot(entries, snapshot.version, recovering, now);
+    let departing = if snapshot.is_cut {
+      state.roster.apply_cut_snapshot(entries, now)
+    } else {
+      state.roster.apply_snapshot(entries, snapshot.version, recovering, now)
+    };
     state.targets_listed_at = Some(now);
     drop(state);
     self.announce_departures(&departing, "platform");
--- a/yuccarudder/src/reader/document.rs
+++ b/yuccarudder/src/reader/document.rs
@@ -67,6 +67,8 @@
 pub struct Changes {
   /// The changes, in order.
   pub changes: Vec<Change>,
+  /// Whether a list ended before its last documents, as no key of a page could be read.
+  pub is_cut: bool,
   /// Number of further changes that cannot be read, such as those without a key.
   pub unreadable: usize,
   /// State up to which they are complete.
--- a/yuccarudder/src/reader/run.rs
+++ b/yuccarudder/src/reader/run.rs
@@ -42,14 +42,19 @@
       Ok(snapshot) => {
         backoff = Duration::ZERO;
         let version = snapshot.version;
+        // What a list left out may be of any version.
+        let read_at = (!snapshot.is_cut).then_some(requested_at);
         gateway.record_read_success(area);
         gateway.apply_snapshot(area, snapshot, requested_at);
-        if consistency == Consistency::Current && area == Area::Targets {
-          gateway.record_targets_read(requested_at.saturating_sub(MIN_LISTED_TIME), requested_at);
+        if consistency == Consistency::Current
+          && area == Area::Targets
+          && let Some(read_at) = read_at
+        {
+          gateway.record_targets_read(read_at.saturating_sub(MIN_LISTED_TIME), read_at);
         }
         match gateway.read_mode(area) {
           Mode::Watch(_) if consistency == Consistency::Current => {
-            watch(&gateway, &store, area, version, requested_at).await;
+            watch(&gateway, &store, area, version, read_at).await;
           }
           Mode::Watch(_) => {}
           Mode::Poll(pause) | Mode::Idle(pause) => time::sleep(pause).await,
@@ -66,8 +71,14 @@
 /// Applies changes while this host is to watch the area, and returns early if the area is to be listed
 /// again: if the platform no longer keeps the changes that come next, was restored from an older copy, or
 /// sent something that cannot be read, in place of which the list shows what holds now. The state `listed`
-/// was requested at `listed_at`.
-async fn watch(gateway: &Gateway, store: &Store, area: Area, listed: Version, listed_at: Duration) {
+/// was requested at `listed_at`; `None` if the list was cut.
+async fn watch(
+  gateway: &Gateway,
+  store: &Store,
+  area: Area,
+  listed: Version,
+  listed_at: Option<Duration>,
+) {
   let mut read_until = listed_at;
   let mut revision = listed.revision;
   let mut backoff = Duration::ZERO;
@@ -100,11 +111,13 @@
           return;
         }
         backoff = Duration::ZERO;
-        if area == Area::Targets {
+        if area == Area::Targets
+          && let Some(read_until) = &mut read_until
+        {
           let shown = gateway.clock.since_boot().saturating_sub(MAX_CHANGE_DELAY);
-          let until = shown.min(requested_at).max(read_until);
-          gateway.record_targets_read(read_until, until);
-          read_until = until;
+          let until = shown.min(requested_at).max(*read_until);
+          gateway.record_targets_read(*read_until, until);
+          *read_until = until;
         }
         time::sleep(pause).await;
       }
--- a/yuccarudder/src/roster/roster.rs
+++ b/yuccarudder/src/roster/roster.rs
@@ -454,9 +454,21 @@
       self.keys.keys().filter(|id| !listed.contains(*id)).cloned().collect();
     let expired = missing.iter().filter_map(|id| self.expire(id, version, recovering, now));
     let mut leaving: Vec<Key> = expired.collect();
-    for (id, version, listing) in entries {
-      leaving.extend(self.put(&id, version, listing, now));
-    }
+    leaving.extend(self.apply_cut_snapshot(entries, now));
+    leaving
+  }
+
+  /// Applies a snapshot of a part of the entries, which says nothing of the others; returns the targets that
+  /// start to leave by it.
+  pub fn apply_cut_snapshot(
+    &mut self,
+    entries: Vec<(Arc<str>, Version, Option<Listing>)>,
+    now: Instant,
+  ) -> Vec<Key> {
+    let leaving = entries
+      .into_iter()
+      .filter_map(|(id, version, listing)| self.put(&id, version, listing, now));
+    let leaving = leaving.collect();
     self.is_listed = true;
     leaving
   }
