--- a/yuccarudder/src/gateway/run_life_tests/host.rs
+++ b/yuccarudder/src/gateway/run_life_tests/host.rs
@@ -177,6 +177,7 @@
         version: Version::new(0, 1),
         subject: Subject::Catalog(Some("catalog".into())),
       }],
+      is_cut: false,
       unreadable: 0,
       version: Version::new(0, 1),
     };
--- a/yuccarudder/src/reader/document.rs
+++ b/yuccarudder/src/reader/document.rs
@@ -69,6 +69,8 @@
 pub struct Changes {
   /// The changes, in order.
   pub changes: Vec<Change>,
+  /// Whether a list ended before its last documents, as no key of a page could be read.
+  pub is_cut: bool,
   /// Number of further changes that cannot be read, such as those without a key.
   pub unreadable: usize,
   /// State up to which they are complete.
@@ -79,7 +81,7 @@
   /// Returns when all documents of a current list were written; `None` if that is not known of each, or if
   /// the store was restored from a copy, since revisions of before then were assigned again.
   pub fn inventory(&self) -> Option<origin::Inventory> {
-    if self.unreadable > 0 || self.version.era > 0 {
+    if self.unreadable > 0 || self.is_cut || self.version.era > 0 {
       return None;
     }
     let mut first_catalog = None;
--- a/yuccarudder/tests/older_builds.rs
+++ b/yuccarudder/tests/older_builds.rs
@@ -268,7 +268,7 @@
   assert_eq!(with_versions().versions_known_for_ms, None);
   assert_eq!(origins.coverage(), None);
   assert_eq!(
-    origins.decide(None, 21, Duration::ZERO, now),
+    origins.decide(None, &[21], Duration::ZERO, now),
     origin::Decision::Unknown
   );
 }
