--- a/yuccarudder/src/gateway/run_life_tests/host.rs
+++ b/yuccarudder/src/gateway/run_life_tests/host.rs
@@ -174,6 +174,7 @@
     let now = gateway.clock.since_boot();
     let catalog = Changes {
       changes: vec![Change {
+        created: None,
         version: Version::new(0, 1),
         subject: Subject::Catalog(Some("catalog".into())),
       }],
