Only usable targets count as places of a brittle service that are taken or free

One target that hangs but stays listed left a host with room there, so that it never passed its callers' requests on, and made others send it requests that it could not place. Found by reading; no test of its own. Requests to services that are not brittle no longer take the lock of the loads either.

--- a/yuccarudder/src/gateway/forwarding.rs
+++ b/yuccarudder/src/gateway/forwarding.rs
@@ -167,7 +167,7 @@
       knows_handovers: member.can_assist,
       peer,
       places: if cause == Cause::PlacesTaken {
-        self.places_of(peer, service, now)
+        self.places_of(peer, service, now, since_boot)
       } else {
         Vec::new()
       },
@@ -219,7 +219,10 @@
       Cause::LinksInDoubt
     } else if state.lacks_places(service, now, since_boot) {
       Cause::NoPlace
-    } else if may_leave && state.are_places_taken(service, &self.gateway.scheduler.lock(), now) {
+    } else if may_leave
+      && state.is_brittle(service)
+      && state.are_places_taken(service, &self.gateway.scheduler.lock(), now, since_boot)
+    {
       Cause::PlacesTaken
     } else {
       return None;
--- a/yuccarudder/src/gateway/limits.rs
+++ b/yuccarudder/src/gateway/limits.rs
@@ -260,23 +260,37 @@
     brittle.into_iter().chain(cold_limit.map(Places::Cold))
   }
 
-  /// Returns whether a service is brittle and this host's requests take up all its places at the targets.
+  /// Returns whether a service is brittle.
+  pub(super) fn is_brittle(&self, service: &str) -> bool {
+    self.brittleness.tolerance(ingress::hash(service)).is_some()
+  }
+
+  /// Returns whether this host's requests take up all its places at the usable targets of a brittle service.
   pub(super) fn are_places_taken(
     &self,
     service: &str,
     load_table: &LoadTable,
     now: Instant,
+    since_boot: Duration,
   ) -> bool {
     let hash = ingress::hash(service);
-    self.brittleness.tolerance(hash).is_some()
-      && self.roster.accepting(service).all(|(key, target)| {
-        let in_flight = load_table.local_load(target.fingerprint).requests;
-        self.brittleness.room(hash, key, in_flight, now) == Some(0)
-      })
+    let mut usable =
+      self.roster.accepting(service).filter(|(key, _)| self.is_usable(*key, now, since_boot));
+    usable.all(|(key, target)| {
+      let in_flight = load_table.local_load(target.fingerprint).requests;
+      self.brittleness.room(hash, key, in_flight, now) == Some(0)
+    })
   }
 
-  /// Returns the number of another host's places at each brittle target of a service.
-  pub(super) fn places_of(&self, host: SocketAddr, service: &str, now: Instant) -> Vec<(u64, u32)> {
+  /// Returns the number of another host's places at each brittle target of a service that this host finds
+  /// usable.
+  pub(super) fn places_of(
+    &self,
+    host: SocketAddr,
+    service: &str,
+    now: Instant,
+    since_boot: Duration,
+  ) -> Vec<(u64, u32)> {
     let hash = ingress::hash(service);
     let hosts = self.members.fleet_size();
     let places = |(key, target): (Key, &Target)| {
@@ -287,7 +301,8 @@
       };
       (target.fingerprint, share.places())
     };
-    self.roster.accepting(service).map(places).collect()
+    let accepting = self.roster.accepting(service);
+    accepting.filter(|(key, _)| self.is_usable(*key, now, since_boot)).map(places).collect()
   }
 
   /// Returns how many hosts have a place at a target of a service: the first in an order of all of them.
