Two contents whose last crashes are at about the same time do not outdo each other

Times that hosts report differ by the delays of messages, so two hosts could each lift the other's ban. Found by reading.

--- a/yuccarudder/src/quarantine/evidence.rs
+++ b/yuccarudder/src/quarantine/evidence.rs
@@ -8,7 +8,7 @@
 /// Shortest time in which a request that is sent again crashes the next target.
 const MIN_RUN: Duration = Duration::from_millis(5);
 /// Differences between the times that hosts report, due to delays of messages.
-const CLOCK_TOLERANCE: Duration = Duration::from_millis(20);
+pub const CLOCK_TOLERANCE: Duration = Duration::from_millis(20);
 
 /// Which crashes at about the same time count separately though the run of the later one was sent before the
 /// earlier one.
--- a/yuccarudder/src/quarantine/ledger.rs
+++ b/yuccarudder/src/quarantine/ledger.rs
@@ -3,7 +3,7 @@
     Ban, Crash, Feature, Sound,
     activity::Activity,
     ban,
-    evidence::{CrashedRun, Evidence, Overlap},
+    evidence::{CLOCK_TOLERANCE, CrashedRun, Evidence, Overlap},
     suspect::{MIN_CRASHES_OF_NEW_FEATURE, Suspect},
   },
   std::{
@@ -502,7 +502,7 @@
       |targets: &HashSet<u64>| targets.iter().filter_map(|target| self.crash_time(*target)).max();
     let explains_better = match explained.len().cmp(&targets.len()) {
       Ordering::Greater => true,
-      Ordering::Equal => last(explained) > last(targets),
+      Ordering::Equal => last(explained) > last(targets).map(|at| at + CLOCK_TOLERANCE),
       Ordering::Less => false,
     };
     explains_better && targets.difference(explained).count() < MIN_CRASHES_OF_NEW_FEATURE
