An engine that crashes right after it begins to continue a stream counts as crashed

An engine that refuses connections when it is asked for its process, since it has crashed, was passed over like one that was started again, and nobody reported the break. Now it is reported; the inspection finds out whether it crashed.

--- a/yuccarudder/src/gateway/completion.rs
+++ b/yuccarudder/src/gateway/completion.rs
@@ -5,7 +5,7 @@
 //! being asked share the next question.
 
 use {
-  super::{Gateway, assignment::Assignment, call::Call},
+  super::{Gateway, assignment::Assignment, breaks::Cause, call::Call},
   crate::{
     completion::{Ended, Sign, Verdict},
     dialect::Report,
@@ -99,15 +99,27 @@
 
   /// Returns whether the run of an engine, whose response has begun, is one of the process that is listed, as far
   /// as the engine tells. One that was started again under its ID may have another software version.
+  ///
+  /// An engine that does not run any more cannot tell; its run counts as broken off.
   pub(super) async fn is_at_listed_process(&self, assignment: &Assignment) -> bool {
     if self.service().is_none_or(|service| service.engine.is_none()) {
       return true;
     }
+    let clock = &self.gateway.clock;
+    let answered_at = clock.now();
     let sign = self.gateway.ask_for_sign(self.process_of(assignment));
     let sign = time::timeout(START_TIMEOUT, sign).await.ok().flatten();
     let is_listed = sign != Some(Sign::Gone);
     if !is_listed {
-      log::warn!(target: PREFIX, id = self.id(), target:% = assignment.target.id; "A target was started again since it was listed, so its run does not continue a stream.");
+      log::warn!(target: PREFIX, id = self.id(), target:% = assignment.target.id; "A target ended or was started again since it was listed, so its run does not continue a stream.");
+      self
+        .report_break(
+          assignment,
+          Some(answered_at),
+          clock.now(),
+          Cause::ConnectionLost,
+        )
+        .await;
     }
     is_listed
   }
