--- a/yuccarudder/src/gateway/breaks.rs
+++ b/yuccarudder/src/gateway/breaks.rs
@@ -186,25 +186,19 @@
       && self.brittleness.has_rejected(key, FALL_PERIOD, crashed_at)
   }
 
-  /// Returns addresses of some other targets that are not known to have crashed, of the service of the
-  /// target at first: a host that reaches one of them has not lost its links.
-  fn witnesses(&self, key: Key) -> Vec<SocketAddr> {
-    let Some(Listing {
-      address, service, ..
-    }) = self.roster.get(key).map(|target| &target.listing)
-    else {
-      return Vec::new();
-    };
+  /// Returns addresses of some targets other than the one at an address that are not known to have crashed,
+  /// of its service at first: a host that reaches one of them has not lost its links.
+  fn witnesses(&self, address: SocketAddr, service: &str) -> Vec<SocketAddr> {
     let others = self.roster.all().filter(|(_, other)| {
       other.status == Status::Serving
-        && other.listing.address != *address
+        && other.listing.address != address
         && !self.ledger.has_crashed(other.fingerprint)
     });
     let mut others: Vec<&Listing> = others.map(|(_, other)| &other.listing).collect();
     others.shuffle(&mut rand::rng());
     // One of another service answers too where all targets of this one have crashed.
     let (mut chosen, others): (Vec<_>, Vec<_>) =
-      others.into_iter().partition(|other| other.service == *service);
+      others.into_iter().partition(|other| other.service == service);
     chosen.truncate(MAX_WITNESSES - 1);
     chosen.extend(others);
     chosen.truncate(MAX_WITNESSES);
@@ -336,21 +330,21 @@
   /// `None` if neither happens, the target is unknown, or it refuses them and the links of this host may be
   /// the reason: those to its service are in doubt, or no other target accepts connections either.
   pub(super) async fn check_listening(self, target: u64) -> Option<bool> {
-    let (address, service, witnesses) = {
+    let Listing {
+      address, service, ..
+    } = {
       let state = self.lock();
       let key = state.roster.keys_of(target).next()?;
-      let listing = &state.roster.get(key)?.listing;
-      (
-        listing.address,
-        listing.service.clone(),
-        state.witnesses(key),
-      )
+      state.roster.get(key)?.listing.clone()
     };
     if self.pool.is_listening(address, ASK_TIMEOUT).await? {
       return Some(true);
     }
-    let can_tell = !self.has_doubtful_links(&service) && self.reaches_any(&witnesses).await;
-    can_tell.then_some(false)
+    if self.has_doubtful_links(&service) {
+      return None;
+    }
+    let witnesses = self.lock().witnesses(address, &service);
+    self.reaches_any(&witnesses).await.then_some(false)
   }
 
   /// Returns whether one of some addresses, if there are any, accepts a connection of this host.
