--- a/yuccarudder/src/gateway/limits.rs
+++ b/yuccarudder/src/gateway/limits.rs
@@ -227,8 +227,7 @@
   /// Returns whether all targets of a service are brittle or in their cold start and this host has no place
   /// at any of them.
   pub(super) fn lacks_places(&mut self, service: &str, now: Instant, since_boot: Duration) -> bool {
-    let is_brittle = self.brittleness.tolerance(ingress::hash(service)).is_some();
-    if !is_brittle && self.cold_limit(service).is_none() {
+    if !self.is_brittle(service) && self.cold_limit(service).is_none() {
       return false;
     }
     self.update_place_shares(service, now, since_boot);
@@ -253,9 +252,8 @@
     target: &Target,
     now: Instant,
   ) -> impl Iterator<Item = Places> + use<> {
-    let hash = ingress::hash(service);
-    let tolerance = self.brittleness.tolerance(hash);
-    let brittle = tolerance.map(|_| Places::Brittle(self.place_limit(hash, key, target, now)));
+    let place_limit = || self.place_limit(ingress::hash(service), key, target, now);
+    let brittle = self.is_brittle(service).then(|| Places::Brittle(place_limit()));
     let cold_limit = target.is_cold(now).then(|| self.cold_limit(service)).flatten();
     brittle.into_iter().chain(cold_limit.map(Places::Cold))
   }
