--- a/yuccarudder/src/gateway/race.rs
+++ b/yuccarudder/src/gateway/race.rs
@@ -241,8 +241,7 @@
   /// Handles that no target can be chosen.
   fn handle_refusal(&mut self, refusal: Refusal) -> Option<Result<Response<Body>, Refusal>> {
     if self.running.is_empty() {
-      let held = self.held.take().map(|response| buffered::finish(self.call, response));
-      return Some(held.ok_or(refusal));
+      return Some(self.take_held().ok_or(refusal));
     }
     self.schedule_hedge();
     None
@@ -265,14 +264,25 @@
       return None;
     }
     if is_retried || !self.running.is_empty() {
-      let own_response =
-        failure.response.filter(|response| !verdict::means_not_run(response.status()));
-      self.held = own_response.filter(|_| !end.is_of_host).or(self.held.take());
+      self.hold(failure.response, end.is_of_host);
       return None;
     }
     Some(self.give_up(failure, end.is_of_host))
   }
 
+  /// Keeps the response of a target that failed the request, unless its status would state that the
+  /// request did not run.
+  fn hold(&mut self, response: Option<Response<Body>>, is_of_host: bool) {
+    let is_kept =
+      |response: &Response<Body>| !is_of_host && !verdict::means_not_run(response.status());
+    self.held = response.filter(is_kept).or(self.held.take());
+  }
+
+  /// Ends the request with the response that is held, if there is one.
+  fn take_held(&mut self) -> Option<Response<Body>> {
+    self.held.take().map(|response| buffered::finish(self.call, response))
+  }
+
   /// Records that targets did not answer for longer than another one took from a later start.
   fn record_overtaken(&self, winner: usize) {
     for contender in self.contenders[..winner].iter().flatten() {
@@ -286,19 +296,17 @@
     }
   }
 
-  /// Ends a request without another attempt: the caller gets the response of a target, unless its
-  /// status would state that the request did not run, or the promise of another host that it did not.
+  /// Ends a request without another attempt: the caller gets the response of a target that is held, or
+  /// the promise of another host that the request did not run.
   fn give_up(&mut self, failure: Failure, is_of_host: bool) -> Result<Response<Body>, Refusal> {
     let call = self.call;
-    let history = &self.attempts.history;
-    let refusal = || call.final_refusal(history, failure.outcome);
+    let history = self.attempts.history;
+    let refusal = || call.final_refusal(&history, failure.outcome);
     if is_of_host && failure.outcome == Outcome::NotRun && history.possible_runs == 0 {
       return failure.response.ok_or_else(refusal);
     }
-    let response = failure.response.filter(|_| !is_of_host);
-    let response = response.filter(|response| !verdict::means_not_run(response.status()));
-    let response = response.or(self.held.take());
-    response.map(|response| buffered::finish(call, response)).ok_or_else(refusal)
+    self.hold(failure.response, is_of_host);
+    self.take_held().ok_or_else(refusal)
   }
 }
 
