--- a/yuccarudder/src/gateway/updates.rs
+++ b/yuccarudder/src/gateway/updates.rs
@@ -311,6 +311,11 @@
     }
   }
 
+  /// Returns whether lists of the store are still to show what was in service before this process started.
+  pub fn needs_inventory(&self) -> bool {
+    self.lock().history.is_some()
+  }
+
   /// Records when all items of an area that was listed at a time since boot were written; the first lists of
   /// both areas show whether all targets that were in service before are known.
   pub fn record_inventory(&self, area: Area, inventory: origin::Inventory, requested_at: Duration) {
--- a/yuccarudder/src/reader/run.rs
+++ b/yuccarudder/src/reader/run.rs
@@ -42,10 +42,8 @@
       Ok(snapshot) => {
         backoff = Duration::ZERO;
         let version = snapshot.version;
-        let inventory = match consistency {
-          Consistency::Current => snapshot.inventory(),
-          Consistency::Stale => None,
-        };
+        let is_proof = consistency == Consistency::Current && gateway.needs_inventory();
+        let inventory = is_proof.then(|| snapshot.inventory()).flatten();
         // What a list left out may be of any version.
         let read_at = (!snapshot.is_cut).then_some(requested_at);
         gateway.record_read_success(area);
