--- a/yuccarudder/src/quarantine/tests.rs
+++ b/yuccarudder/src/quarantine/tests.rs
@@ -1200,59 +1200,51 @@
   assert!(fleet.late_fatal_requests <= MAX_LATE_ARRIVALS);
 }
 
-/// Guards against a sound request that stays banned: a host decided on one crash of the fatal request and
-/// three of the sound one, as the host that had noticed the others restarted, and the ban went round.
-#[test]
-fn request_beside_a_fatal_one_is_not_banned_though_the_host_that_noticed_the_crashes_restarts() {
-  let fleet = Fleet::run(Scenario {
-    fatal_request_rate: 0.4,
-    hosts: 30,
-    is_plain: true,
-    loss: 0.1,
-    restarts: true,
-    seed: 4020290720314471716,
-    targets: 3,
-    ..CALM
-  });
-  assert_eq!(fleet.wrongly_banned(), HashSet::new());
-  assert!(fleet.late_fatal_requests + fleet.late_out_of_touch[2] <= MAX_LATE_ARRIVALS);
+/// Defines a test of a sound request beside a fatal one, while hosts restart: the share of messages that are
+/// lost, and the seed.
+macro_rules! beside_fatal_request {
+  ($name:ident, $loss:expr, $seed:expr) => {
+    #[test]
+    fn $name() {
+      let fleet = Fleet::run(Scenario {
+        fatal_request_rate: 0.4,
+        hosts: 30,
+        is_plain: true,
+        loss: $loss,
+        restarts: true,
+        seed: $seed,
+        targets: 3,
+        ..CALM
+      });
+      assert_eq!(fleet.wrongly_banned(), HashSet::new());
+      assert!(fleet.late_fatal_requests + fleet.late_out_of_touch[2] <= MAX_LATE_ARRIVALS);
+    }
+  };
 }
 
-/// Guards against a sound request that stays banned after the fatal one is: no host heard of one of the
-/// three crashes of the fatal request.
-#[test]
-fn request_beside_a_fatal_one_is_not_banned_for_the_one_crash_that_is_left() {
-  let fleet = Fleet::run(Scenario {
-    fatal_request_rate: 0.4,
-    hosts: 30,
-    is_plain: true,
-    loss: 0.3,
-    restarts: true,
-    seed: 1557778080529624873,
-    targets: 3,
-    ..CALM
-  });
-  assert_eq!(fleet.wrongly_banned(), HashSet::new());
-  assert!(fleet.late_fatal_requests + fleet.late_out_of_touch[2] <= MAX_LATE_ARRIVALS);
-}
+// Guards against a sound request that stays banned: a host decided on one crash of the fatal request and
+// three of the sound one, as the host that had noticed the others restarted, and the ban went round.
+beside_fatal_request!(
+  request_beside_a_fatal_one_is_not_banned_though_the_host_that_noticed_the_crashes_restarts,
+  0.1,
+  4020290720314471716
+);
 
-/// Guards against a sound request that is banned for the crashes of a fatal one, and the fatal one let through: the
-/// only host that noticed one of them restarts before its heartbeat.
-#[test]
-fn fatal_request_is_kept_away_although_a_sound_one_is_known_of_more_crashes() {
-  let fleet = Fleet::run(Scenario {
-    fatal_request_rate: 0.4,
-    hosts: 30,
-    is_plain: true,
-    loss: 0.3,
-    restarts: true,
-    seed: 6602595127714979281,
-    targets: 3,
-    ..CALM
-  });
-  assert_eq!(fleet.wrongly_banned(), HashSet::new());
-  assert!(fleet.late_fatal_requests + fleet.late_out_of_touch[2] <= MAX_LATE_ARRIVALS);
-}
+// Guards against a sound request that stays banned after the fatal one is: no host heard of one of the
+// three crashes of the fatal request.
+beside_fatal_request!(
+  request_beside_a_fatal_one_is_not_banned_for_the_one_crash_that_is_left,
+  0.3,
+  1557778080529624873
+);
+
+// Guards against a sound request that is banned for the crashes of a fatal one, and the fatal one let through: the
+// only host that noticed one of them restarts before its heartbeat.
+beside_fatal_request!(
+  fatal_request_is_kept_away_although_a_sound_one_is_known_of_more_crashes,
+  0.3,
+  6602595127714979281
+);
 
 /// Guards against a fatal request that is sent on by hosts that could know of it: the hosts that noticed its
 /// crashes restart before their heartbeat, and others restart or are cut off while the fatal request comes.
