--- a/yuccarudder/src/dialect.rs
+++ b/yuccarudder/src/dialect.rs
@@ -53,6 +53,8 @@
   /// IDs of the parts of the prompt, in order. Requests share parts; the last one belongs to this
   /// request or its session.
   pub prompt_parts: Vec<u64>,
+  /// Numbers of tokens of the parts of the prompt, in the same order.
+  pub prompt_part_tokens: Vec<u64>,
   /// Number of tokens in the prompt.
   pub prompt_tokens: u64,
   /// Identifies this attempt of the caller.
--- a/yuccarudder/src/gateway/assignment.rs
+++ b/yuccarudder/src/gateway/assignment.rs
@@ -289,6 +289,8 @@
         !state.throttle.allows(key, limit, &share, now)
       };
       Candidate {
+        granted: true,
+        surcharge: 0.0,
         cold_limited: cold_limit.as_ref().filter(|_| target.is_cold(now)).is_some_and(is_throttled),
         ejected: state.health.is_ejected(key, now),
         key,
--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -135,6 +135,10 @@
   let memory = state.origins.memory().filter(|_| is_complete);
   let age = state.freshness.age(now);
   let heartbeat = Heartbeat {
+    account_uses: Vec::new(),
+    held_prompts: Vec::new(),
+    paces: Vec::new(),
+    waiting: Vec::new(),
     announcements: if reads_targets {
       announcements(&state.roster, clock_now)
     } else {
--- a/yuccarudder/src/gateway/run_life_tests/host.rs
+++ b/yuccarudder/src/gateway/run_life_tests/host.rs
@@ -314,6 +314,7 @@
     }),
     length_hint: None,
     max_tokens: number(headers, "pieces").unwrap_or_default(),
+    prompt_part_tokens: Vec::new(),
     prompt_parts: Vec::new(),
     prompt_tokens: 100,
     request_id: text(headers, "request"),
--- a/yuccarudder/src/member/heartbeat.rs
+++ b/yuccarudder/src/member/heartbeat.rs
@@ -1,8 +1,8 @@
 use {
   crate::{
-    origin, placement,
+    contention, origin, pace, placement, prompt,
     quarantine::{self, Feature},
-    reader, roster,
+    reader, roster, share,
   },
   std::time::{Duration, Instant},
 };
@@ -531,6 +531,18 @@
 /// State that a host sends to each other host at short intervals.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Heartbeat {
+  /// What client accounts use through the sender, as far as it has changed.
+  #[prost(message, repeated, tag = "38")]
+  pub account_uses: Vec<share::Message>,
+  /// Prompt parts that targets have begun to hold.
+  #[prost(message, repeated, tag = "37")]
+  pub held_prompts: Vec<prompt::Message>,
+  /// What the sender saw of the streams of targets since its last heartbeat.
+  #[prost(message, repeated, tag = "35")]
+  pub paces: Vec<pace::Message>,
+  /// The sender's requests that wait for places, by service.
+  #[prost(message, repeated, tag = "36")]
+  pub waiting: Vec<contention::Message>,
   /// Targets that came into service or changed recently; only from hosts that read them for the
   /// others.
   #[prost(message, repeated, tag = "21")]
--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -21,6 +21,10 @@
 
 fn heartbeat(host: u8, sequence: u64) -> Heartbeat {
   Heartbeat {
+    account_uses: Vec::new(),
+    held_prompts: Vec::new(),
+    paces: Vec::new(),
+    waiting: Vec::new(),
     announcements: Vec::new(),
     bans: Vec::new(),
     callers: address(host).to_string(),
--- /dev/null
+++ b/yuccarudder/src/pace/table.rs
@@ -0,0 +1,3 @@
+/// The pace of each target.
+#[derive(Clone, Debug, Default)]
+pub struct Table {}
--- a/yuccarudder/src/placement/choose.rs
+++ b/yuccarudder/src/placement/choose.rs
@@ -18,6 +18,11 @@
 /// A target that accepts new requests.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
+  /// Whether the order of the waiting requests of all hosts leaves a place there to this one.
+  pub granted: bool,
+  /// Expected harm of the request at this target beyond the use of its capacity, in the unit of the
+  /// utilization.
+  pub surcharge: f64,
   /// Whether it is in its cold start and this host has reached its share of the rate limit.
   pub cold_limited: bool,
   /// Whether it is ejected after recent failures; it is used only if all others are, too,
@@ -114,7 +119,7 @@
   }
   let costs = candidates.iter().map(|candidate| {
     (
-      cost(candidate, demand) + COST_JITTER * random(),
+      cost(candidate, demand) + candidate.surcharge + COST_JITTER * random(),
       candidate.key,
     )
   });
@@ -125,7 +130,7 @@
 }
 
 fn has_capacity(candidate: &Candidate, demand: &Demand) -> bool {
-  if candidate.cold_limited || candidate.room == Some(0) {
+  if candidate.cold_limited || !candidate.granted || candidate.room == Some(0) {
     return false;
   }
   let load = &candidate.load;
--- a/yuccarudder/src/placement/tests.rs
+++ b/yuccarudder/src/placement/tests.rs
@@ -31,6 +31,8 @@
 
 fn candidate(key: Key, load: Load) -> Candidate {
   Candidate {
+    granted: true,
+    surcharge: 0.0,
     cold_limited: false,
     ejected: false,
     key,
--- /dev/null
+++ b/yuccarudder/src/prompt/table.rs
@@ -0,0 +1,3 @@
+/// The prompt parts that each target holds, as far as known.
+#[derive(Clone, Debug, Default)]
+pub struct Table {}
--- a/yuccarudder/src/settings/gateway.rs
+++ b/yuccarudder/src/settings/gateway.rs
@@ -37,6 +37,19 @@
   pub directory_ttl: Duration,
 }
 
+/// The parts of the placement of requests that a deployment turns on.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Placement {
+  /// Whether client accounts that use less than their share of a service go first.
+  pub account_shares: bool,
+  /// Whether free places are dealt out in one order of the waiting requests of all hosts.
+  pub contention: bool,
+  /// Whether targets that hold the beginning of a prompt are preferred.
+  pub held_prompts: bool,
+  /// Whether requests are placed by how fast targets generate.
+  pub pace: bool,
+}
+
 /// The settings file of one gateway host.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Gateway {
@@ -60,6 +73,8 @@
   pub peers: SocketAddr,
   /// The guarantees of the platform to its users.
   pub guarantees: Guarantees,
+  /// The parts of the placement of requests that are turned on.
+  pub placement: Placement,
   /// Address on which readiness probes are answered.
   pub readiness: SocketAddr,
   /// Addresses of hosts from which this host discovers the others.
@@ -105,6 +120,8 @@
         "the bandwidth of the host's network link in Mbit/s",
       );
       let link_mbps = link_mbps.and_then(|node| node.float(&(0.1..=1e6)));
+      let placement =
+        map.get("placement").map_or(Some(Placement::default()), |node| read_placement(&node));
       let guarantees = map
         .require("promises", "a mapping of the platform's guarantees")
         .and_then(|node| read_guarantees(&node));
@@ -120,6 +137,7 @@
         name: name?.into(),
         peers: peers?,
         guarantees: guarantees?,
+        placement: placement?,
         readiness: readiness?,
         seeds: seeds?,
         store: store?,
@@ -135,6 +153,22 @@
   millicores.min(link_mbps * MILLICORES_PER_MBPS).ceil() as u32
 }
 
+fn read_placement(node: &Node<'_, '_>) -> Option<Placement> {
+  let mut map = node.map()?;
+  let mut flag = |key| map.get(key).map_or(Some(false), |node| node.boolean());
+  let account_shares = flag("account_shares");
+  let contention = flag("contention");
+  let held_prompts = flag("held_prompts");
+  let pace = flag("pace");
+  map.finish();
+  Some(Placement {
+    account_shares: account_shares?,
+    contention: contention?,
+    held_prompts: held_prompts?,
+    pace: pace?,
+  })
+}
+
 fn read_guarantees(node: &Node<'_, '_>) -> Option<Guarantees> {
   let mut map = node.map()?;
   let mut seconds = |key| {
--- a/yuccarudder/src/settings/mod.rs
+++ b/yuccarudder/src/settings/mod.rs
@@ -3,7 +3,7 @@
 mod gateway;
 mod host;
 
-pub use gateway::{Gateway, Guarantees};
+pub use gateway::{Gateway, Guarantees, Placement};
 use host::LOG_FORMATS;
 pub use host::{Host, LogFormat};
 
--- /dev/null
+++ b/yuccarudder/src/share/table.rs
@@ -0,0 +1,3 @@
+/// What each client account uses.
+#[derive(Clone, Debug, Default)]
+pub struct Table {}
