pace: Requests are placed by how fast targets generate and where pauses break limits

Some engines generate 2 to 3 times as slowly as others for their whole lifetime, and almost all pauses above the limit of their route occur there, but hosts chose targets by load alone.

Hosts measure the gaps between the events of the streams that they relay, exchange the sums in heartbeats and add to the cost of a target the chance that the stream breaks its limit there, the harm of the prompt to the streams that run there, and the slower prefill. It is off unless placement.pace is set.

The time to prefill is a constant per token, scaled by the gap.

--- a/yuccarudder/src/gateway/assignment.rs
+++ b/yuccarudder/src/gateway/assignment.rs
@@ -162,8 +162,9 @@
     let engine = self.service().and_then(|service| service.engine.as_ref());
     let demand = self.demand(engine, last_resort);
     let own_data_centre = self.gateway.settings().data_centre.clone();
-    match self.choose_target(tried_targets, &demand, &own_data_centre, now) {
-      Choice::Chosen(key) => Ok(self.reserve(key, self.initial_load(&demand), now)),
+    let (choice, surcharge) = self.choose_target(tried_targets, &demand, &own_data_centre, now);
+    match choice {
+      Choice::Chosen(key) => Ok(self.reserve(key, self.initial_load(&demand), surcharge, now)),
       Choice::Full => Err(self.targets_full()),
       Choice::Paused(until) => Err(targets_paused(until, now)),
       Choice::None => Err(self.all_paused().unwrap_or_else(|| {
@@ -265,17 +266,19 @@
       expected_tokens: run.peak_tokens,
       ..Load::default()
     };
-    Some(self.reserve(destination, load, now))
+    Some(self.reserve(destination, load, 0.0, now))
   }
 
-  /// Chooses a target and counts the request there at once, as several may be placed at the same time.
+  /// Chooses a target and counts the request there at once, as several may be placed at the same time. Also
+  /// returns the surcharge of the chosen target.
   fn choose_target(
     &self,
     tried_targets: &[Key],
     demand: &Demand,
     own_data_centre: &str,
     now: Instant,
-  ) -> Choice {
+  ) -> (Choice, f64) {
+    let pace_request = self.pace_request(demand);
     let since_boot = self.gateway.clock.since_boot();
     let mut state = self.gateway.lock();
     state.update_place_shares(&self.service_name, now, since_boot);
@@ -283,18 +286,29 @@
     let hosts = state.members.fleet_size();
     let cold_limit = state.cold_limit(&self.service_name);
     let service = ingress::hash(&self.service_name);
+    let survey = pace_request.and_then(|request| {
+      let targets = self.suitable_targets(&state);
+      let fingerprints: Vec<u64> = targets.map(|(_, target)| target.fingerprint).collect();
+      Some((request, state.paces.survey(&fingerprints, &request, now)?))
+    });
+    let surcharge = |target: &Target, load: &Load| {
+      survey.as_ref().map_or(0.0, |(request, survey)| {
+        state.paces.surcharge(target.fingerprint, load.requests, request, survey, now)
+      })
+    };
     let candidates = self.suitable_targets(&state).map(|(key, target)| {
+      let load = load_table.total_load(target.fingerprint);
       let is_throttled = |limit| {
         let share = state.cold_share(target, limit, since_boot);
         !state.throttle.allows(key, limit, &share, now)
       };
       Candidate {
         granted: true,
-        surcharge: 0.0,
+        surcharge: surcharge(target, &load),
         cold_limited: cold_limit.as_ref().filter(|_| target.is_cold(now)).is_some_and(is_throttled),
         ejected: state.health.is_ejected(key, now),
         key,
-        load: load_table.total_load(target.fingerprint),
+        load,
         local: target.listing.data_centre == own_data_centre,
         paused_until: state.paused_until(key, now, since_boot),
         room: state.brittleness.room(
@@ -311,10 +325,17 @@
     let choice = placement::choose(candidates, demand, sample_fraction, || {
       rand::random_range(0.0..1.0)
     });
-    if let Choice::Chosen(key) = choice {
-      state.throttle.record(key, now);
+    let Choice::Chosen(key) = choice else {
+      return (choice, 0.0);
+    };
+    let target = state.roster.get(key).expect("a chosen target is in the roster");
+    let surcharge = surcharge(target, &load_table.total_load(target.fingerprint));
+    if survey.is_some() {
+      let route_kind = self.route().kind.name();
+      self.gateway.instruments.surcharge.with_label_values(&[route_kind]).observe(surcharge);
     }
-    choice
+    state.throttle.record(key, now);
+    (choice, surcharge)
   }
 
   fn demand(&self, engine: Option<&Engine>, last_resort: bool) -> Demand {
@@ -347,7 +368,7 @@
     }
   }
 
-  fn reserve(&self, key: Key, load: Load, now: Instant) -> Assignment {
+  fn reserve(&self, key: Key, load: Load, surcharge: f64, now: Instant) -> Assignment {
     let mut state = self.gateway.lock();
     state.take_request(key, 1.0, now, self.gateway.clock.since_boot());
     let target = state.roster.get(key).expect("a chosen target is in the roster").clone();
@@ -355,7 +376,7 @@
     let load_before = self.gateway.scheduler.lock().total_load(target.fingerprint);
     log::info!(
       target: PREFIX, id = self.id(), target:% = target.id, software = target.listing.version.as_str(), runs = load_before.requests, tokens = load_before.expected_tokens,
-      arriving = load_before.prefill_tokens, copying = load_before.transfer_tokens, need = load.expected_tokens,
+      arriving = load_before.prefill_tokens, copying = load_before.transfer_tokens, need = load.expected_tokens, surcharge = (surcharge * 1e3).round() / 1e3,
       waited_ms = self.elapsed().as_millis() as u64;
       "Chose a target."
     );
--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -14,7 +14,7 @@
     links,
     member::{self, Phase},
     metrics::Metrics,
-    origin,
+    origin, pace,
     placement::{
       Brittleness, Health, LengthModel, Outcome, Pauses, RateLimits, Scheduler, Throttle,
     },
@@ -89,6 +89,8 @@
   pub(super) era: Era,
   /// The state of the store up to which the operator's documents have been read.
   pub(super) operator_version: Version,
+  /// The pace of the targets.
+  pub(super) paces: pace::Table,
   /// Targets that asked this host to pause.
   pub(super) pauses: Pauses,
   /// Limits that targets named for all hosts together.
@@ -292,6 +294,7 @@
       members: member::Table::new(settings.peers, incarnation, settings.seeds.clone()),
       era: Era::default(),
       operator_version: Version::default(),
+      paces: pace::Table::default(),
       pauses: Pauses::default(),
       rate_limits: RateLimits::default(),
       throttle: Throttle::default(),
--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -128,6 +128,7 @@
   state.members.record_sent(Sent { at: now, sequence });
   state.observe_versions(None, clock_now);
   state.confirm_versions(now);
+  let paces = state.take_paces(clock_now);
   let versions = state.origins.versions(clock_now);
   // Others rely on the list only if it is complete.
   let is_complete = versions.len() <= MAX_VERSIONS;
@@ -137,7 +138,7 @@
   let heartbeat = Heartbeat {
     account_uses: Vec::new(),
     held_prompts: Vec::new(),
-    paces: Vec::new(),
+    paces,
     waiting: Vec::new(),
     announcements: if reads_targets {
       announcements(&state.roster, clock_now)
@@ -353,6 +354,7 @@
   record_loads(gateway, heartbeat, received.sender);
   gateway.merge_crashes(heartbeat, received_at);
   gateway.merge_limits(heartbeat, received_at);
+  gateway.merge_paces(heartbeat, received_at);
   if heartbeat.catalog_version > version
     && gateway.lock().catalog_transfer.try_start(received.sender)
   {
--- a/yuccarudder/src/gateway/instruments.rs
+++ b/yuccarudder/src/gateway/instruments.rs
@@ -12,6 +12,9 @@
   0.005, 0.01, 0.025, 0.05, 0.1, 0.18, 0.25, 0.5, 1.0, 1.8, 3.0, 6.0, 15.0, 40.0,
 ];
 
+/// Upper bounds of the buckets for surcharges, in the unit of a target's whole KV cache.
+const SURCHARGE_BUCKETS: [f64; 9] = [-0.25, -0.1, -0.02, 0.0, 0.02, 0.1, 0.25, 0.5, 1.0];
+
 /// Metrics of the gateway, in addition to those that are common to all modes of the program.
 #[derive(Debug)]
 pub struct Instruments {
@@ -43,6 +46,12 @@
   pub longest_pause: HistogramVec,
   /// Seconds that requests waited for capacity at a target, by kind of route.
   pub queue_wait: HistogramVec,
+  /// Targets whose pace is known.
+  pub paced_targets: IntGauge,
+  /// Pauses per second of streaming that were longer than the limit of their route, of all hosts.
+  pub pause_hazard: Gauge,
+  /// Surcharge of the chosen targets because of their pace, by kind of route.
+  pub surcharge: HistogramVec,
   registry: Registry,
   /// Requests that are at a target.
   pub active_requests: IntGauge,
@@ -123,6 +132,22 @@
         "Longest pause of a stream",
       ),
       queue_wait: histogram("yuccarudder_queue_seconds", "Wait for room at a target"),
+      paced_targets: IntGauge::new("yuccarudder_paced_targets", "Targets whose pace is known")
+        .expect(VALID_NAMES),
+      pause_hazard: Gauge::new(
+        "yuccarudder_pause_hazard",
+        "Pauses above the limit of their route per second of streaming",
+      )
+      .expect(VALID_NAMES),
+      surcharge: HistogramVec::new(
+        HistogramOpts::new(
+          "yuccarudder_pace_surcharge",
+          "Surcharge of the chosen target because of its pace, in KV caches",
+        )
+        .buckets(SURCHARGE_BUCKETS.to_vec()),
+        &["kind"],
+      )
+      .expect(VALID_NAMES),
       registry: Registry::new(),
       active_requests: IntGauge::new("yuccarudder_runs", "Requests at targets").expect(VALID_NAMES),
       finished_streams: counter("yuccarudder_streams_total", "Streams by their end", "end"),
@@ -164,6 +189,9 @@
       Box::new(self.target_crashes.clone()),
       Box::new(self.longest_pause.clone()),
       Box::new(self.queue_wait.clone()),
+      Box::new(self.paced_targets.clone()),
+      Box::new(self.pause_hazard.clone()),
+      Box::new(self.surcharge.clone()),
       Box::new(self.active_requests.clone()),
       Box::new(self.finished_streams.clone()),
       Box::new(self.unframed_ends.clone()),
--- a/yuccarudder/src/gateway/mod.rs
+++ b/yuccarudder/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod limits;
 mod migration;
 mod offer;
+mod paces;
 mod race;
 mod reachability;
 mod response;
--- a/yuccarudder/src/gateway/scrape.rs
+++ b/yuccarudder/src/gateway/scrape.rs
@@ -20,9 +20,12 @@
   let age = state.freshness.age(now).map_or(f64::INFINITY, |age| age.as_secs_f64());
   let live_hosts = state.members.live(now).count();
   let version = state.catalog_version();
+  let paced_targets = state.paces.len();
+  instruments.pause_hazard.set(state.paces.total_rate(gateway.clock.now()));
   drop(state);
   let to_gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
   instruments.catalog_age.set(age);
+  instruments.paced_targets.set(to_gauge(paced_targets));
   instruments.live_hosts.set(to_gauge(live_hosts));
   instruments.active_requests.set(to_gauge(active_requests));
   instruments.available_targets.set(to_gauge(gateway.available_target_count()));
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -12,7 +12,7 @@
     attempt::{History, Outcome},
     dialect::Resume,
     http::{Body, BodyError, Framing},
-    links,
+    links, pace,
     placement::Load,
     quarantine::SOUND_AFTER,
     refusal::{Reason, Refusal},
@@ -113,6 +113,8 @@
   /// The response body of the current target; `None` while the connection is lost and a
   /// copy of the run is pending.
   target_body: Option<Incoming>,
+  /// Measures the pace of the target.
+  meter: pace::Meter,
   migration: Migration,
   migrations: u32,
   timing: Timing,
@@ -144,6 +146,7 @@
       is_at_other_host: false,
       is_sound: false,
       target_body: Some(target_body),
+      meter: pace::Meter::default(),
       migration: Migration::default(),
       migrations: 0,
       timing: Timing::default(),
@@ -179,6 +182,7 @@
       "A stream ended."
     );
     self.record_metrics(end);
+    self.call.finish_pace(&mut self.meter);
     if matches!(end, End::CallerDisconnected | End::DeadlinePassed) && self.is_silent() {
       let now = self.call.gateway.clock.now();
       self.call.report_break(&self.assignment, Some(self.answered_at), now, Cause::Silent).await;
@@ -358,6 +362,16 @@
     }
     let now = self.call.gateway.clock.now();
     self.timing.record_event(now);
+    if !self.is_at_other_host {
+      let is_caller_slow = self.chunk_sender.capacity() == 0;
+      let target = self.assignment.target.fingerprint;
+      self.call.measure_pace(
+        &mut self.meter,
+        target,
+        count - previous_count,
+        is_caller_slow,
+      );
+    }
     if !self.is_at_other_host
       && !self.is_sound
       && now.saturating_duration_since(self.answered_at) >= SOUND_AFTER
--- a/yuccarudder/src/placement/choose.rs
+++ b/yuccarudder/src/placement/choose.rs
@@ -3,7 +3,7 @@
 /// Cost of a prompt token that awaits prefill, relative to an expected token: the prefill
 /// of one prompt delays the other requests of an engine about as much as a third of its KV
 /// cache being full.
-const PREFILL_TOKEN_WEIGHT: f64 = 8.0;
+pub const PREFILL_TOKEN_WEIGHT: f64 = 8.0;
 /// Maximum fraction of an engine's KV cache that prompts awaiting prefill may take. Beyond it,
 /// a request waits in this host's queue, from where it can go to the first free engine.
 const MAX_PREFILL_FRACTION: f64 = 0.25;
