contention: Free places are dealt out in one order over all hosts

Hosts see the same free capacity at the same moment and place far more requests there than fit, because they learn of each other's placements only with the next heartbeats.

Heartbeats now carry the most urgent waiting requests of the sender for each service of engines. While another host has waiting requests, the free places, as known to all hosts, are dealt out to the requests of all hosts in one order; a host places its request only where a place fell to it, or where its own requests made room that the others do not know of yet. The choice of each request is by a hash of host and target, so that it stays the same whether or not others' placements are known. Off unless placement.contention is set; without other waiting requests all targets are granted.

Queue::enqueue takes the need of the request; the existing queue test passes 0 for it, its assertions are as they were.

--- a/yuccarudder/src/contention/mod.rs
+++ b/yuccarudder/src/contention/mod.rs
@@ -1,9 +1,16 @@
 //! The order of the waiting requests of all hosts, by which free places at targets are dealt out.
 
+mod deal;
+mod grant;
 mod message;
+mod request;
+mod room;
 mod table;
 
 pub use {
+  grant::Grant,
   message::{Message, Waiter},
-  table::Table,
+  request::Request,
+  room::Room,
+  table::{MAX_WAITERS, Table},
 };
--- a/yuccarudder/src/gateway/assignment.rs
+++ b/yuccarudder/src/gateway/assignment.rs
@@ -1,7 +1,7 @@
 use {
   super::{call::Call, gateway::State, ingress},
   crate::{
-    placement::{self, Candidate, Choice, Demand, Load, Rank, Reservation},
+    placement::{self, Candidate, Choice, Demand, Load, Rank, Reservation, Waiter},
     refusal::{Reason, Refusal},
     relocation::{self, Plan, Position, Run, Source},
     roster::{Key, Target},
@@ -79,14 +79,17 @@
   ) -> Result<Assignment, Refusal> {
     let is_trial = self.check_features()?;
     let rank = self.queue_rank();
-    let waiter = self.gateway.scheduler.enqueue(&self.queue_name(), rank);
+    let engine = self.service().and_then(|service| service.engine.as_ref());
+    let need = self.demand(engine, false).expected_tokens;
+    let waiter = self.gateway.scheduler.enqueue(&self.queue_name(), rank, need);
+    let mut is_waiting = false;
     loop {
       if purpose == Purpose::Start {
         self.check_shutdown()?;
       }
       let capacity_freed = self.gateway.scheduler.capacity_freed();
       let result = if waiter.is_first() {
-        self.try_assign(tried_targets, false)
+        self.try_assign(tried_targets, &waiter, false)
       } else {
         Err(self.targets_full())
       };
@@ -106,7 +109,13 @@
         return Err(self.promise_return(refusal));
       }
       if now >= rank.give_up_at {
-        return self.try_assign(tried_targets, true).map_err(|_| self.promise_return(refusal));
+        let result = self.try_assign(tried_targets, &waiter, true);
+        self.announce_waiting(&waiter);
+        return result.map_err(|_| self.promise_return(refusal));
+      }
+      if !is_waiting {
+        is_waiting = true;
+        self.announce_waiting(&waiter);
       }
       let recheck_at = (now + RECHECK_INTERVAL).min(rank.give_up_at);
       // Freed capacity and the timeout both lead to another check.
@@ -157,12 +166,17 @@
     Refusal::not_run(Reason::TargetsBusy).with_retry_after(retry_after)
   }
 
-  fn try_assign(&self, tried_targets: &[Key], last_resort: bool) -> Result<Assignment, Refusal> {
+  fn try_assign(
+    &self,
+    tried_targets: &[Key],
+    waiter: &Waiter,
+    last_resort: bool,
+  ) -> Result<Assignment, Refusal> {
     let now = self.gateway.clock.now();
     let engine = self.service().and_then(|service| service.engine.as_ref());
     let demand = self.demand(engine, last_resort);
     let own_data_centre = self.gateway.settings().data_centre.clone();
-    match self.choose_target(tried_targets, &demand, &own_data_centre, now) {
+    match self.choose_target(tried_targets, waiter, &demand, &own_data_centre, now) {
       Choice::Chosen(key) => Ok(self.reserve(key, self.initial_load(&demand), now)),
       Choice::Full => Err(self.targets_full()),
       Choice::Paused(until) => Err(targets_paused(until, now)),
@@ -272,6 +286,7 @@
   fn choose_target(
     &self,
     tried_targets: &[Key],
+    waiter: &Waiter,
     demand: &Demand,
     own_data_centre: &str,
     now: Instant,
@@ -283,13 +298,14 @@
     let hosts = state.members.fleet_size();
     let cold_limit = state.cold_limit(&self.service_name);
     let service = ingress::hash(&self.service_name);
+    let grant = self.grant(&state, &load_table, waiter, demand, now);
     let candidates = self.suitable_targets(&state).map(|(key, target)| {
       let is_throttled = |limit| {
         let share = state.cold_share(target, limit, since_boot);
         !state.throttle.allows(key, limit, &share, now)
       };
       Candidate {
-        granted: true,
+        granted: grant.allows(target.fingerprint),
         surcharge: 0.0,
         cold_limited: cold_limit.as_ref().filter(|_| target.is_cold(now)).is_some_and(is_throttled),
         ejected: state.health.is_ejected(key, now),
@@ -313,6 +329,7 @@
     });
     if let Choice::Chosen(key) = choice {
       state.throttle.record(key, now);
+      self.record_placement(&mut state, key, waiter, demand, now);
     }
     choice
   }
--- /dev/null
+++ b/yuccarudder/src/gateway/contention.rs
@@ -0,0 +1,121 @@
+use {
+  super::{Gateway, call::Call, gateway::State, ingress},
+  crate::{
+    contention::{self, Grant, Message, Request},
+    member,
+    placement::{Demand, Load, LoadTable, Waiter},
+    roster::Key,
+  },
+  std::{collections::HashMap, net::SocketAddr, time::Instant},
+};
+
+impl Gateway {
+  /// Returns what the next heartbeat, which tells the given loads, tells of the requests that wait for engines.
+  pub(super) fn tell_waiting(
+    &self,
+    state: &mut State,
+    loads: &HashMap<u64, Load>,
+    now: Instant,
+  ) -> Vec<Message> {
+    if !state.settings.placement.contention {
+      return Vec::new();
+    }
+    let Some(catalog) = state.catalog.clone() else {
+      return Vec::new();
+    };
+    let interval = member::heartbeat_interval(state.members.fleet_size());
+    let services = catalog.services().filter(|service| service.engine.is_some());
+    let waiting = services.map(|service| {
+      let (entries, count) = self.scheduler.first_waiting(&service.name, contention::MAX_WAITERS);
+      let requests = entries.iter().map(|entry| Request::new(entry, now)).collect();
+      (ingress::hash(&service.name), requests, count)
+    });
+    state.contention.tell(waiting, loads.clone(), interval)
+  }
+}
+
+impl State {
+  /// Merges the waiting requests that another host told.
+  pub(super) fn merge_waiting(&mut self, host: SocketAddr, messages: &[Message], now: Instant) {
+    if self.settings.placement.contention {
+      self.contention.merge(host, ingress::hash(&host.to_string()), messages, now);
+    }
+  }
+}
+
+impl Call {
+  /// Returns whether the request has to keep to the order of the waiting requests of all hosts. Streams that only
+  /// one version can continue do not: they have begun, and few targets can take them.
+  fn keeps_order(&self, state: &State, demand: &Demand) -> bool {
+    state.settings.placement.contention
+      && demand.capacity_tokens.is_some()
+      && self.version.is_none()
+  }
+
+  /// Returns the targets that the order of the waiting requests of all hosts leaves to this one.
+  pub(super) fn grant(
+    &self,
+    state: &State,
+    load_table: &LoadTable,
+    waiter: &Waiter,
+    demand: &Demand,
+    now: Instant,
+  ) -> Grant {
+    let service = ingress::hash(&self.service_name);
+    let Some(capacity_tokens) = demand
+      .capacity_tokens
+      .filter(|_| self.keeps_order(state, demand) && state.contention.is_contended(service, now))
+    else {
+      return Grant::All;
+    };
+    let rooms = state.roster.accepting(&self.service_name).map(|(_, target)| {
+      let loads = (
+        load_table.total_load(target.fingerprint),
+        load_table.local_load(target.fingerprint),
+      );
+      let slots = target.listing.slots;
+      state.contention.room(
+        target.fingerprint,
+        capacity_tokens,
+        slots,
+        loads,
+        demand.expected_tokens,
+      )
+    });
+    let rooms: Vec<_> = rooms.collect();
+    let entries =
+      self.gateway.scheduler.first_waiting(&self.service_name, contention::MAX_WAITERS).0;
+    let mut waiting: Vec<Request> = entries.iter().map(|entry| Request::new(entry, now)).collect();
+    if waiting.iter().all(|request| request.sequence != waiter.entry().sequence()) {
+      waiting.push(Request::new(&waiter.entry(), now));
+    }
+    state.contention.grant(service, &waiting, &rooms, now)
+  }
+
+  /// Records that the request was placed, until the other hosts know of it.
+  pub(super) fn record_placement(
+    &self,
+    state: &mut State,
+    key: Key,
+    waiter: &Waiter,
+    demand: &Demand,
+    now: Instant,
+  ) {
+    if !self.keeps_order(state, demand) {
+      return;
+    }
+    if let Some(target) = state.roster.get(key).map(|target| target.fingerprint) {
+      let request = Request::new(&waiter.entry(), now);
+      state.contention.record(ingress::hash(&self.service_name), request, target);
+    }
+  }
+
+  /// Notifies the other hosts that the most urgent request of this one begins or stops to wait.
+  pub(super) fn announce_waiting(&self, waiter: &Waiter) {
+    let is_on = self.gateway.settings().placement.contention;
+    let is_engine = self.service().is_some_and(|service| service.engine.is_some());
+    if is_on && is_engine && waiter.is_first() {
+      self.gateway.heartbeat_trigger.notify_one();
+    }
+  }
+}
--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -9,6 +9,7 @@
   crate::{
     clock::Clock,
     completion::Sign,
+    contention,
     dialect::{Dialect, RequestMetadata, ResponseMetadata},
     limit::{Memory, RetryQuota},
     links,
@@ -60,6 +61,8 @@
 pub(super) struct State {
   /// The active catalog; `None` until the first one is received.
   pub(super) catalog: Option<Arc<Catalog>>,
+  /// The waiting requests of all hosts.
+  pub(super) contention: contention::Table,
   /// The longest timeout that a caller has sent, by route.
   longest_timeouts: HashMap<String, Duration>,
   /// When the active catalog was last confirmed to be current.
@@ -274,6 +277,7 @@
     let body_bytes = settings.memory_bytes as f64 * BODY_MEMORY_SHARE;
     let state = State {
       catalog: None,
+      contention: contention::Table::new(ingress::hash(&settings.peers.to_string())),
       planned_copies: SecondaryMap::new(),
       sign_waiters: HashMap::new(),
       longest_timeouts: HashMap::new(),
--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -128,6 +128,7 @@
   state.members.record_sent(Sent { at: now, sequence });
   state.observe_versions(None, clock_now);
   state.confirm_versions(now);
+  let waiting = gateway.tell_waiting(&mut state, &loads, clock_now);
   let versions = state.origins.versions(clock_now);
   // Others rely on the list only if it is complete.
   let is_complete = versions.len() <= MAX_VERSIONS;
@@ -138,7 +139,7 @@
     account_uses: Vec::new(),
     held_prompts: Vec::new(),
     paces: Vec::new(),
-    waiting: Vec::new(),
+    waiting,
     announcements: if reads_targets {
       announcements(&state.roster, clock_now)
     } else {
@@ -324,6 +325,7 @@
     }
   }
   merge_versions(&mut state, heartbeat, &received, received_at);
+  state.merge_waiting(received.sender, &heartbeat.waiting, received_at);
   let departures = heartbeat.leaving.iter();
   let departing: Vec<_> = departures
     .filter_map(|departure| state.roster.merge_departure(&(*departure).into(), received_at))
--- a/yuccarudder/src/gateway/mod.rs
+++ b/yuccarudder/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod buffered;
 mod call;
 mod completion;
+mod contention;
 mod directory;
 mod engine_polling;
 mod forwarding;
--- a/yuccarudder/src/placement/queue.rs
+++ b/yuccarudder/src/placement/queue.rs
@@ -1,5 +1,5 @@
 use std::{
-  collections::{BTreeSet, HashMap},
+  collections::{BTreeMap, HashMap},
   time::Instant,
 };
 
@@ -19,31 +19,67 @@
 /// The entry of a request in the queue of a service.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Entry {
+  need: u64,
   sequence: u64,
   rank: Rank,
 }
 
+impl Entry {
+  /// Returns the KV cache tokens that the request is expected to need.
+  pub fn need(&self) -> u64 {
+    self.need
+  }
+
+  /// Returns its sort key.
+  pub fn rank(&self) -> Rank {
+    self.rank
+  }
+
+  /// Returns its number in the order of arrival.
+  pub fn sequence(&self) -> u64 {
+    self.sequence
+  }
+}
+
 /// The requests that wait for capacity, by service.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
   last_sequence: u64,
-  /// Ranks and sequence numbers of the requests of each service.
-  services: HashMap<String, BTreeSet<(Rank, u64)>>,
+  /// The needs of the requests of each service in KV cache tokens, by rank and sequence number.
+  services: HashMap<String, BTreeMap<(Rank, u64), u64>>,
 }
 
 impl Queue {
-  /// Adds a request; requests of equal rank are served in the order of their arrival.
-  pub fn enqueue(&mut self, service: &str, rank: Rank) -> Entry {
+  /// Adds a request that is expected to need a number of KV cache tokens; requests of equal rank are served in the
+  /// order of their arrival.
+  pub fn enqueue(&mut self, service: &str, rank: Rank, need: u64) -> Entry {
     self.last_sequence += 1;
     let sequence = self.last_sequence;
-    self.services.entry(service.into()).or_default().insert((rank, sequence));
-    Entry { sequence, rank }
+    self.services.entry(service.into()).or_default().insert((rank, sequence), need);
+    Entry {
+      need,
+      sequence,
+      rank,
+    }
   }
 
   /// Returns whether a request is the first in the queue of its service.
   pub fn is_first(&self, service: &str, entry: Entry) -> bool {
-    let first = self.services.get(service).and_then(|waiting| waiting.first());
-    first.is_none_or(|first| *first == (entry.rank, entry.sequence))
+    let first = self.services.get(service).and_then(|waiting| waiting.first_key_value());
+    first.is_none_or(|(first, _)| *first == (entry.rank, entry.sequence))
+  }
+
+  /// Returns the first `count` requests of a service in their order, and the number of all.
+  pub fn first(&self, service: &str, count: usize) -> (Vec<Entry>, usize) {
+    let Some(waiting) = self.services.get(service) else {
+      return (Vec::new(), 0);
+    };
+    let entries = waiting.iter().take(count).map(|((rank, sequence), need)| Entry {
+      need: *need,
+      sequence: *sequence,
+      rank: *rank,
+    });
+    (entries.collect(), waiting.len())
   }
 
   /// Removes a request that got capacity or stopped waiting.
--- a/yuccarudder/src/placement/scheduler.rs
+++ b/yuccarudder/src/placement/scheduler.rs
@@ -18,9 +18,10 @@
     self.capacity_freed.notified().await;
   }
 
-  /// Adds a request to the queue of its service; dropping the result removes it.
-  pub fn enqueue(&self, service: &str, rank: Rank) -> Waiter {
-    let entry = self.queue().enqueue(service, rank);
+  /// Adds a request that is expected to need a number of KV cache tokens to the queue of its service; dropping the
+  /// result removes it.
+  pub fn enqueue(&self, service: &str, rank: Rank, need: u64) -> Waiter {
+    let entry = self.queue().enqueue(service, rank, need);
     Waiter {
       scheduler: self.clone(),
       service: service.to_owned(),
@@ -28,6 +29,11 @@
     }
   }
 
+  /// Returns the first `count` waiting requests of a service in their order, and the number of all.
+  pub fn first_waiting(&self, service: &str, count: usize) -> (Vec<Entry>, usize) {
+    self.queue().first(service, count)
+  }
+
   fn queue(&self) -> MutexGuard<'_, Queue> {
     self.queue.lock().unwrap_or_else(PoisonError::into_inner)
   }
@@ -82,6 +88,11 @@
 }
 
 impl Waiter {
+  /// Returns its entry in the queue.
+  pub fn entry(&self) -> Entry {
+    self.entry
+  }
+
   /// Returns whether the request is the first in the queue of its service.
   pub fn is_first(&self) -> bool {
     self.scheduler.queue().is_first(&self.service, self.entry)
--- a/yuccarudder/src/placement/tests.rs
+++ b/yuccarudder/src/placement/tests.rs
@@ -240,11 +240,11 @@
     give_up_at: now + Duration::from_secs(give_up_at),
   };
   let mut queue = Queue::default();
-  let late = queue.enqueue("s", rank(true, 0, 1));
-  let lower_priority = queue.enqueue("s", rank(false, 2, 1));
-  let longer_wait = queue.enqueue("s", rank(false, 1, 3));
-  let first = queue.enqueue("s", rank(false, 1, 2));
-  let other_service = queue.enqueue("t", rank(true, 9, 9));
+  let late = queue.enqueue("s", rank(true, 0, 1), 0);
+  let lower_priority = queue.enqueue("s", rank(false, 2, 1), 0);
+  let longer_wait = queue.enqueue("s", rank(false, 1, 3), 0);
+  let first = queue.enqueue("s", rank(false, 1, 2), 0);
+  let other_service = queue.enqueue("t", rank(true, 9, 9), 0);
   assert!(queue.is_first("t", other_service));
   let order = [first, longer_wait, lower_priority, late];
   for (index, entry) in order.into_iter().enumerate() {
--- a/yuccarudder/src/routing/catalog.rs
+++ b/yuccarudder/src/routing/catalog.rs
@@ -107,6 +107,11 @@
   pub fn service(&self, name: &str) -> Option<&Service> {
     self.services.get(name)
   }
+
+  /// Returns the services.
+  pub fn services(&self) -> impl Iterator<Item = &Service> {
+    self.services.values()
+  }
 }
 
 fn strip_port(authority: &str) -> &str {
