prompt: Targets that hold the beginning of a prompt cost less

Engines that still hold leading parts of a prompt prefill less, but the placement did not know what they hold. Hosts now record the parts of the prompts that they relay, tell each other shared parts that a target was not known to hold, and subtract the expected saving, at the weight of tokens awaiting prefill, from the surcharge of the target. The setting placement.held_prompts turns it on; without it no choice changes.

--- a/yuccarudder/src/gateway/assignment.rs
+++ b/yuccarudder/src/gateway/assignment.rs
@@ -163,7 +163,10 @@
     let demand = self.demand(engine, last_resort);
     let own_data_centre = self.gateway.settings().data_centre.clone();
     match self.choose_target(tried_targets, &demand, &own_data_centre, now) {
-      Choice::Chosen(key) => Ok(self.reserve(key, self.initial_load(&demand), now)),
+      Choice::Chosen(key) => {
+        let held_tokens = self.held_tokens_at(key, &demand, now);
+        Ok(self.reserve(key, self.initial_load(&demand), held_tokens, now))
+      }
       Choice::Full => Err(self.targets_full()),
       Choice::Paused(until) => Err(targets_paused(until, now)),
       Choice::None => Err(self.all_paused().unwrap_or_else(|| {
@@ -265,7 +268,8 @@
       expected_tokens: run.peak_tokens,
       ..Load::default()
     };
-    Some(self.reserve(destination, load, now))
+    // The copy brings the whole prompt.
+    Some(self.reserve(destination, load, 0, now))
   }
 
   /// Chooses a target and counts the request there at once, as several may be placed at the same time.
@@ -288,13 +292,15 @@
         let share = state.cold_share(target, limit, since_boot);
         !state.throttle.allows(key, limit, &share, now)
       };
+      let load = load_table.total_load(target.fingerprint);
+      let held_tokens = self.held_tokens(&state, target.fingerprint, &load, demand, now);
       Candidate {
         granted: true,
-        surcharge: 0.0,
+        surcharge: 0.0 - placement::prefix_saving(held_tokens, demand),
         cold_limited: cold_limit.as_ref().filter(|_| target.is_cold(now)).is_some_and(is_throttled),
         ejected: state.health.is_ejected(key, now),
         key,
-        load: load_table.total_load(target.fingerprint),
+        load,
         local: target.listing.data_centre == own_data_centre,
         paused_until: state.paused_until(key, now, since_boot),
         room: state.brittleness.room(
@@ -317,6 +323,51 @@
     choice
   }
 
+  /// Returns the expected number of prompt tokens that a target, given by its fingerprint, holds; 0 if that is not
+  /// to count.
+  fn held_tokens(
+    &self,
+    state: &State,
+    target: u64,
+    load: &Load,
+    demand: &Demand,
+    now: Instant,
+  ) -> u64 {
+    let Some(capacity) = demand.capacity_tokens else {
+      return 0;
+    };
+    if !state.settings.placement.held_prompts {
+      return 0;
+    }
+    let room = capacity.saturating_sub(load.used_tokens);
+    state.prompts.held_tokens(target, &self.prompt(), room, now)
+  }
+
+  /// Returns the expected number of prompt tokens that a chosen target holds, before the request is counted there.
+  fn held_tokens_at(&self, key: Key, demand: &Demand, now: Instant) -> u64 {
+    let state = self.gateway.lock();
+    let Some(target) = state.roster.get(key) else {
+      return 0;
+    };
+    let load = self.gateway.scheduler.lock().total_load(target.fingerprint);
+    self.held_tokens(&state, target.fingerprint, &load, demand, now)
+  }
+
+  /// Records that the prompt has been processed at a target.
+  pub fn record_held_prompt(&self, target: u64) {
+    let engine = self.service().and_then(|service| service.engine.as_ref());
+    let Some(engine) = engine else {
+      return;
+    };
+    let mut state = self.gateway.lock();
+    if !state.settings.placement.held_prompts {
+      return;
+    }
+    let load = self.gateway.scheduler.lock().total_load(target);
+    let room = engine.kv_cache_tokens.saturating_sub(load.used_tokens);
+    state.prompts.record(target, &self.prompt(), room, self.gateway.clock.now());
+  }
+
   fn demand(&self, engine: Option<&Engine>, last_resort: bool) -> Demand {
     let is_stream = matches!(self.route().kind, Kind::Stream { .. });
     Demand {
@@ -347,15 +398,16 @@
     }
   }
 
-  fn reserve(&self, key: Key, load: Load, now: Instant) -> Assignment {
+  fn reserve(&self, key: Key, load: Load, held_tokens: u64, now: Instant) -> Assignment {
     let mut state = self.gateway.lock();
     state.take_request(key, 1.0, now, self.gateway.clock.since_boot());
     let target = state.roster.get(key).expect("a chosen target is in the roster").clone();
     drop(state);
     let load_before = self.gateway.scheduler.lock().total_load(target.fingerprint);
+    self.gateway.instruments.held_prompt_tokens.inc_by(held_tokens);
     log::info!(
       target: PREFIX, id = self.id(), target:% = target.id, software = target.listing.version.as_str(), runs = load_before.requests, tokens = load_before.expected_tokens,
-      arriving = load_before.prefill_tokens, copying = load_before.transfer_tokens, need = load.expected_tokens,
+      arriving = load_before.prefill_tokens, copying = load_before.transfer_tokens, need = load.expected_tokens, held_tokens = held_tokens,
       waited_ms = self.elapsed().as_millis() as u64;
       "Chose a target."
     );
--- a/yuccarudder/src/gateway/call.rs
+++ b/yuccarudder/src/gateway/call.rs
@@ -3,7 +3,7 @@
   crate::{
     dialect::RequestMetadata,
     limit::BufferedBody,
-    origin,
+    origin, prompt,
     quarantine::Feature,
     routing::{AccountKey, Catalog, Route, RouteKey, Service},
   },
@@ -93,6 +93,15 @@
     Some(origin::stream_key(self.account_name(), first_request?))
   }
 
+  /// Returns the prompt of the request.
+  pub fn prompt(&self) -> prompt::Prompt<'_> {
+    prompt::Prompt {
+      parts: &self.metadata.prompt_parts,
+      part_tokens: &self.metadata.prompt_part_tokens,
+      tokens: self.metadata.prompt_tokens,
+    }
+  }
+
   /// Returns the time since the request arrived.
   pub fn elapsed(&self) -> Duration {
     self.gateway.clock.now().saturating_duration_since(self.arrived)
--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -18,6 +18,7 @@
     placement::{
       Brittleness, Health, LengthModel, Outcome, Pauses, RateLimits, Scheduler, Throttle,
     },
+    prompt,
     quarantine::Ledger,
     reader::{Era, Relation, Role, Version},
     refusal::{Reason, Refusal},
@@ -97,6 +98,8 @@
   pub(super) throttle: Throttle,
   /// The transfer of a newer catalog from another host.
   pub(super) catalog_transfer: member::CatalogSource,
+  /// Prompt parts that the targets hold.
+  pub(super) prompts: prompt::Table,
   /// The active catalog as it was published.
   pub(super) encoded_catalog: Bytes,
   /// The compressed form of `encoded_catalog`, built when another host first requests it.
@@ -296,6 +299,7 @@
       rate_limits: RateLimits::default(),
       throttle: Throttle::default(),
       catalog_transfer: member::CatalogSource::default(),
+      prompts: prompt::Table::default(),
       encoded_catalog: Bytes::new(),
       compressed_catalog: None,
       recovered_at: None,
--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -6,7 +6,7 @@
   },
   crate::{
     member::{self, Announcement, Codec, Heartbeat, Phase, Received, Recipient, Sent},
-    origin,
+    origin, prompt,
     quarantine::Ledger,
     reader,
     roster::{self, Roster},
@@ -15,7 +15,7 @@
   futures::{SinkExt, StreamExt, stream::SplitSink},
   prost::Message,
   std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -128,6 +128,7 @@
   state.members.record_sent(Sent { at: now, sequence });
   state.observe_versions(None, clock_now);
   state.confirm_versions(now);
+  let held_prompts = held_prompts(&mut state);
   let versions = state.origins.versions(clock_now);
   // Others rely on the list only if it is complete.
   let is_complete = versions.len() <= MAX_VERSIONS;
@@ -136,7 +137,7 @@
   let age = state.freshness.age(now);
   let heartbeat = Heartbeat {
     account_uses: Vec::new(),
-    held_prompts: Vec::new(),
+    held_prompts,
     paces: Vec::new(),
     waiting: Vec::new(),
     announcements: if reads_targets {
@@ -190,6 +191,38 @@
   (heartbeat, recipients)
 }
 
+/// Returns the prompt parts that targets began to hold since the last heartbeat.
+fn held_prompts(state: &mut State) -> Vec<prompt::Message> {
+  let known: HashSet<u64> = state.roster.all().map(|(_, target)| target.fingerprint).collect();
+  state.prompts.retain(|target| known.contains(&target));
+  state.prompts.take_news()
+}
+
+/// Records the prompt parts that targets hold by another host, and what its requests there took in
+/// since its last heartbeat.
+fn merge_held_prompts(
+  gateway: &Gateway,
+  heartbeat: &Heartbeat,
+  sender: SocketAddr,
+  received_at: Instant,
+) {
+  let mut state = gateway.lock();
+  if !state.settings.placement.held_prompts {
+    return;
+  }
+  let load_table = gateway.scheduler.lock();
+  for load in &heartbeat.loads {
+    let before = load_table.peer_load(sender, load.target).used_tokens;
+    state.prompts.take_in(load.target, load.load().used_tokens.saturating_sub(before));
+  }
+  drop(load_table);
+  let roster = &state.roster;
+  let is_known = |message: &&prompt::Message| roster.keys_of(message.target).next().is_some();
+  let news: Vec<prompt::Message> =
+    heartbeat.held_prompts.iter().filter(is_known).cloned().collect();
+  state.prompts.merge(&news, received_at);
+}
+
 /// Returns the recently changed targets, or a random part of them if there are many.
 fn announcements(roster: &Roster, now: Instant) -> Vec<member::Announcement> {
   let changed = random_subset(roster.changed(ANNOUNCEMENT_PERIOD, now), MAX_ANNOUNCEMENTS);
@@ -350,6 +383,7 @@
   if !departing.is_empty() {
     gateway.announce_departures(&departing, HOST_SOURCE);
   }
+  merge_held_prompts(gateway, heartbeat, received.sender, received_at);
   record_loads(gateway, heartbeat, received.sender);
   gateway.merge_crashes(heartbeat, received_at);
   gateway.merge_limits(heartbeat, received_at);
--- a/yuccarudder/src/gateway/instruments.rs
+++ b/yuccarudder/src/gateway/instruments.rs
@@ -27,6 +27,8 @@
   pub handovers: IntCounterVec,
   /// Bytes of heartbeats without the headers of their packets, by direction.
   pub heartbeat_bytes: IntCounterVec,
+  /// Prompt tokens that the chosen targets were expected to hold.
+  pub held_prompt_tokens: IntCounter,
   /// Losses of the links to all targets of a service.
   pub lost_links: IntCounter,
   /// Other hosts whose heartbeats were received recently.
@@ -91,6 +93,11 @@
         "Bytes of heartbeats exchanged with other hosts",
         "direction",
       ),
+      held_prompt_tokens: IntCounter::new(
+        "yuccarudder_held_prompt_tokens_total",
+        "Prompt tokens that the chosen targets were expected to hold",
+      )
+      .expect(VALID_NAMES),
       lost_links: IntCounter::new(
         "yuccarudder_lost_links_total",
         "Losses of the links to all targets of a service",
@@ -156,6 +163,7 @@
       Box::new(self.time_to_first_event.clone()),
       Box::new(self.handovers.clone()),
       Box::new(self.heartbeat_bytes.clone()),
+      Box::new(self.held_prompt_tokens.clone()),
       Box::new(self.lost_links.clone()),
       Box::new(self.live_hosts.clone()),
       Box::new(self.target_departures.clone()),
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -355,6 +355,10 @@
     }
     if previous_count == 0 {
       self.record_origin();
+      // Another host that relays the run records it at the target that it chose.
+      if !self.is_at_other_host {
+        self.call.record_held_prompt(self.assignment.target.fingerprint);
+      }
     }
     let now = self.call.gateway.clock.now();
     self.timing.record_event(now);
--- a/yuccarudder/src/placement/choose.rs
+++ b/yuccarudder/src/placement/choose.rs
@@ -4,6 +4,9 @@
 /// of one prompt delays the other requests of an engine about as much as a third of its KV
 /// cache being full.
 const PREFILL_TOKEN_WEIGHT: f64 = 8.0;
+/// Maximum saving by a held prompt prefix. A target that is used by this much more of its KV cache is never
+/// preferred for what it holds, however large the parts are said to be.
+const MAX_PREFIX_SAVING: f64 = 0.5;
 /// Maximum fraction of an engine's KV cache that prompts awaiting prefill may take. Beyond it,
 /// a request waits in this host's queue, from where it can go to the first free engine.
 const MAX_PREFILL_FRACTION: f64 = 0.25;
@@ -170,3 +173,12 @@
     None => slot_utilization + distance_penalty,
   }
 }
+
+/// Returns how much less a request costs at a target that need not prefill `held_tokens` of its prompt,
+/// in the unit of the utilization; 0 where memory is not the limit.
+pub fn prefix_saving(held_tokens: u64, demand: &Demand) -> f64 {
+  let weighted_prefill = PREFILL_TOKEN_WEIGHT * held_tokens as f64;
+  demand.capacity_tokens.map_or(0.0, |capacity| {
+    (weighted_prefill / capacity.max(1) as f64).min(MAX_PREFIX_SAVING)
+  })
+}
--- a/yuccarudder/src/placement/mod.rs
+++ b/yuccarudder/src/placement/mod.rs
@@ -14,7 +14,7 @@
 mod throttle;
 
 pub use brittleness::{Attempt, BrittleStatement, Brittleness, PlaceShare};
-pub use choose::{Candidate, Choice, Demand, choose, sample_fraction};
+pub use choose::{Candidate, Choice, Demand, choose, prefix_saving, sample_fraction};
 pub use health::{Health, Outcome};
 pub use length_model::LengthModel;
 pub use load::Load;
