--- a/yuccarudder/src/gateway/assignment.rs
+++ b/yuccarudder/src/gateway/assignment.rs
@@ -363,9 +363,16 @@
     if !state.settings.placement.held_prompts {
       return;
     }
+    let prompt = self.prompt();
+    if !prompt.is_consistent() {
+      log::warn!(
+        target: PREFIX, id = self.id(), parts = prompt.parts.len(), tokens = prompt.tokens;
+        "The sizes of the prompt parts do not match the prompt; they count as far as they do."
+      );
+    }
     let load = self.gateway.scheduler.lock().total_load(target);
     let room = engine.kv_cache_tokens.saturating_sub(load.used_tokens);
-    state.prompts.record(target, &self.prompt(), room, self.gateway.clock.now());
+    state.prompts.record(target, &prompt, room, self.gateway.clock.now());
   }
 
   fn demand(&self, engine: Option<&Engine>, last_resort: bool) -> Demand {
--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -193,6 +193,9 @@
 
 /// Returns the prompt parts that targets began to hold since the last heartbeat.
 fn held_prompts(state: &mut State) -> Vec<prompt::Message> {
+  if state.prompts.is_empty() {
+    return Vec::new();
+  }
   let known: HashSet<u64> = state.roster.all().map(|(_, target)| target.fingerprint).collect();
   state.prompts.retain(|target| known.contains(&target));
   state.prompts.take_news()
@@ -216,6 +219,10 @@
     state.prompts.take_in(load.target, load.load().used_tokens.saturating_sub(before));
   }
   drop(load_table);
+  let count: usize = heartbeat.held_prompts.iter().map(|message| message.parts.len()).sum();
+  if count > prompt::MAX_NEWS {
+    log::warn!(target: PREFIX, host:% = sender, count; "A heartbeat tells too many prompt parts; the first ones count.");
+  }
   let roster = &state.roster;
   let is_known = |message: &&prompt::Message| roster.keys_of(message.target).next().is_some();
   let news: Vec<prompt::Message> =
--- a/yuccarudder/src/prompt/holding.rs
+++ b/yuccarudder/src/prompt/holding.rs
@@ -35,11 +35,11 @@
 
   /// Records that the target uses a part.
   pub fn touch(&mut self, part: u32, now: Instant) {
-    let use_ = Part {
+    let last_use = Part {
       taken_in: self.taken_in,
       used_at: now,
     };
-    self.parts.insert(part, use_);
+    self.parts.insert(part, last_use);
   }
 
   /// Returns the probability that the target holds a part.
--- a/yuccarudder/src/prompt/mod.rs
+++ b/yuccarudder/src/prompt/mod.rs
@@ -6,7 +6,11 @@
 mod prompt;
 mod table;
 
-pub use {message::Message, prompt::Prompt, table::Table};
+pub use {
+  message::Message,
+  prompt::Prompt,
+  table::{MAX_NEWS, Table},
+};
 
 use {holding::Holding, part::Part};
 
--- a/yuccarudder/src/prompt/prompt.rs
+++ b/yuccarudder/src/prompt/prompt.rs
@@ -15,6 +15,14 @@
 }
 
 impl Prompt<'_> {
+  /// Returns whether all parts count and their sizes are possible.
+  pub fn is_consistent(&self) -> bool {
+    let total = self.part_tokens.iter().try_fold(0_u64, |sum, tokens| sum.checked_add(*tokens));
+    self.parts.len() <= MAX_PARTS
+      && self.parts.len() == self.part_tokens.len()
+      && total.is_some_and(|total| total <= self.tokens)
+  }
+
   /// Returns the low halves of the IDs and the sizes of the leading parts, up to the first whose size is unknown.
   /// Together they have at most the tokens of the whole prompt.
   pub fn leading(&self) -> impl Iterator<Item = (u32, u64)> {
--- a/yuccarudder/src/prompt/table.rs
+++ b/yuccarudder/src/prompt/table.rs
@@ -10,7 +10,7 @@
 /// Maximum number of targets whose parts are remembered.
 const MAX_TARGETS: usize = 2048;
 /// Maximum number of parts that a heartbeat tells.
-const MAX_NEWS: usize = 64;
+pub const MAX_NEWS: usize = 64;
 /// Maximum number of parts that wait to be told; beyond it the oldest are dropped.
 const MAX_PENDING: usize = 4 * MAX_NEWS;
 
@@ -50,7 +50,9 @@
     while self.pending.len() > MAX_PENDING {
       self.pending.pop_front();
     }
-    holding.take_in(prompt.tokens);
+    // What is held already takes up no further memory.
+    let held_tokens = holding.held_tokens(prompt, room, now);
+    holding.take_in(prompt.tokens.saturating_sub(held_tokens));
     for (part, _) in prompt.leading() {
       holding.touch(part, now);
     }
@@ -91,6 +93,11 @@
     }
   }
 
+  /// Returns whether nothing is known.
+  pub fn is_empty(&self) -> bool {
+    self.holdings.is_empty() && self.pending.is_empty()
+  }
+
   /// Drops the targets for which `is_known` is false.
   pub fn retain(&mut self, is_known: impl Fn(u64) -> bool) {
     self.holdings.retain(|target, _| is_known(*target));
