--- a/yuccarudder/src/gateway/assignment.rs
+++ b/yuccarudder/src/gateway/assignment.rs
@@ -1,5 +1,9 @@
 use {
-  super::{call::Call, gateway::State, ingress},
+  super::{
+    call::Call,
+    estimate::{Estimate, Estimator},
+    ingress,
+  },
   crate::{
     placement::{self, Candidate, Choice, Demand, Load, Rank, Reservation, Waiter},
     refusal::{Reason, Refusal},
@@ -176,10 +180,10 @@
     let engine = self.service().and_then(|service| service.engine.as_ref());
     let demand = self.demand(engine, last_resort);
     let own_data_centre = self.gateway.settings().data_centre.clone();
-    let (choice, surcharge) =
+    let (choice, estimate) =
       self.choose_target(tried_targets, waiter, &demand, &own_data_centre, now);
     match choice {
-      Choice::Chosen(key) => Ok(self.reserve(key, self.initial_load(&demand), surcharge, now)),
+      Choice::Chosen(key) => Ok(self.reserve(key, self.initial_load(&demand), estimate, now)),
       Choice::Full => Err(self.targets_full()),
       Choice::Paused(until) => Err(targets_paused(until, now)),
       Choice::None => Err(self.all_paused().unwrap_or_else(|| {
@@ -193,12 +197,6 @@
     }
   }
 
-  /// Returns the targets that accept new requests and may run this one.
-  fn suitable_targets<'a>(&'a self, state: &'a State) -> impl Iterator<Item = (Key, &'a Target)> {
-    let accepting = state.roster.accepting(&self.service_name);
-    accepting.filter(|(_, target)| self.accepts_version(&target.listing.version))
-  }
-
   /// Returns the refusal for when no target of the service takes a request now, because of the
   /// pauses and limits that they asked for.
   pub fn all_paused(&self) -> Option<Refusal> {
@@ -281,11 +279,12 @@
       expected_tokens: run.peak_tokens,
       ..Load::default()
     };
-    Some(self.reserve(destination, load, 0.0, now))
+    // The copy brings the whole prompt.
+    Some(self.reserve(destination, load, Estimate::default(), now))
   }
 
   /// Chooses a target and counts the request there at once, as several may be placed at the same time. Also
-  /// returns the surcharge of the chosen target.
+  /// returns what the chosen target was expected to cost.
   fn choose_target(
     &self,
     tried_targets: &[Key],
@@ -293,7 +292,7 @@
     demand: &Demand,
     own_data_centre: &str,
     now: Instant,
-  ) -> (Choice, f64) {
+  ) -> (Choice, Estimate) {
     let pace_request = self.pace_request(demand);
     let since_boot = self.gateway.clock.since_boot();
     let mut state = self.gateway.lock();
@@ -302,26 +301,17 @@
     let hosts = state.members.fleet_size();
     let cold_limit = state.cold_limit(&self.service_name);
     let service = ingress::hash(&self.service_name);
-    let survey = pace_request.and_then(|request| {
-      let targets = self.suitable_targets(&state);
-      let fingerprints: Vec<u64> = targets.map(|(_, target)| target.fingerprint).collect();
-      Some((request, state.paces.survey(&fingerprints, &request, now)?))
-    });
-    let surcharge = |target: &Target, load: &Load| {
-      survey.as_ref().map_or(0.0, |(request, survey)| {
-        state.paces.surcharge(target.fingerprint, load.requests, request, survey, now)
-      })
-    };
+    let estimator = Estimator::new(self, &state, demand, pace_request, now);
     let grant = self.grant(&state, &load_table, waiter, demand, now);
     let candidates = self.suitable_targets(&state).map(|(key, target)| {
-      let load = load_table.total_load(target.fingerprint);
       let is_throttled = |limit| {
         let share = state.cold_share(target, limit, since_boot);
         !state.throttle.allows(key, limit, &share, now)
       };
+      let load = load_table.total_load(target.fingerprint);
       Candidate {
         granted: grant.allows(target.fingerprint),
-        surcharge: surcharge(target, &load),
+        surcharge: estimator.estimate(&state, target, &load).surcharge,
         cold_limited: cold_limit.as_ref().filter(|_| target.is_cold(now)).is_some_and(is_throttled),
         ejected: state.health.is_ejected(key, now),
         key,
@@ -343,17 +333,15 @@
       rand::random_range(0.0..1.0)
     });
     let Choice::Chosen(key) = choice else {
-      return (choice, 0.0);
+      return (choice, Estimate::default());
     };
     let target = state.roster.get(key).expect("a chosen target is in the roster");
-    let surcharge = surcharge(target, &load_table.total_load(target.fingerprint));
-    if survey.is_some() {
-      let route_kind = self.route().kind.name();
-      self.gateway.instruments.surcharge.with_label_values(&[route_kind]).observe(surcharge);
-    }
+    let load = load_table.total_load(target.fingerprint);
+    let estimate = estimator.estimate(&state, target, &load);
+    drop(load_table);
     state.throttle.record(key, now);
     self.record_placement(&mut state, key, waiter, demand, now);
-    (choice, surcharge)
+    (choice, estimate)
   }
 
   fn demand(&self, engine: Option<&Engine>, last_resort: bool) -> Demand {
@@ -386,15 +374,17 @@
     }
   }
 
-  fn reserve(&self, key: Key, load: Load, surcharge: f64, now: Instant) -> Assignment {
+  fn reserve(&self, key: Key, load: Load, estimate: Estimate, now: Instant) -> Assignment {
     let mut state = self.gateway.lock();
     state.take_request(key, 1.0, now, self.gateway.clock.since_boot());
     let target = state.roster.get(key).expect("a chosen target is in the roster").clone();
     drop(state);
     let load_before = self.gateway.scheduler.lock().total_load(target.fingerprint);
+    self.gateway.instruments.held_prompt_tokens.inc_by(estimate.held_tokens);
     log::info!(
       target: PREFIX, id = self.id(), target:% = target.id, software = target.listing.version.as_str(), runs = load_before.requests, tokens = load_before.expected_tokens,
-      arriving = load_before.prefill_tokens, copying = load_before.transfer_tokens, need = load.expected_tokens, surcharge = (surcharge * 1e3).round() / 1e3,
+      arriving = load_before.prefill_tokens, copying = load_before.transfer_tokens, need = load.expected_tokens,
+      held_tokens = estimate.held_tokens, surcharge = (estimate.surcharge * 1e3).round() / 1e3,
       waited_ms = self.elapsed().as_millis() as u64;
       "Chose a target."
     );
--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -6,7 +6,7 @@
   },
   crate::{
     member::{self, Announcement, Codec, Heartbeat, Phase, Received, Recipient, Sent},
-    origin,
+    origin, prompt,
     quarantine::Ledger,
     reader,
     roster::{self, Roster},
@@ -15,7 +15,7 @@
   futures::{SinkExt, StreamExt, stream::SplitSink},
   prost::Message,
   std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -130,6 +130,7 @@
   state.confirm_versions(now);
   let paces = state.take_paces(clock_now);
   let waiting = gateway.tell_waiting(&mut state, &loads, clock_now);
+  let held_prompts = held_prompts(&mut state);
   let versions = state.origins.versions(clock_now);
   // Others rely on the list only if it is complete.
   let is_complete = versions.len() <= MAX_VERSIONS;
@@ -138,7 +139,7 @@
   let age = state.freshness.age(now);
   let heartbeat = Heartbeat {
     account_uses: Vec::new(),
-    held_prompts: Vec::new(),
+    held_prompts,
     paces,
     waiting,
     announcements: if reads_targets {
@@ -192,6 +193,45 @@
   (heartbeat, recipients)
 }
 
+/// Returns the prompt parts that targets began to hold since the last heartbeat.
+fn held_prompts(state: &mut State) -> Vec<prompt::Message> {
+  if state.prompts.is_empty() {
+    return Vec::new();
+  }
+  let known: HashSet<u64> = state.roster.all().map(|(_, target)| target.fingerprint).collect();
+  state.prompts.retain(|target| known.contains(&target));
+  state.prompts.take_news()
+}
+
+/// Records the prompt parts that targets hold by another host, and what its requests there took in
+/// since its last heartbeat.
+fn merge_held_prompts(
+  gateway: &Gateway,
+  heartbeat: &Heartbeat,
+  sender: SocketAddr,
+  received_at: Instant,
+) {
+  let mut state = gateway.lock();
+  if !state.settings.placement.held_prompts {
+    return;
+  }
+  let load_table = gateway.scheduler.lock();
+  for load in &heartbeat.loads {
+    let before = load_table.peer_load(sender, load.target).used_tokens;
+    state.prompts.take_in(load.target, load.load().used_tokens.saturating_sub(before));
+  }
+  drop(load_table);
+  let count: usize = heartbeat.held_prompts.iter().map(|message| message.parts.len()).sum();
+  if count > prompt::MAX_NEWS {
+    log::warn!(target: PREFIX, host:% = sender, count; "A heartbeat tells too many prompt parts; the first ones count.");
+  }
+  let roster = &state.roster;
+  let is_known = |message: &&prompt::Message| roster.keys_of(message.target).next().is_some();
+  let news: Vec<prompt::Message> =
+    heartbeat.held_prompts.iter().filter(is_known).cloned().collect();
+  state.prompts.merge(&news, received_at);
+}
+
 /// Returns the recently changed targets, or a random part of them if there are many.
 fn announcements(roster: &Roster, now: Instant) -> Vec<member::Announcement> {
   let changed = random_subset(roster.changed(ANNOUNCEMENT_PERIOD, now), MAX_ANNOUNCEMENTS);
@@ -353,6 +393,7 @@
   if !departing.is_empty() {
     gateway.announce_departures(&departing, HOST_SOURCE);
   }
+  merge_held_prompts(gateway, heartbeat, received.sender, received_at);
   record_loads(gateway, heartbeat, received.sender);
   gateway.merge_crashes(heartbeat, received_at);
   gateway.merge_limits(heartbeat, received_at);
--- a/yuccarudder/src/gateway/mod.rs
+++ b/yuccarudder/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod contention;
 mod directory;
 mod engine_polling;
+mod estimate;
 mod forwarding;
 mod gateway;
 mod heartbeats;
