pace: Rates of violations are smoothed, and hosts' paces are tested

A bucket with few samples had the rate of its neighbours or of a single violation, so almost equal targets could differ much. Rates are now shrunk towards the rate of all streams, never rise with the ratio of limit to gap, and are interpolated between buckets by the time streamed there. The mean gap of the targets is geometric, so one impossible gap hardly moves it. Equal paces change no choice (property test with the same random numbers).

--- a/yuccarudder/src/gateway/mod.rs
+++ b/yuccarudder/src/gateway/mod.rs
@@ -44,6 +44,8 @@
 #[cfg(test)]
 mod out_of_step_tests;
 #[cfg(test)]
+mod paces_tests;
+#[cfg(test)]
 mod run_life_tests;
 #[cfg(test)]
 mod supervision_tests;
--- a/yuccarudder/src/gateway/paces.rs
+++ b/yuccarudder/src/gateway/paces.rs
@@ -4,7 +4,7 @@
   super::{Gateway, call::Call, gateway::State},
   crate::{
     member::Heartbeat,
-    pace::{Message, Meter, Request, Sample},
+    pace::{self, Message, Meter, Request, Sample},
     placement::Demand,
     routing::Kind,
   },
@@ -14,8 +14,6 @@
   },
 };
 
-/// Maximum number of targets in a heartbeat whose paces are read.
-const MAX_MESSAGES: usize = 64;
 const PREFIX: &str = "pace";
 
 impl Gateway {
@@ -28,7 +26,7 @@
     if !state.settings.placement.pace {
       return;
     }
-    let paces = heartbeat.paces.iter().take(MAX_MESSAGES);
+    let paces = heartbeat.paces.iter().take(pace::MAX_MESSAGES);
     let faults = paces.filter(|message| !state.paces.merge(message, now)).count();
     if faults > 0 {
       log::warn!(target: PREFIX, host = heartbeat.sender.as_str(), faults; "Another host sent impossible paces.");
--- a/yuccarudder/src/member/tests.rs
+++ b/yuccarudder/src/member/tests.rs
@@ -1,6 +1,6 @@
 use {
   super::*,
-  crate::{origin::Coverage, placement, reader, roster},
+  crate::{origin::Coverage, pace, placement, reader, roster},
   bytes::{Bytes, BytesMut},
   prost::Message,
   rand::{RngExt, SeedableRng, rngs::StdRng, seq::IndexedRandom},
@@ -834,3 +834,39 @@
   table.receive(&remembering(3, 2, 2), later).unwrap();
   assert_eq!(table.stated_until(later, later), Some(ms(200)));
 }
+
+/// Guards against the silence of an older build, whose heartbeats lack the field, that counts as news, and against
+/// paces that older builds can't read past.
+#[test]
+fn heartbeat_without_paces_has_no_news() {
+  /// The fields that an older build knows.
+  #[derive(Clone, PartialEq, prost::Message)]
+  struct Older {
+    #[prost(string, tag = "1")]
+    callers: String,
+  }
+  let older = Older {
+    callers: address(2).to_string(),
+  };
+  let decode = |bytes: Vec<u8>| Codec.decode(&mut bytes.as_slice().into()).unwrap().unwrap().0;
+  let received = decode(older.encode_to_vec()).unwrap();
+  assert_eq!(
+    (received.callers, received.paces),
+    (older.callers.clone(), Vec::new())
+  );
+  let sent = Heartbeat {
+    paces: vec![pace::Message {
+      target: 7,
+      gaps: 16,
+      streamed_ms: 800,
+      exposure: vec![pace::Exposure {
+        bucket: 6,
+        streamed_ms: 800,
+        broken: 1,
+      }],
+    }],
+    ..heartbeat(2, 1)
+  };
+  assert_eq!(Older::decode(sent.encode_to_vec().as_slice()), Ok(older));
+  assert_eq!(decode(sent.encode_to_vec()), Some(sent));
+}
--- a/yuccarudder/src/pace/hazard.rs
+++ b/yuccarudder/src/pace/hazard.rs
@@ -1,18 +1,22 @@
 use {
-  super::Exposure,
+  super::{Exposure, Rates},
   libm::{exp2, log2},
   std::time::{Duration, Instant},
 };
 
 /// Time after which a sample counts half.
-pub(super) const HALF_LIFE: Duration = Duration::from_secs(30);
-/// Number of buckets.
-const BUCKETS: usize = 32;
+const HALF_LIFE: Duration = Duration::from_secs(30);
+pub(super) const BUCKETS: usize = 32;
 /// Number of buckets in which the ratio doubles.
-const BUCKETS_PER_OCTAVE: f64 = 4.0;
-/// Streamed time in seconds from which a rate is used as measured. With less, it is shrunk towards zero, so that
-/// it fades when samples stop.
+pub(super) const BUCKETS_PER_OCTAVE: f64 = 4.0;
+/// Streamed time in seconds from which a rate over all buckets is used as measured. With less, it is shrunk towards
+/// zero.
 const ENOUGH_SECONDS: f64 = 5.0;
+/// Streamed time in seconds from which the rate of a bucket counts as much as that of all buckets. Violations are rare,
+/// so a single one in a shorter time says little about its bucket.
+const PRIOR_SECONDS: f64 = 20.0;
+/// Weight of a bucket without data, in seconds, so that no weight is zero.
+const MIN_WEIGHT: f64 = 1e-3;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Bucket {
@@ -44,6 +48,11 @@
   exp2((f64::from(bucket.min(BUCKETS as u32 - 1)) + 0.5) / BUCKETS_PER_OCTAVE)
 }
 
+pub(super) fn milliseconds(seconds: f64) -> u32 {
+  // The conversion clamps to the range. Sums of rounded seconds may be slightly too small.
+  (seconds * 1e3).round() as u32
+}
+
 impl Hazard {
   /// Adds what was seen of some streams.
   pub fn add(&mut self, exposure: &Exposure, now: Instant) {
@@ -58,34 +67,50 @@
     bucket.seconds += f64::from(exposure.streamed_ms) / 1e3;
   }
 
+  /// Returns the part of the weight of all samples that is left.
   fn kept(&self, now: Instant) -> f64 {
     self.updated_at.map_or(1.0, |at| decay(at, now))
   }
 
-  /// Returns how many pauses per second break a limit that is `ratio` times the mean gap. A bucket with little
-  /// data is joined with its neighbours on both sides until there is enough.
-  pub fn rate(&self, ratio: f64, now: Instant) -> f64 {
-    let kept = self.kept(now);
-    let middle = bucket(ratio);
-    let mut sum = self.buckets[middle];
-    let mut radius = 0;
-    while sum.seconds * kept < ENOUGH_SECONDS && radius < BUCKETS {
-      radius += 1;
-      let below = middle.checked_sub(radius).map(|index| self.buckets[index]);
-      let above = self.buckets.get(middle + radius).copied();
-      for bucket in [below, above].into_iter().flatten() {
-        sum.broken += bucket.broken;
-        sum.seconds += bucket.seconds;
-      }
-    }
-    sum.broken * kept / (sum.seconds * kept).max(ENOUGH_SECONDS)
-  }
-
-  /// Returns the rate over all buckets.
+  /// Returns the number of violations per second over all buckets.
   pub fn total_rate(&self, now: Instant) -> f64 {
     let kept = self.kept(now);
     let broken: f64 = self.buckets.iter().map(|bucket| bucket.broken).sum();
     let seconds: f64 = self.buckets.iter().map(|bucket| bucket.seconds).sum();
     broken * kept / (seconds * kept).max(ENOUGH_SECONDS)
   }
+
+  /// Returns the rate of each bucket. Buckets with little data are shrunk towards the rate over all of them. A larger
+  /// ratio can't break limits more often, so neighbours that seem to show that are joined (isotonic regression).
+  pub fn rates(&self, now: Instant) -> Rates {
+    let kept = self.kept(now);
+    let total_rate = self.total_rate(now);
+    let weights = self.buckets.map(|bucket| bucket.seconds * kept + MIN_WEIGHT);
+    // The first `count` blocks of joined buckets: rate, weight and number of buckets.
+    let mut blocks = [(0.0, 0.0, 0); BUCKETS];
+    let mut count = 0;
+    for (bucket, weight) in self.buckets.iter().zip(weights) {
+      let broken = bucket.broken * kept + PRIOR_SECONDS * total_rate;
+      let mut block = (broken / (bucket.seconds * kept + PRIOR_SECONDS), weight, 1);
+      while count > 0 && blocks[count - 1].0 < block.0 {
+        count -= 1;
+        let (rate, weight, width) = blocks[count];
+        let sum = weight + block.1;
+        block = (
+          (rate * weight + block.0 * block.1) / sum,
+          sum,
+          width + block.2,
+        );
+      }
+      blocks[count] = block;
+      count += 1;
+    }
+    let mut rates = [0.0; BUCKETS];
+    let mut start = 0;
+    for (rate, _, width) in &blocks[..count] {
+      rates[start..start + width].fill(*rate);
+      start += width;
+    }
+    Rates { rates, weights }
+  }
 }
--- a/yuccarudder/src/pace/table.rs
+++ b/yuccarudder/src/pace/table.rs
@@ -1,14 +1,14 @@
 use {
   super::{
     Exposure, Hazard, Message, Request, Sample, Survey,
-    hazard::{self, decay},
+    gaps::{self, Gaps},
+    hazard,
+    mean::Mean,
+    news::News,
   },
   crate::placement::PREFILL_TOKEN_WEIGHT,
   libm::{exp, log},
-  std::{
-    collections::{BTreeMap, HashMap},
-    time::{Duration, Instant},
-  },
+  std::{collections::HashMap, time::Instant},
 };
 
 /// Cost of a stream that breaks its pause limit, in the unit of a target's whole KV cache.
@@ -28,79 +28,13 @@
 /// Bounds of the gap of a target relative to the mean.
 const MIN_RELATIVE_GAP: f64 = 0.25;
 const MAX_RELATIVE_GAP: f64 = 4.0;
-/// Number of gaps from which the record of a target counts as much as the mean of the others.
-const PRIOR_GAPS: f64 = 32.0;
-/// Largest number of gaps that counts for the weight of a record, so that each one fades within minutes.
-const MAX_WEIGHT_GAPS: f64 = 512.0;
-/// Bounds of the mean gap of a sample, in seconds.
-const MIN_GAP: f64 = 0.001;
-const MAX_GAP: f64 = 10.0;
-/// Largest number of gaps that counts of one message; a host relays fewer between two messages.
-const MAX_MESSAGE_GAPS: u32 = 1 << 16;
+/// Largest number of gaps that counts of one sample or message; a host relays fewer between two messages.
+const MAX_GAPS: u32 = 1 << 16;
 /// Largest number of parts that counts of one message, which is the number of buckets.
 const MAX_EXPOSURES: usize = 32;
 const MAX_TARGETS: usize = 2_048;
-const MAX_MESSAGES: usize = 64;
-/// Time for which samples of a target are summed before they are sent. Paces change slowly, and each message costs
-/// about 30 bytes to each other host.
-const NEWS_INTERVAL: Duration = Duration::from_secs(3);
-
-/// The gaps of the streams of one target.
-#[derive(Clone, Copy, Debug)]
-struct Pace {
-  gaps: f64,
-  seconds: f64,
-  updated_at: Instant,
-}
-
-impl Pace {
-  fn add(&mut self, gaps: u32, seconds: f64, now: Instant) {
-    let kept = decay(self.updated_at, now);
-    self.gaps = self.gaps * kept + f64::from(gaps);
-    self.seconds = self.seconds * kept + seconds;
-    self.updated_at = self.updated_at.max(now);
-  }
-
-  /// Returns the mean gap, in seconds.
-  fn gap(&self) -> f64 {
-    (self.seconds / self.gaps).clamp(MIN_GAP, MAX_GAP)
-  }
-
-  /// Returns how much of the target's gap its own record decides.
-  fn weight(&self, now: Instant) -> f64 {
-    let gaps = self.gaps.min(MAX_WEIGHT_GAPS) * decay(self.updated_at, now);
-    gaps / (gaps + PRIOR_GAPS)
-  }
-}
-
-/// Sums over the samples of one target that have not been sent yet.
-#[derive(Clone, Debug)]
-struct News {
-  exposure: BTreeMap<u32, Exposure>,
-  gaps: u32,
-  seconds: f64,
-  since: Instant,
-}
-
-/// A moving geometric mean.
-#[derive(Clone, Copy, Debug, Default)]
-struct Mean {
-  logarithms: f64,
-  weight: f64,
-}
-
-impl Mean {
-  fn add(&mut self, value: f64, weight: f64) {
-    // The weight of earlier values halves with each minute of streams.
-    let kept = 1.0 / (1.0 + weight / 60.0);
-    self.logarithms = self.logarithms * kept + log(value) * weight;
-    self.weight = self.weight * kept + weight;
-  }
-
-  fn value(&self) -> Option<f64> {
-    (self.weight > 0.0).then(|| exp(self.logarithms / self.weight))
-  }
-}
+/// Maximum number of messages in a heartbeat.
+pub(crate) const MAX_MESSAGES: usize = 64;
 
 /// The pace of each target, and how often pauses break their limits.
 #[derive(Clone, Debug, Default)]
@@ -109,74 +43,63 @@
   /// The pause limits of the streams, in seconds.
   limits: Mean,
   news: HashMap<u64, News>,
-  targets: HashMap<u64, Pace>,
+  targets: HashMap<u64, Gaps>,
 }
 
 impl Table {
   /// Records a part of a stream that this host relayed.
   pub fn record(&mut self, target: u64, sample: Sample, now: Instant) {
-    let Some(seconds) = bounded_seconds(sample.gaps, sample.streamed.as_secs_f64()) else {
+    let count = sample.gaps.min(MAX_GAPS);
+    let Some(seconds) = gaps::bounded_seconds(count, sample.streamed.as_secs_f64()) else {
       return;
     };
-    let Some(gap) = self.add(target, sample.gaps, seconds, now) else {
+    let Some(gap) = self.add(target, count, seconds, now) else {
       return;
     };
-    let news = self.news.entry(target).or_insert_with(|| News {
-      exposure: BTreeMap::new(),
-      gaps: 0,
-      seconds: 0.0,
-      since: now,
-    });
-    news.gaps = news.gaps.saturating_add(sample.gaps);
-    news.seconds += seconds;
+    let news = self.news.entry(target).or_insert_with(|| News::new(now));
+    news.add_gaps(count, seconds);
     let limit = sample.limit.as_secs_f64();
-    if limit <= 0.0 {
-      return;
+    if limit > 0.0 {
+      let exposure = Exposure {
+        bucket: hazard::bucket(limit / gap) as u32,
+        streamed_ms: hazard::milliseconds(seconds),
+        broken: sample.broken.min(count),
+      };
+      news.add_exposure(&exposure);
+      self.limits.add(limit, seconds);
+      self.hazard.add(&exposure, now);
     }
-    let exposure = Exposure {
-      bucket: hazard::bucket(limit / gap) as u32,
-      streamed_ms: milliseconds(seconds),
-      broken: sample.broken.min(sample.gaps),
-    };
-    let sum = news.exposure.entry(exposure.bucket).or_default();
-    sum.bucket = exposure.bucket;
-    sum.streamed_ms = sum.streamed_ms.saturating_add(exposure.streamed_ms);
-    sum.broken = sum.broken.saturating_add(exposure.broken);
-    self.limits.add(limit, seconds);
-    self.hazard.add(&exposure, now);
   }
 
   /// Returns the sums that are due, each once.
   pub fn take_news(&mut self, now: Instant) -> Vec<Message> {
-    let is_due = |news: &News| now.saturating_duration_since(news.since) >= NEWS_INTERVAL;
-    let due = self.news.extract_if(|_, news| is_due(news)).take(MAX_MESSAGES);
-    let message = |(target, news): (u64, News)| Message {
-      target,
-      gaps: news.gaps,
-      streamed_ms: milliseconds(news.seconds),
-      exposure: news.exposure.into_values().collect(),
-    };
-    due.map(message).collect()
+    let due = self.news.extract_if(|_, news| news.is_due(now)).take(MAX_MESSAGES);
+    due.map(|(target, news)| news.into_message(target)).collect()
   }
 
-  /// Adds what another host saw; returns whether the message was plausible. Impossible numbers are clamped.
+  /// Adds what another host saw; returns whether all of it was possible. Impossible numbers are clamped.
   pub fn merge(&mut self, message: &Message, now: Instant) -> bool {
-    let gaps = message.gaps.min(MAX_MESSAGE_GAPS);
+    let count = message.gaps.min(MAX_GAPS);
     let sent_seconds = f64::from(message.streamed_ms) / 1e3;
-    let Some(seconds) = bounded_seconds(gaps, sent_seconds) else {
+    let Some(seconds) = gaps::bounded_seconds(count, sent_seconds) else {
       return false;
     };
-    let Some(gap) = self.add(message.target, gaps, seconds, now) else {
-      return false;
+    // News of more targets than a fleet has are dropped.
+    let Some(gap) = self.add(message.target, count, seconds, now) else {
+      return true;
     };
-    let mut left = milliseconds(seconds);
-    let mut broken_left = gaps;
-    for exposure in message.exposure.iter().take(MAX_EXPOSURES) {
+    // Each part of the sums is rounded by itself.
+    let mut left = hazard::milliseconds(seconds).saturating_add(MAX_EXPOSURES as u32);
+    let mut broken_left = count;
+    let mut is_possible = count == message.gaps && (seconds - sent_seconds).abs() < 1e-3;
+    is_possible &= message.exposure.len() <= MAX_EXPOSURES;
+    for sent in message.exposure.iter().take(MAX_EXPOSURES) {
       let exposure = Exposure {
-        bucket: exposure.bucket,
-        streamed_ms: exposure.streamed_ms.min(left),
-        broken: exposure.broken.min(broken_left),
+        bucket: sent.bucket,
+        streamed_ms: sent.streamed_ms.min(left),
+        broken: sent.broken.min(broken_left),
       };
+      is_possible &= exposure == *sent;
       left -= exposure.streamed_ms;
       broken_left -= exposure.broken;
       if exposure.streamed_ms > 0 {
@@ -185,21 +108,17 @@
         self.limits.add(limit, f64::from(exposure.streamed_ms) / 1e3);
       }
     }
-    gaps == message.gaps
+    is_possible
   }
 
   /// Adds gaps to the record of a target; returns its mean gap, or `None` if there are too many targets.
-  fn add(&mut self, target: u64, gaps: u32, seconds: f64, now: Instant) -> Option<f64> {
+  fn add(&mut self, target: u64, count: u32, seconds: f64, now: Instant) -> Option<f64> {
     if self.targets.len() >= MAX_TARGETS && !self.targets.contains_key(&target) {
       return None;
     }
-    let pace = self.targets.entry(target).or_insert(Pace {
-      gaps: 0.0,
-      seconds: 0.0,
-      updated_at: now,
-    });
-    pace.add(gaps, seconds, now);
-    Some(pace.gap())
+    let gaps = self.targets.entry(target).or_insert_with(|| Gaps::new(now));
+    gaps.add(count, seconds, now);
+    Some(gaps.mean())
   }
 
   /// Forgets the targets that are not listed any more.
@@ -218,7 +137,7 @@
     self.targets.is_empty()
   }
 
-  /// Returns the rate at which pauses break their limits, per second of all streams.
+  /// Returns the number of pauses that break their limits, per second of all streams.
   pub fn total_rate(&self, now: Instant) -> f64 {
     self.hazard.total_rate(now)
   }
@@ -226,22 +145,25 @@
   /// Finds what the targets that a request may be sent to have in common; `None` if none has a record.
   pub fn survey(&self, targets: &[u64], request: &Request, now: Instant) -> Option<Survey> {
     let known = targets.iter().filter_map(|target| self.targets.get(target));
-    let (sum, weight) = known.fold((0.0, 0.0), |(sum, total), pace| {
-      let weight = pace.weight(now);
-      (sum + weight * pace.gap(), total + weight)
+    let (logarithms, total_weight) = known.fold((0.0, 0.0), |(sum, total), gaps| {
+      let weight = gaps.weight(now);
+      (sum + weight * log(gaps.mean()), total + weight)
     });
-    if weight <= 0.0 {
+    if total_weight <= 0.0 {
       return None;
     }
     let mut survey = Survey {
-      mean_gap: sum / weight,
+      mean_gap: exp(logarithms / total_weight),
       own_floor: f64::INFINITY,
+      rates: self.hazard.rates(now),
       shared_floor: f64::INFINITY,
+      shared_limit: self.limits.value(),
     };
+    let limit = request.pause_limit.as_secs_f64();
     for target in targets {
       let gap = self.gap(*target, &survey, now);
-      survey.own_floor = survey.own_floor.min(self.own_rate(gap, request, now));
-      survey.shared_floor = survey.shared_floor.min(self.shared_rate(gap, now));
+      survey.own_floor = survey.own_floor.min(survey.own_rate(limit, gap));
+      survey.shared_floor = survey.shared_floor.min(survey.shared_rate(gap));
     }
     Some(survey)
   }
@@ -249,23 +171,8 @@
   /// Returns the gap that a target is assumed to have, in seconds.
   fn gap(&self, target: u64, survey: &Survey, now: Instant) -> f64 {
     let mean = survey.mean_gap;
-    self
-      .targets
-      .get(&target)
-      .map_or(mean, |pace| mean + pace.weight(now) * (pace.gap() - mean))
-  }
-
-  fn own_rate(&self, gap: f64, request: &Request, now: Instant) -> f64 {
-    let limit = request.pause_limit.as_secs_f64();
-    if limit > 0.0 {
-      self.hazard.rate(limit / gap, now)
-    } else {
-      0.0
-    }
-  }
-
-  fn shared_rate(&self, gap: f64, now: Instant) -> f64 {
-    self.limits.value().map_or(0.0, |limit| self.hazard.rate(limit / gap, now))
+    let gaps = self.targets.get(&target);
+    gaps.map_or(mean, |gaps| mean + gaps.weight(now) * (gaps.mean() - mean))
   }
 
   /// Returns the expected harm of a request at one of the targets of a survey, at which `streams` requests run.
@@ -281,12 +188,12 @@
     let relative_gap = (gap / survey.mean_gap).clamp(MIN_RELATIVE_GAP, MAX_RELATIVE_GAP);
     let prompt_tokens = request.prompt_tokens as f64;
 
-    let own_hazard = self.own_rate(gap, request, now) - survey.own_floor;
-    let own_risk = 1.0 - exp(-own_hazard * request.events * gap);
+    let own_rate = survey.own_rate(request.pause_limit.as_secs_f64(), gap);
+    let own_risk = 1.0 - exp(-(own_rate - survey.own_floor) * request.events * gap);
 
-    let shared_hazard = self.shared_rate(gap, now) - survey.shared_floor;
     let prefill_seconds = prompt_tokens * PREFILL_SECONDS * relative_gap;
-    let shared_risk = f64::from(streams) * shared_hazard * prefill_seconds / PREFILL_TIME_SHARE;
+    let shared_rate = (survey.shared_rate(gap) - survey.shared_floor) / PREFILL_TIME_SHARE;
+    let shared_risk = f64::from(streams) * shared_rate * prefill_seconds;
 
     let prompt_cost = PREFILL_TOKEN_WEIGHT * prompt_tokens / request.capacity_tokens.max(1) as f64;
     let slow_prefill = prompt_cost * (relative_gap - 1.0);
@@ -297,14 +204,3 @@
     sum.clamp(-MAX_SURCHARGE, MAX_SURCHARGE)
   }
 }
-
-/// Returns the sum of some gaps within the bounds of their mean; `None` without gaps.
-fn bounded_seconds(gaps: u32, seconds: f64) -> Option<f64> {
-  let gaps = f64::from(gaps);
-  (gaps > 0.0).then(|| seconds.clamp(gaps * MIN_GAP, gaps * MAX_GAP))
-}
-
-fn milliseconds(seconds: f64) -> u32 {
-  // The conversion clamps to the range.
-  (seconds * 1e3) as u32
-}
