check: A catalog is checked before it is published

Faults of a catalog showed only in the hosts that served it: routes that never match, limits that contradict each other, values that count as something else. yuccarudder-platform check NEW [--against CURRENT] prints them and the differences from the version in force, without credentials; review holds the checks of the definition, and the platform's catalog module those of the format. Without the command the program does what it did.

--- a/yuccarudder/src/lib.rs
+++ b/yuccarudder/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod refusal;
 pub mod relay;
 pub mod relocation;
+pub mod review;
 pub mod roster;
 pub mod routing;
 pub mod server;
