pace: The gaps before a move are recorded, and large fleets tell them less often

The gaps of a stream since the last sample were lost when it moved. In a test with two hosts in virtual time, the hosts knew one of the two targets of a stream; they know both now.

Each host summed the samples of a target for 3 s whatever the size of the fleet. Now it is 50 ms per host, from 2 to 20 s: 4.1 s at 82 hosts, 15 s at 301, since the more hosts tell of a target, the less is needed from each. A message takes at most 30 bytes in the test; the heartbeats of a whole fleet are not measured.

--- a/yuccarudder/src/gateway/paces.rs
+++ b/yuccarudder/src/gateway/paces.rs
@@ -45,7 +45,7 @@
       let listed: HashSet<u64> = self.roster.all().map(|(_, target)| target.fingerprint).collect();
       self.paces.retain(|target| listed.contains(&target));
     }
-    self.paces.take_news(now)
+    self.paces.take_news(self.members.fleet_size(), now)
   }
 }
 
@@ -59,9 +59,8 @@
     is_caller_slow: bool,
   ) {
     let limit = self.route().pause_objective;
-    if let Some(sample) = meter.observe(target, events, limit, self.gateway.clock.now()) {
-      self.record_pace(target, sample);
-    }
+    let sample = meter.observe(target, events, limit, self.gateway.clock.now());
+    self.record_pace(sample);
     if is_caller_slow {
       // The next gap depends on how fast the caller reads.
       meter.interrupt();
@@ -70,14 +69,13 @@
 
   /// Records the last gaps of a stream.
   pub(super) fn finish_pace(&self, meter: &mut Meter) {
-    let target = meter.target();
-    if let Some(sample) = meter.finish(self.route().pause_objective) {
-      self.record_pace(target, sample);
-    }
+    self.record_pace(meter.finish(self.route().pause_objective));
   }
 
-  fn record_pace(&self, target: u64, sample: Sample) {
-    if self.service().is_some_and(|service| service.engine.is_some()) {
+  fn record_pace(&self, sample: Option<(u64, Sample)>) {
+    if let Some((target, sample)) = sample
+      && self.service().is_some_and(|service| service.engine.is_some())
+    {
       let now = self.gateway.clock.now();
       let mut state = self.gateway.lock();
       if state.settings.placement.pace {
--- a/yuccarudder/src/gateway/run_life_tests/mod.rs
+++ b/yuccarudder/src/gateway/run_life_tests/mod.rs
@@ -426,3 +426,26 @@
   assert!(!world.log().overlaps(), "{}", world.log().describe());
   assert_eq!(world.log().whole_answers(), 2);
 }
+
+/// Guards against sessions that measure no pace, or only that of the first target of a stream, and against hosts that do
+/// not learn it.
+#[test]
+fn hosts_learn_the_pace_of_the_targets_of_a_stream() {
+  let mut world = World::new(2, 2);
+  world.consider_paces();
+  let leave = Event::Leave {
+    run: 0,
+    notice_ms: 2_500,
+  };
+  play(
+    &mut world,
+    &[
+      (begin(Kind::Resumable, 80), 500),
+      (leave, 8_000),
+      (begin(Kind::Resumable, 20), 3_000),
+    ],
+  );
+  assert_eq!(world.log().moved_runs(), 1);
+  assert_eq!(world.log().whole_answers(), 2);
+  assert_eq!(world.known_paces(), [2, 2]);
+}
--- a/yuccarudder/src/gateway/run_life_tests/world.rs
+++ b/yuccarudder/src/gateway/run_life_tests/world.rs
@@ -7,6 +7,7 @@
     log::Log,
     target::{Id, Target},
   },
+  crate::settings,
   std::{
     sync::{Arc, Mutex, MutexGuard, atomic::Ordering},
     time::Duration,
@@ -75,6 +76,21 @@
     world
   }
 
+  /// Lets all hosts that run consider the pace of targets.
+  pub fn consider_paces(&self) {
+    for (gateway, _) in self.network.gateways.lock().unwrap().iter().flatten() {
+      let mut settings = settings::Gateway::clone(&gateway.settings());
+      settings.placement.pace = true;
+      gateway.apply_settings(settings);
+    }
+  }
+
+  /// Returns how many targets each host that runs knows the pace of.
+  pub fn known_paces(&self) -> Vec<usize> {
+    let gateways = self.network.gateways.lock().unwrap();
+    gateways.iter().flatten().map(|(gateway, _)| gateway.lock().paces.len()).collect()
+  }
+
   fn start_hosts(&mut self, first_start: bool) {
     for number in 0..self.hosts.len() {
       if self.hosts[number].is_none() {
--- a/yuccarudder/src/pace/meter.rs
+++ b/yuccarudder/src/pace/meter.rs
@@ -28,25 +28,20 @@
     self.last_event = None;
   }
 
-  /// Returns the fingerprint of the target whose gaps are measured.
-  pub fn target(&self) -> u64 {
-    self.target
-  }
-
-  /// Measures the gap before `events` events that arrived together from a target; returns a sample when there
-  /// are enough gaps. Gaps between events of different targets are left out.
+  /// Measures the gap before `events` events that arrived together from a target. Gaps between events of different
+  /// targets are left out. Returns a sample and its target when there are enough gaps or the target is another one.
   pub fn observe(
     &mut self,
     target: u64,
     events: u64,
     limit: Duration,
     now: Instant,
-  ) -> Option<Sample> {
+  ) -> Option<(u64, Sample)> {
     if self.target != target {
-      *self = Self {
-        target,
-        ..Self::default()
-      };
+      let sample = self.finish(limit);
+      self.target = target;
+      self.last_event = Some(now);
+      return sample;
     }
     let pause = now.saturating_duration_since(self.last_event.replace(now)?);
     if pause >= INTERRUPTION {
@@ -60,24 +55,24 @@
     if self.gaps < SAMPLE_GAPS {
       return None;
     }
-    let last_event = self.last_event;
     let sample = self.finish(limit);
-    self.last_event = last_event;
+    self.last_event = Some(now);
     sample
   }
 
-  /// Returns the sample of the last gaps when the stream has ended, if there are enough.
-  pub fn finish(&mut self, limit: Duration) -> Option<Sample> {
+  /// Returns the sample of the last gaps and its target when the stream has ended, if there are enough.
+  pub fn finish(&mut self, limit: Duration) -> Option<(u64, Sample)> {
     let sample = Sample {
       broken: self.broken,
       gaps: self.gaps,
       limit,
       streamed: self.streamed,
     };
+    let target = self.target;
     *self = Self {
-      target: self.target,
+      target,
       ..Self::default()
     };
-    (sample.gaps >= MIN_GAPS).then_some(sample)
+    (sample.gaps >= MIN_GAPS).then_some((target, sample))
   }
 }
--- a/yuccarudder/src/pace/news.rs
+++ b/yuccarudder/src/pace/news.rs
@@ -6,9 +6,12 @@
   },
 };
 
-/// Time for which samples of a target are summed before they are sent. Paces change slowly, and each message costs
-/// about 30 bytes to each other host.
-const INTERVAL: Duration = Duration::from_secs(3);
+/// Time, for each host of the fleet, for which samples of a target are summed before they are sent. Each message costs
+/// about 30 bytes to each other host, and the more hosts tell of a target, the less is needed from each.
+const INTERVAL_PER_HOST: Duration = Duration::from_millis(50);
+/// Bounds of that time. Paces change slowly, and the longest is less than the half-life of samples.
+const MIN_INTERVAL: Duration = Duration::from_secs(2);
+const MAX_INTERVAL: Duration = Duration::from_secs(20);
 
 /// Sums over the samples of one target that have not been sent yet.
 #[derive(Clone, Debug)]
@@ -34,9 +37,11 @@
     self.seconds += seconds;
   }
 
-  /// Returns whether they are to be sent.
-  pub fn is_due(&self, now: Instant) -> bool {
-    now.saturating_duration_since(self.since) >= INTERVAL
+  /// Returns whether they are to be sent in a fleet of `hosts`.
+  pub fn is_due(&self, hosts: usize, now: Instant) -> bool {
+    let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+    let interval = INTERVAL_PER_HOST.saturating_mul(hosts).clamp(MIN_INTERVAL, MAX_INTERVAL);
+    now.saturating_duration_since(self.since) >= interval
   }
 
   /// Returns the message about a target, given by its fingerprint.
--- a/yuccarudder/src/pace/table.rs
+++ b/yuccarudder/src/pace/table.rs
@@ -71,9 +71,9 @@
     }
   }
 
-  /// Returns the sums that are due, each once.
-  pub fn take_news(&mut self, now: Instant) -> Vec<Message> {
-    let due = self.news.extract_if(|_, news| news.is_due(now)).take(MAX_MESSAGES);
+  /// Returns the sums that are due in a fleet of `hosts`, each once.
+  pub fn take_news(&mut self, hosts: usize, now: Instant) -> Vec<Message> {
+    let due = self.news.extract_if(|_, news| news.is_due(hosts, now)).take(MAX_MESSAGES);
     due.map(|(target, news)| news.into_message(target)).collect()
   }
 
--- a/yuccarudder/src/pace/tests.rs
+++ b/yuccarudder/src/pace/tests.rs
@@ -15,6 +15,8 @@
 };
 
 const CAPACITY: u64 = 30_000;
+/// Number of hosts; each tells of a target every 3 s.
+const HOSTS: usize = 60;
 const LIMIT: Duration = ms(180);
 const MAX_SURCHARGE: f64 = 3.0;
 
@@ -186,7 +188,7 @@
   };
   table.record(1, unlimited, now);
   assert_eq!((table.len(), table.total_rate(now)), (1, 0.0));
-  let news = table.take_news(now + Duration::from_secs(3));
+  let news = table.take_news(HOSTS, now + Duration::from_secs(3));
   assert_eq!((news[0].gaps, news[0].exposure.len()), (500, 0));
 }
 
@@ -261,11 +263,11 @@
 fn news_tell_another_host_what_this_one_saw_once() {
   let now = Instant::now();
   let mut sender = table(&[20, 55, 22, 60], now);
-  assert!(sender.take_news(now + ms(2_900)).is_empty());
+  assert!(sender.take_news(HOSTS, now + ms(2_900)).is_empty());
   let sent_at = now + ms(3_000);
-  let news = sender.take_news(sent_at);
+  let news = sender.take_news(HOSTS, sent_at);
   assert_eq!(news.len(), 4);
-  assert!(sender.take_news(sent_at + ms(10_000)).is_empty());
+  assert!(sender.take_news(HOSTS, sent_at + ms(10_000)).is_empty());
   let mut receiver = Table::default();
   for message in &news {
     assert!(receiver.merge(message, sent_at));
@@ -278,12 +280,23 @@
   }
 }
 
+/// Guards against heartbeats of large fleets that grow with the number of hosts.
+#[test]
+fn more_hosts_tell_less_often() {
+  let now = Instant::now();
+  for (hosts, interval_ms) in [(1, 2_000), (82, 4_100), (301, 15_050), (usize::MAX, 20_000)] {
+    let mut table = table(&[20], now);
+    assert!(table.take_news(hosts, now + ms(interval_ms - 1)).is_empty());
+    assert_eq!(table.take_news(hosts, now + ms(interval_ms)).len(), 1);
+  }
+}
+
 /// Guards against heartbeats that grow: the news of a target take about 30 bytes, every 3 s.
 #[test]
 fn news_of_a_target_are_small() {
   let now = Instant::now();
   let mut table = table(&[55], now);
-  let news = table.take_news(now + Duration::from_secs(3));
+  let news = table.take_news(HOSTS, now + Duration::from_secs(3));
   let size = prost::Message::encoded_len(&news[0]);
   assert!(size <= 30, "{size}");
 }
@@ -368,7 +381,7 @@
   let later = now + Duration::from_secs(3);
   let mut sent = 0;
   loop {
-    let news = table.take_news(later);
+    let news = table.take_news(HOSTS, later);
     if news.is_empty() {
       break;
     }
@@ -484,7 +497,7 @@
 }
 
 /// Feeds a meter with the events of a target, given by their times in milliseconds; returns its samples.
-fn measure(meter: &mut Meter, target: u64, start: Instant, times_ms: &[u64]) -> Vec<Sample> {
+fn measure(meter: &mut Meter, target: u64, start: Instant, times_ms: &[u64]) -> Vec<(u64, Sample)> {
   let observe = |time| meter.observe(target, 1, LIMIT, start + ms(time));
   times_ms.iter().copied().filter_map(observe).collect()
 }
@@ -496,8 +509,8 @@
   let start = Instant::now();
   let times: Vec<u64> = (0..37).map(|index| index * 20).collect();
   let samples = measure(&mut meter, 1, start, &times);
-  assert_eq!(samples, [sample(16, 20, 0); 2]);
-  assert_eq!(meter.finish(LIMIT), Some(sample(4, 20, 0)));
+  assert_eq!(samples, [(1, sample(16, 20, 0)); 2]);
+  assert_eq!(meter.finish(LIMIT), Some((1, sample(4, 20, 0))));
   assert_eq!(meter.finish(LIMIT), None);
 }
 
@@ -510,7 +523,7 @@
       let mut meter = Meter::default();
       assert_eq!(measure(&mut meter, 1, Instant::now(), &$times), []);
       let sample = meter.finish(LIMIT);
-      let sample = sample.map(|sample| (sample.gaps, sample.streamed, sample.broken));
+      let sample = sample.map(|(_, sample)| (sample.gaps, sample.streamed, sample.broken));
       let expected: Option<(u32, u64, u32)> = $expected;
       assert_eq!(
         sample,
@@ -537,11 +550,11 @@
   let mut meter = Meter::default();
   let start = Instant::now();
   measure(&mut meter, 1, start, &[0, 20, 40]);
-  measure(&mut meter, 2, start, &[400, 420]);
+  let samples = measure(&mut meter, 2, start, &[400, 420]);
+  assert_eq!(samples, [(1, sample(2, 20, 0))]);
   meter.interrupt();
   measure(&mut meter, 2, start, &[900, 920]);
-  assert_eq!(meter.target(), 2);
-  assert_eq!(meter.finish(LIMIT), Some(sample(2, 20, 0)));
+  assert_eq!(meter.finish(LIMIT), Some((2, sample(2, 20, 0))));
 }
 
 /// Guards against targets that seem slow because several of their events arrive together.
@@ -551,5 +564,5 @@
   let start = Instant::now();
   meter.observe(1, 3, LIMIT, start);
   meter.observe(1, 4, LIMIT, start + ms(80));
-  assert_eq!(meter.finish(LIMIT), Some(sample(4, 20, 0)));
+  assert_eq!(meter.finish(LIMIT), Some((1, sample(4, 20, 0))));
 }
