contention, share: Stable dealing, room for moving runs, shares of accounts

A host placed its first request at the place of another one of its own, and a place that was taken changed what fell to the requests of other hosts.

Change: each request, in the order of all hosts, takes what it needs at the target that its host prefers by a hash. Taking out a request and what it took leaves the rest as it is. A host uses the place of its first request only, or what its own ended requests left. It places nothing by the order for 20 ms after its heartbeat. Room for the runs of leaving engines, and contention::Reserve, are set aside while engines leave steadily, except for requests of the highest priority.

Client accounts: share::Table sums the KV tokens of each account over all hosts; requests of accounts above their max-min fair part come after others of the same lateness and priority, in the queue and between hosts. Log lines name the account; 16 accounts have their own metrics.

Scheduler::reserve takes the account; the existing test passes None, Rank literals name over_share.

--- a/yuccarudder/src/contention/deal.rs
+++ b/yuccarudder/src/contention/deal.rs
@@ -1,10 +1,9 @@
-//! Deals out the free places at targets to the waiting requests of all hosts.
+//! Deals out the free room at targets to the waiting requests of all hosts.
 
 use {
   super::{Request, Room},
   std::{
     cmp::Ordering,
-    collections::BinaryHeap,
     time::{Duration, Instant},
   },
 };
@@ -23,10 +22,10 @@
 }
 
 impl Claim {
-  /// Compares by the order in which places are dealt out.
+  /// Compares by the order in which room is dealt out.
   ///
   /// Requests that the other hosts do not know of come after those of the same rank that they know of, which are
-  /// about to take the places that they know to be theirs.
+  /// about to take the room that they know to be theirs.
   fn order(&self, other: &Self) -> Ordering {
     let key = |claim: &Self| {
       (
@@ -40,39 +39,74 @@
   }
 }
 
-/// The places at the targets of a service, dealt out.
-#[derive(Clone, Debug, Default)]
+/// The rooms of the targets of a service, dealt out.
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) struct Deal {
-  /// Number of places of each room that fell to requests of this host.
-  pub own: Vec<u32>,
-  /// Number of places of each room that fell to nobody.
-  pub left: Vec<u32>,
+  /// Index of the room that fell to the first waiting request of this host.
+  pub first: Option<usize>,
+  /// The share of each room, in their order.
+  pub shares: Vec<Share>,
 }
 
-/// Returns how many places each of the rooms has for requests like the waiting ones.
-fn places(claims: &[Claim], rooms: &[Room]) -> Vec<u32> {
-  let needs = claims.iter().map(|claim| claim.request.need);
-  let typical = needs.clone().sum::<u64>() / (claims.len() as u64).max(1);
-  let smallest = needs.min().unwrap_or_default();
-  rooms.iter().map(|room| room.places(typical, smallest)).collect()
+/// What was dealt out of a room.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct Share {
+  /// Number of requests of this host that it fell to.
+  pub own: u32,
+  /// KV cache tokens that these are expected to need.
+  pub own_tokens: u64,
+  /// Number of further requests of the mean need that it could take.
+  pub left: u64,
 }
 
-/// Returns how many of the places of each room are dealt out to a number of requests: the rooms with most places
-/// go first, so that the requests spread. A place that is taken with its request leaves those of the others as
-/// they are.
-fn quotas(places: &[u32], rooms: &[Room], requests: usize) -> Vec<u32> {
-  let mut quotas = vec![0; places.len()];
-  let rooms = rooms.iter().enumerate();
-  let mut heap: BinaryHeap<(u32, u64, usize)> =
-    rooms.map(|(index, room)| (places[index], room.target, index)).collect();
-  for _ in 0..requests {
-    let Some((count, target, index)) = heap.pop().filter(|(count, ..)| *count > 0) else {
-      break;
-    };
-    quotas[index] += 1;
-    heap.push((count - 1, target, index));
+/// A room of which a part has been dealt out.
+#[derive(Clone, Copy, Debug)]
+struct Rest {
+  own: u32,
+  own_tokens: u64,
+  max_prefill: u64,
+  prefill: u64,
+  slots: u32,
+  target: u64,
+  tokens: u64,
+}
+
+impl Rest {
+  fn new(room: &Room) -> Self {
+    Self {
+      own: 0,
+      own_tokens: 0,
+      max_prefill: room.max_prefill,
+      prefill: room.free_prefill,
+      slots: room.free_slots,
+      target: room.target,
+      tokens: room.free_tokens,
+    }
+  }
+
+  fn fits(&self, need: u64) -> bool {
+    self.slots > 0 && need <= self.tokens && need.min(self.max_prefill) <= self.prefill
+  }
+
+  fn take(&mut self, claim: &Claim) {
+    let need = claim.request.need;
+    self.slots -= 1;
+    self.tokens -= need;
+    self.prefill -= need.min(self.max_prefill);
+    if claim.is_own {
+      self.own += 1;
+      self.own_tokens += need;
+    }
+  }
+
+  fn share(&self, mean_need: u64) -> Share {
+    let left = (self.tokens.min(self.prefill) / mean_need).min(self.slots.into());
+    Share {
+      own: self.own,
+      own_tokens: self.own_tokens,
+      left,
+    }
   }
-  quotas
 }
 
 /// Mixes the bits of a number (the finalizer of SplitMix64).
@@ -82,45 +116,43 @@
   number ^ number >> 31
 }
 
-/// Deals out the places of the rooms to the claims.
+/// Deals out the rooms to the claims; `first` is the number of the first waiting request of this host.
 ///
-/// In the order of all requests, each takes a place at the target that its host prefers among those with places
-/// left. Hosts prefer targets by a hash, so that the choice of a request does not depend on whether hosts know
-/// that others have taken their places. The hash changes with each heartbeat interval that a request waits, so
-/// that a place which its host cannot use goes to another one.
+/// In the order of all requests, each takes what it needs at the target that its host prefers, by a hash, among those
+/// where it fits. When a request and what it took are both taken out, all others get the same as before, so hosts that
+/// know of a placement and hosts that do not agree on the rest. The preference changes with each heartbeat
+/// interval that a request waits, so that room which its host cannot use goes to another one.
 pub(super) fn deal(
   mut claims: Vec<Claim>,
   rooms: &[Room],
+  first: u64,
   interval: Duration,
   now: Instant,
 ) -> Deal {
   claims.retain(|claim| now < claim.request.give_up_at);
   claims.sort_unstable_by(Claim::order);
-  let places = places(&claims, rooms);
-  let quotas = quotas(&places, rooms, claims.len());
-  let mut free = quotas.clone();
-  let mut free_count: u32 = free.iter().sum();
-  let mut own = vec![0; rooms.len()];
+  let needs = claims.iter().map(|claim| claim.request.need);
+  let smallest = needs.clone().min().unwrap_or_default();
+  let mean_need = (needs.sum::<u64>() / (claims.len() as u64).max(1)).max(1);
+  let mut rests: Vec<Rest> = rooms.iter().map(Rest::new).collect();
   let interval_ms = u32::try_from(interval.as_millis()).unwrap_or(u32::MAX).max(1);
+  let mut first_room = None;
   for claim in &claims {
-    if free_count == 0 {
+    if !rests.iter().any(|rest| rest.fits(smallest)) {
       break;
     }
     let rotation = u64::from(claim.request.remaining_ms / interval_ms);
     let seed = mix(claim.host.wrapping_add(rotation));
-    let fitting = rooms
-      .iter()
-      .enumerate()
-      .filter(|(index, room)| free[*index] > 0 && claim.request.need <= room.free_tokens);
-    let preferred = fitting.min_by_key(|(_, room)| mix(seed ^ room.target));
-    if let Some((index, _)) = preferred {
-      free[index] -= 1;
-      free_count -= 1;
-      own[index] += u32::from(claim.is_own);
+    let fitting = rests.iter_mut().enumerate().filter(|(_, rest)| rest.fits(claim.request.need));
+    if let Some((index, rest)) = fitting.min_by_key(|(_, rest)| mix(seed ^ rest.target)) {
+      rest.take(claim);
+      if claim.is_own && claim.request.sequence == first {
+        first_room = Some(index);
+      }
     }
   }
   Deal {
-    own,
-    left: places.iter().zip(quotas).map(|(places, quota)| places - quota).collect(),
+    first: first_room,
+    shares: rests.iter().map(|rest| rest.share(mean_need)).collect(),
   }
 }
--- a/yuccarudder/src/contention/grant.rs
+++ b/yuccarudder/src/contention/grant.rs
@@ -1,18 +1,44 @@
+use super::Room;
+
 /// The targets at which a host may place its first waiting request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Grant {
   /// All targets: no other host competes for them.
   All,
   /// The targets with these fingerprints, in ascending order.
-  Only(Vec<u64>),
+  Only {
+    /// Targets at which requests of this host ended that the other hosts still count.
+    freed: Vec<u64>,
+    /// Targets at which free room fell to this host.
+    granted: Vec<u64>,
+  },
 }
 
 impl Grant {
+  /// Grants the rooms in which a need of KV cache tokens fits.
+  pub fn fitting(rooms: &[Room], need: u64) -> Self {
+    let fitting = rooms.iter().filter(|room| need <= room.free_tokens);
+    let mut granted: Vec<u64> = fitting.map(|room| room.target).collect();
+    granted.sort_unstable();
+    Self::Only {
+      freed: Vec::new(),
+      granted,
+    }
+  }
+
   /// Returns whether the request may be placed at a target.
   pub fn allows(&self, target: u64) -> bool {
     match self {
       Self::All => true,
-      Self::Only(targets) => targets.binary_search(&target).is_ok(),
+      Self::Only { granted, .. } => granted.binary_search(&target).is_ok() || self.is_freed(target),
+    }
+  }
+
+  /// Returns whether the request takes the place of another one of this host there.
+  pub fn is_freed(&self, target: u64) -> bool {
+    match self {
+      Self::All => false,
+      Self::Only { freed, .. } => freed.binary_search(&target).is_ok(),
     }
   }
 }
--- a/yuccarudder/src/contention/mod.rs
+++ b/yuccarudder/src/contention/mod.rs
@@ -4,13 +4,18 @@
 mod grant;
 mod message;
 mod request;
+mod reserve;
 mod room;
 mod table;
 
+#[cfg(test)]
+mod tests;
+
 pub use {
   grant::Grant,
   message::{Message, Waiter},
   request::Request,
+  reserve::Reserve,
   room::Room,
   table::{MAX_WAITERS, Table},
 };
--- a/yuccarudder/src/contention/request.rs
+++ b/yuccarudder/src/contention/request.rs
@@ -15,7 +15,7 @@
 /// The bit of a rank that is set when the response can no longer meet its latency objective. It stands above
 /// those of the priority.
 const LATE_BIT: u32 = 1 << 9;
-/// Number of bits of a rank below the priority.
+/// Number of bits of a rank below the priority: one states whether the account uses more than its share.
 const PRIORITY_SHIFT: u32 = 1;
 
 /// A request that waits for a place.
@@ -45,7 +45,7 @@
     let late = if rank.late { LATE_BIT } else { 0 };
     Self {
       sequence: entry.sequence(),
-      rank: late | rank.priority.min(MAX_PRIORITY) << PRIORITY_SHIFT,
+      rank: late | rank.priority.min(MAX_PRIORITY) << PRIORITY_SHIFT | u32::from(rank.over_share),
       give_up_at: rank.give_up_at,
       remaining_ms: remaining.as_millis() as u32,
       need: u64::from(need_units(entry.need())) * NEED_UNIT,
--- a/yuccarudder/src/contention/room.rs
+++ b/yuccarudder/src/contention/room.rs
@@ -11,8 +11,12 @@
   pub target: u64,
   /// KV cache tokens that no known request is expected to need.
   pub free_tokens: u64,
-  /// Prompt tokens that may still be added to those that await prefill; `None` if there are too many already.
-  pub free_prefill: Option<u64>,
+  /// Prompt tokens that may still be added to those that await prefill.
+  pub free_prefill: u64,
+  /// Prompt tokens that may await prefill there at most; a larger prompt counts as this many.
+  pub max_prefill: u64,
+  /// Whether this host can send the request there now.
+  pub is_usable: bool,
   /// Number of further requests that the target runs concurrently.
   pub free_slots: u32,
   /// Number of requests that this host placed there since it last told its load.
@@ -28,24 +32,12 @@
     Self {
       target,
       free_tokens: capacity_tokens.saturating_sub(known.expected_tokens),
-      free_prefill: max_prefill.checked_sub(known.prefill_tokens),
+      free_prefill: max_prefill.saturating_sub(known.prefill_tokens),
+      max_prefill,
       free_slots: slots.saturating_sub(known.requests),
+      is_usable: true,
       own_recent: 0,
       own_freed: false,
     }
   }
-
-  /// Returns how many requests of a typical need fit, or 1 if only a smallest one does.
-  pub(super) fn places(&self, typical: u64, smallest: u64) -> u32 {
-    let Some(free_prefill) = self.free_prefill else {
-      return 0;
-    };
-    let typical = typical.max(1);
-    let by_memory = match self.free_tokens / typical {
-      0 if smallest <= self.free_tokens => 1,
-      places => places,
-    };
-    let places = by_memory.min(free_prefill / typical + 1).min(self.free_slots.into());
-    u32::try_from(places).unwrap_or(u32::MAX)
-  }
 }
--- a/yuccarudder/src/contention/table.rs
+++ b/yuccarudder/src/contention/table.rs
@@ -5,7 +5,7 @@
   },
   crate::placement::Load,
   std::{
-    collections::{HashMap, HashSet},
+    collections::HashMap,
     net::SocketAddr,
     time::{Duration, Instant},
   },
@@ -19,6 +19,9 @@
 const MAX_HOSTS: usize = 1024;
 /// Maximum number of own placements that are kept until the next heartbeat.
 const MAX_PLACED: usize = 1024;
+/// Time after a heartbeat in which this host places nothing by the order: the others may not have received it yet
+/// and deal out another part of the room.
+const DELIVERY_TIME: Duration = Duration::from_millis(20);
 /// Heartbeat intervals after which the waiting requests of a silent host no longer count.
 const EXPIRY_INTERVALS: u32 = 3;
 
@@ -43,8 +46,7 @@
 /// A request that this host placed since it last told its load.
 #[derive(Clone, Copy, Debug)]
 struct Placed {
-  request: Request,
-  service: u64,
+  load: Load,
   target: u64,
 }
 
@@ -58,8 +60,11 @@
   peers: HashMap<SocketAddr, Peer>,
   /// Requests placed since the last heartbeat.
   placed: Vec<Placed>,
-  /// The waiting requests of this host, as it last told them, by service.
-  told: HashMap<u64, Vec<Request>>,
+  /// The waiting requests of this host that it last told, by their number, with the time to wait that was told,
+  /// in milliseconds.
+  told: HashMap<u64, u32>,
+  /// When this host last told the others.
+  told_at: Option<Instant>,
   /// The load of this host at each target, as it last told it.
   told_loads: HashMap<u64, Load>,
 }
@@ -73,6 +78,7 @@
       peers: HashMap::new(),
       placed: Vec::new(),
       told: HashMap::new(),
+      told_at: None,
       told_loads: HashMap::new(),
     }
   }
@@ -84,9 +90,11 @@
     waiting: impl IntoIterator<Item = (u64, Vec<Request>, usize)>,
     loads: HashMap<u64, Load>,
     interval: Duration,
+    now: Instant,
   ) -> Vec<Message> {
     self.interval = interval;
     self.placed.clear();
+    self.told_at = Some(now);
     self.told_loads = loads;
     self.told.clear();
     let mut messages = Vec::new();
@@ -98,7 +106,7 @@
         waiters: requests.iter().map(Request::message).collect(),
         more: u32::try_from(count.saturating_sub(requests.len())).unwrap_or(u32::MAX),
       });
-      self.told.insert(service, requests);
+      self.told.extend(requests.iter().map(|request| (request.sequence, request.remaining_ms)));
     }
     messages
   }
@@ -131,40 +139,68 @@
     );
   }
 
-  /// Records that this host placed a request at a target.
-  pub fn record(&mut self, service: u64, request: Request, target: u64) {
+  /// Records that this host placed a request at a target. It counts by its need as the other hosts know it, also as
+  /// a prompt that awaits prefill, since they deal out the room in this way.
+  pub fn record(&mut self, request: &Request, target: u64) {
     if self.placed.len() < MAX_PLACED {
-      self.placed.push(Placed {
-        request,
-        service,
-        target,
-      });
+      let load = Load {
+        prefill_tokens: request.need,
+        requests: 1,
+        expected_tokens: request.need,
+        ..Load::default()
+      };
+      self.placed.push(Placed { load, target });
+    }
+  }
+
+  /// Returns a request of this host as it was last told.
+  fn as_told(&self, request: Request) -> Request {
+    Request {
+      remaining_ms: self.told.get(&request.sequence).copied().unwrap_or(request.remaining_ms),
+      ..request
     }
   }
 
-  /// Returns the room at a target as all hosts know it: with the load of this host that it last told.
+  /// Returns the room at a target as all hosts know it: without what requests of this host left there since it last
+  /// told its load. What this host placed there since counts: others deal it out to the requests that took it.
   pub fn room(
     &self,
     target: u64,
     capacity_tokens: u64,
     slots: u32,
     (total, local): (Load, Load),
-    need: u64,
+    (need, is_usable): (u64, bool),
   ) -> Room {
     let told = self.told_loads.get(&target).copied().unwrap_or_default();
-    let mut known = total;
-    known -= local;
-    known += told;
-    let own_recent = self.placed.iter().filter(|placed| placed.target == target).count();
+    let mut known = told;
+    let mut own_recent = 0;
+    for placed in self.placed.iter().filter(|placed| placed.target == target) {
+      own_recent += 1;
+      known += placed.load;
+    }
     let own_freed = local.requests < told.requests
       && local.expected_tokens.saturating_add(need) <= told.expected_tokens;
+    known += total;
+    known -= local;
     Room {
-      own_recent: u32::try_from(own_recent).unwrap_or(u32::MAX),
+      is_usable,
+      own_recent,
       own_freed,
       ..Room::new(target, capacity_tokens, slots, &known)
     }
   }
 
+  /// Returns the number of waiting requests of other hosts that are kept.
+  pub fn len(&self) -> usize {
+    let lines = self.peers.values().flat_map(|peer| peer.lines.values());
+    lines.map(|line| line.requests.len()).sum()
+  }
+
+  /// Returns whether no waiting requests of other hosts are kept.
+  pub fn is_empty(&self) -> bool {
+    self.len() == 0
+  }
+
   /// Returns whether another host has requests that wait for targets of a service.
   pub fn is_contended(&self, service: u64, now: Instant) -> bool {
     self.peer_lines(service, now).next().is_some()
@@ -178,29 +214,11 @@
     lines.filter(move |(_, line)| line.requests.iter().any(|request| now < request.give_up_at))
   }
 
-  /// Returns the requests of this host in the order of all hosts: those that the others know of, placed or not,
-  /// and those that came since.
-  fn own_claims(&self, service: u64, waiting: &[Request]) -> Vec<Claim> {
-    let told = self.told.get(&service).map_or(&[][..], Vec::as_slice);
-    let told_sequences: HashSet<u64> = told.iter().map(|request| request.sequence).collect();
-    let placed = self.placed.iter().filter(|placed| placed.service == service);
-    let untold = placed.map(|placed| &placed.request).chain(waiting);
-    let untold = untold.filter(|request| !told_sequences.contains(&request.sequence));
-    let claim = |request: &Request, is_untold| Claim {
-      host: self.own_hash,
-      is_own: true,
-      is_untold,
-      request: *request,
-    };
-    let told = told.iter().map(|request| claim(request, false));
-    told.chain(untold.map(|request| claim(request, true))).collect()
-  }
-
   /// Returns the targets at which this host may place the first of its waiting requests.
   pub fn grant(&self, service: u64, waiting: &[Request], rooms: &[Room], now: Instant) -> Grant {
     let mut claims = Vec::new();
     let mut more = 0_u32;
-    let mut hosts = 1;
+    let mut hosts = 1_u64;
     for (host, line) in self.peer_lines(service, now) {
       hosts += 1;
       more = more.saturating_add(line.more);
@@ -217,17 +235,38 @@
     let first_elsewhere = claims.iter().map(|claim| claim.request.rank).min();
     let is_outranked =
       waiting.first().is_some_and(|own| first_elsewhere.is_some_and(|rank| rank < own.rank));
-    claims.extend(self.own_claims(service, waiting));
-    let Deal { own, left } = deal::deal(claims, rooms, self.interval, now);
-    let granted = rooms.iter().zip(own.into_iter().zip(left)).filter(|(room, (own, left))| {
-      let is_left =
-        more == 0 && left.checked_sub(room.own_recent).is_some_and(|left| left >= hosts);
+    claims.extend(waiting.iter().map(|request| Claim {
+      host: self.own_hash,
+      is_own: true,
+      is_untold: !self.told.contains_key(&request.sequence),
+      request: self.as_told(*request),
+    }));
+    let first = waiting.first();
+    let need = first.map_or(0, |request| request.need);
+    let sequence = first.map_or(0, |request| request.sequence);
+    let Deal { first, shares } = deal::deal(claims, rooms, sequence, self.interval, now);
+    let can_use_first = first.is_some_and(|index| rooms[index].is_usable);
+    let is_settled =
+      self.told_at.is_none_or(|at| now.saturating_duration_since(at) >= DELIVERY_TIME);
+    let mut granted = Vec::new();
+    let mut freed = Vec::new();
+    for (index, (room, share)) in rooms.iter().zip(shares).enumerate() {
+      // A request that takes the place of another one of its host changes what is left to the others, as far as
+      // hosts know.
+      let is_dealt = first == Some(index)
+        || (first.is_some() && !can_use_first && share.own > 0 && need <= share.own_tokens);
+      // Each of the hosts may place as many there.
+      let is_left = more == 0 && share.left >= hosts * (u64::from(room.own_recent) + 1);
       // The other hosts do not know yet that this room is free.
-      let is_own = room.own_freed && !is_outranked;
-      *own > room.own_recent || is_left || is_own
-    });
-    let mut granted: Vec<u64> = granted.map(|(room, _)| room.target).collect();
+      if room.own_freed && !is_outranked {
+        freed.push(room.target);
+      }
+      if is_settled && (is_dealt || is_left) {
+        granted.push(room.target);
+      }
+    }
     granted.sort_unstable();
-    Grant::Only(granted)
+    freed.sort_unstable();
+    Grant::Only { freed, granted }
   }
 }
--- a/yuccarudder/src/gateway/assignment.rs
+++ b/yuccarudder/src/gateway/assignment.rs
@@ -156,6 +156,7 @@
     Rank {
       give_up_at,
       late,
+      over_share: self.is_over_share(),
       priority: self.engine_priority().into(),
     }
   }
@@ -298,7 +299,7 @@
     let hosts = state.members.fleet_size();
     let cold_limit = state.cold_limit(&self.service_name);
     let service = ingress::hash(&self.service_name);
-    let grant = self.grant(&state, &load_table, waiter, demand, now);
+    let grant = self.grant(&state, &load_table, tried_targets, waiter, demand, now);
     let candidates = self.suitable_targets(&state).map(|(key, target)| {
       let is_throttled = |limit| {
         let share = state.cold_share(target, limit, since_boot);
@@ -329,7 +330,7 @@
     });
     if let Choice::Chosen(key) = choice {
       state.throttle.record(key, now);
-      self.record_placement(&mut state, key, waiter, demand, now);
+      self.record_placement(&mut state, key, &grant, waiter, demand, now);
     }
     choice
   }
@@ -371,15 +372,16 @@
     drop(state);
     let load_before = self.gateway.scheduler.lock().total_load(target.fingerprint);
     log::info!(
-      target: PREFIX, id = self.id(), target:% = target.id, software = target.listing.version.as_str(), runs = load_before.requests, tokens = load_before.expected_tokens,
+      target: PREFIX, id = self.id(), account = self.account_name().unwrap_or("-"), target:% = target.id, software = target.listing.version.as_str(), runs = load_before.requests, tokens = load_before.expected_tokens,
       arriving = load_before.prefill_tokens, copying = load_before.transfer_tokens, need = load.expected_tokens,
       waited_ms = self.elapsed().as_millis() as u64;
       "Chose a target."
     );
-    let reservation = self.gateway.scheduler.reserve(placement::Assignment {
+    let assignment = placement::Assignment {
       load,
       target: target.fingerprint,
-    });
+    };
+    let reservation = self.gateway.scheduler.reserve(assignment, self.account_hash());
     if load.expected_tokens > 0 {
       // Announces the load to the other hosts, which include it in their choices.
       self.gateway.heartbeat_trigger.notify_one();
--- a/yuccarudder/src/gateway/contention.rs
+++ b/yuccarudder/src/gateway/contention.rs
@@ -1,14 +1,17 @@
 use {
   super::{Gateway, call::Call, gateway::State, ingress},
   crate::{
-    contention::{self, Grant, Message, Request},
+    contention::{self, Grant, Message, Request, Reserve, Room},
     member,
     placement::{Demand, Load, LoadTable, Waiter},
-    roster::Key,
+    roster::{Key, Status},
   },
   std::{collections::HashMap, net::SocketAddr, time::Instant},
 };
 
+/// The priority of requests that may use the room that is kept free for the runs of engines that leave.
+const HIGHEST_PRIORITY: u32 = 0;
+
 impl Gateway {
   /// Returns what the next heartbeat, which tells the given loads, tells of the requests that wait for engines.
   pub(super) fn tell_waiting(
@@ -30,7 +33,7 @@
       let requests = entries.iter().map(|entry| Request::new(entry, now)).collect();
       (ingress::hash(&service.name), requests, count)
     });
-    state.contention.tell(waiting, loads.clone(), interval)
+    state.contention.tell(waiting, loads.clone(), interval, now)
   }
 }
 
@@ -57,32 +60,44 @@
     &self,
     state: &State,
     load_table: &LoadTable,
+    tried_targets: &[Key],
     waiter: &Waiter,
     demand: &Demand,
     now: Instant,
   ) -> Grant {
     let service = ingress::hash(&self.service_name);
-    let Some(capacity_tokens) = demand
-      .capacity_tokens
-      .filter(|_| self.keeps_order(state, demand) && state.contention.is_contended(service, now))
-    else {
+    let keeps_order = self.keeps_order(state, demand);
+    let Some(capacity_tokens) = demand.capacity_tokens.filter(|_| keeps_order) else {
       return Grant::All;
     };
-    let rooms = state.roster.accepting(&self.service_name).map(|(_, target)| {
+    let is_contended = state.contention.is_contended(service, now);
+    let is_urgent = waiter.entry().rank().priority == HIGHEST_PRIORITY;
+    let reserve = if is_urgent {
+      Reserve::default()
+    } else {
+      self.reserve_for_departures(state, load_table, now)
+    };
+    if !is_contended && reserve.is_empty() {
+      return Grant::All;
+    }
+    let since_boot = self.gateway.clock.since_boot();
+    let rooms = state.roster.accepting(&self.service_name).map(|(key, target)| {
       let loads = (
         load_table.total_load(target.fingerprint),
         load_table.local_load(target.fingerprint),
       );
+      let is_usable = !tried_targets.contains(&key)
+        && state.is_usable(key, now, since_boot)
+        && !state.health.is_ejected(key, now);
+      let demand = (demand.expected_tokens, is_usable);
       let slots = target.listing.slots;
-      state.contention.room(
-        target.fingerprint,
-        capacity_tokens,
-        slots,
-        loads,
-        demand.expected_tokens,
-      )
+      state.contention.room(target.fingerprint, capacity_tokens, slots, loads, demand)
     });
-    let rooms: Vec<_> = rooms.collect();
+    let mut rooms: Vec<Room> = rooms.collect();
+    reserve.set_aside(&mut rooms);
+    if !is_contended {
+      return Grant::fitting(&rooms, demand.expected_tokens);
+    }
     let entries =
       self.gateway.scheduler.first_waiting(&self.service_name, contention::MAX_WAITERS).0;
     let mut waiting: Vec<Request> = entries.iter().map(|entry| Request::new(entry, now)).collect();
@@ -92,21 +107,49 @@
     state.contention.grant(service, &waiting, &rooms, now)
   }
 
-  /// Records that the request was placed, until the other hosts know of it.
+  /// Returns the room that is kept free for the runs of engines that leave.
+  fn reserve_for_departures(&self, state: &State, load_table: &LoadTable, now: Instant) -> Reserve {
+    let targets = state.roster.all().map(|(_, target)| target);
+    let leaving = targets.filter(|target| {
+      target.listing.service == self.service_name && target.leaving_since.is_some()
+    });
+    let mut leaving_tokens = 0_u64;
+    let mut departures = Vec::new();
+    for target in leaving {
+      departures.extend(target.leaving_since);
+      if matches!(target.status, Status::Leaving) {
+        let load = load_table.total_load(target.fingerprint);
+        leaving_tokens = leaving_tokens.saturating_add(load.expected_tokens);
+      }
+    }
+    let mut copied_tokens = 0_u64;
+    let mut used_tokens = 0_u64;
+    let mut count = 0_u64;
+    for (_, target) in state.roster.accepting(&self.service_name) {
+      let load = load_table.total_load(target.fingerprint);
+      copied_tokens = copied_tokens.saturating_add(load.transfer_tokens);
+      used_tokens = used_tokens.saturating_add(load.expected_tokens);
+      count += 1;
+    }
+    // Runs that are being copied count at both engines.
+    let to_move = leaving_tokens.saturating_sub(copied_tokens);
+    Reserve::new(departures, to_move, used_tokens / count.max(1), now)
+  }
+
+  /// Records that the request was placed, until the other hosts are told its load.
   pub(super) fn record_placement(
     &self,
     state: &mut State,
     key: Key,
+    grant: &Grant,
     waiter: &Waiter,
     demand: &Demand,
     now: Instant,
   ) {
-    if !self.keeps_order(state, demand) {
-      return;
-    }
-    if let Some(target) = state.roster.get(key).map(|target| target.fingerprint) {
-      let request = Request::new(&waiter.entry(), now);
-      state.contention.record(ingress::hash(&self.service_name), request, target);
+    let target = state.roster.get(key).map(|target| target.fingerprint);
+    let target = target.filter(|target| !grant.is_freed(*target));
+    if let Some(target) = target.filter(|_| self.keeps_order(state, demand)) {
+      state.contention.record(&Request::new(&waiter.entry(), now), target);
     }
   }
 
--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -24,7 +24,7 @@
     refusal::{Reason, Refusal},
     roster::{Key, Roster},
     routing::{AgeLimits, Catalog, Freshness, Route},
-    settings,
+    settings, share,
     upstream::Pool,
   },
   bytes::Bytes,
@@ -109,6 +109,10 @@
   /// The known targets.
   pub(super) roster: Roster,
   pub(super) settings: Arc<settings::Gateway>,
+  /// Client accounts whose refusals are counted by themselves.
+  pub(super) metered_accounts: HashSet<String>,
+  /// What each client account uses.
+  pub(super) shares: share::Table,
   /// Number of copies that this host has planned, by the engine that leaves service.
   pub(super) planned_copies: SecondaryMap<Key, u32>,
   /// Tasks that wait for a sign that a target runs; there is an entry while the target is being asked.
@@ -306,6 +310,8 @@
       retry_budget: RetryQuota::new(clock.now()),
       roster: Roster::default(),
       settings: Arc::new(settings),
+      metered_accounts: HashSet::new(),
+      shares: share::Table::default(),
       last_reads: HashMap::new(),
       failing_areas: HashSet::new(),
     };
--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -128,6 +128,7 @@
   state.members.record_sent(Sent { at: now, sequence });
   state.observe_versions(None, clock_now);
   state.confirm_versions(now);
+  let account_uses = gateway.tell_account_uses(&mut state);
   let waiting = gateway.tell_waiting(&mut state, &loads, clock_now);
   let versions = state.origins.versions(clock_now);
   // Others rely on the list only if it is complete.
@@ -136,7 +137,7 @@
   let memory = state.origins.memory().filter(|_| is_complete);
   let age = state.freshness.age(now);
   let heartbeat = Heartbeat {
-    account_uses: Vec::new(),
+    account_uses,
     held_prompts: Vec::new(),
     paces: Vec::new(),
     waiting,
@@ -183,6 +184,7 @@
       .map(|coverage| milliseconds(now.saturating_sub(coverage.until())) + 1),
     weight: state.settings.weight,
   };
+  removed.iter().for_each(|host| state.shares.remove_host(*host));
   drop(state);
   for host in removed {
     log::info!(target: PREFIX, host:% = host; "Removed a host that was silent for too long.");
@@ -325,6 +327,7 @@
     }
   }
   merge_versions(&mut state, heartbeat, &received, received_at);
+  state.merge_account_uses(received.sender, &heartbeat.account_uses);
   state.merge_waiting(received.sender, &heartbeat.waiting, received_at);
   let departures = heartbeat.leaving.iter();
   let departing: Vec<_> = departures
--- a/yuccarudder/src/gateway/ingress.rs
+++ b/yuccarudder/src/gateway/ingress.rs
@@ -13,7 +13,7 @@
   std::{
     hash::{Hash, Hasher},
     sync::{
-      Arc,
+      Arc, OnceLock,
       atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -31,13 +31,17 @@
   let (parts, body) = request.into_parts();
   let metadata = (gateway.dialect.read_request)(&parts.headers);
   let id = metadata.request_id.clone();
-  let mut response = match serve(&gateway, metadata, parts, LingeringBody::new(body)).await {
+  let account = OnceLock::new();
+  let body = LingeringBody::new(body);
+  let mut response = match serve(&gateway, metadata, parts, body, &account).await {
     Ok(response) => response,
     Err(refusal) => {
       gateway.metrics.count_refusal(&refusal);
+      let account = account.get().map(String::as_str);
+      gateway.count_account_refusal(account);
       let response = response::from_refusal(&refusal);
       log::info!(
-        target: PREFIX, id = id.as_deref().unwrap_or("-"), status = response.status().as_u16(),
+        target: PREFIX, id = id.as_deref().unwrap_or("-"), account = account.unwrap_or("-"), status = response.status().as_u16(),
         reason = refusal.reason.name(), ran = refusal.execution.name(), detail = refusal.detail.as_str();
         "Refused a request."
       );
@@ -55,12 +59,21 @@
   metadata: RequestMetadata,
   parts: Parts,
   body: LingeringBody,
+  account: &OnceLock<String>,
 ) -> Result<Response<Body>, Refusal> {
   let may_have_run = Arc::new(AtomicBool::new(
     metadata.forwarded.is_some_and(|forwarded| forwarded.possible_runs > 0),
   ));
   let response = async {
-    let call = admit(gateway, metadata, parts, body, Arc::clone(&may_have_run)).await?;
+    let call = admit(
+      gateway,
+      metadata,
+      parts,
+      body,
+      account,
+      Arc::clone(&may_have_run),
+    )
+    .await?;
     match call.route().kind {
       Kind::Stream { .. } => stream::serve(call).await,
       Kind::AtMostOnce | Kind::Idempotent => buffered::serve(call).await,
@@ -79,6 +92,7 @@
   metadata: RequestMetadata,
   parts: Parts,
   body: LingeringBody,
+  account_name: &OnceLock<String>,
   may_have_run: Arc<AtomicBool>,
 ) -> Result<Call, Refusal> {
   let arrived = gateway.clock.now();
@@ -98,6 +112,9 @@
     path: parts.uri.path(),
   };
   let admission = routing::admit(&catalog, &attributes, &gateway.age_limits())?;
+  if let Some(key) = admission.account {
+    account_name.get_or_init(|| catalog.accounts[key].name.clone());
+  }
   let route = &catalog.routes[admission.route];
   let request_hash = hash(metadata.request_id.as_deref().unwrap_or_default());
   let service_name = route
--- a/yuccarudder/src/gateway/instruments.rs
+++ b/yuccarudder/src/gateway/instruments.rs
@@ -1,8 +1,8 @@
 use {
   crate::metrics::VALID_NAMES,
   prometheus::{
-    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder, core::Collector,
+    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder, core::Collector,
   },
 };
 
@@ -15,6 +15,10 @@
 /// Metrics of the gateway, in addition to those that are common to all modes of the program.
 #[derive(Debug)]
 pub struct Instruments {
+  /// Refused requests of client accounts.
+  pub account_refusals: IntCounterVec,
+  /// KV cache tokens that the requests of client accounts are expected to need.
+  pub account_tokens: IntGaugeVec,
   /// Seconds from the arrival of a request to the end of the response, by kind of route.
   pub response_duration: HistogramVec,
   /// Seconds since the catalog was last confirmed to be current.
@@ -66,6 +70,19 @@
   /// Panics when two metrics have the same name, which is a bug in this module.
   pub fn new() -> Self {
     let instruments = Self {
+      account_refusals: counter(
+        "yuccarudder_account_refusals_total",
+        "Refused requests by client account",
+        "account",
+      ),
+      account_tokens: IntGaugeVec::new(
+        Opts::new(
+          "yuccarudder_account_tokens",
+          "KV cache tokens in use by client account",
+        ),
+        &["account"],
+      )
+      .expect(VALID_NAMES),
       response_duration: histogram(
         "yuccarudder_answer_seconds",
         "Arrival to the end of the answer",
@@ -150,6 +167,8 @@
 
   fn register(&self) {
     let collectors: Vec<Box<dyn Collector>> = vec![
+      Box::new(self.account_refusals.clone()),
+      Box::new(self.account_tokens.clone()),
       Box::new(self.response_duration.clone()),
       Box::new(self.catalog_age.clone()),
       Box::new(self.ejections.clone()),
--- a/yuccarudder/src/gateway/mod.rs
+++ b/yuccarudder/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 mod sending;
 mod serve;
 mod session;
+mod share;
 mod shutdown;
 mod stream;
 mod supervision;
--- a/yuccarudder/src/gateway/scrape.rs
+++ b/yuccarudder/src/gateway/scrape.rs
@@ -26,6 +26,7 @@
   instruments.live_hosts.set(to_gauge(live_hosts));
   instruments.active_requests.set(to_gauge(active_requests));
   instruments.available_targets.set(to_gauge(gateway.available_target_count()));
+  gateway.update_account_gauges();
   gateway.metrics.settings_age.set(age);
   gateway.metrics.settings_revision.set(i64::try_from(version).unwrap_or(i64::MAX));
 }
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -171,7 +171,7 @@
       () = closing.cancelled() => End::HostStopped,
     };
     log::info!(
-      target: PREFIX, id = self.call.id(), target:% = self.assignment.target.id, end = end.name(),
+      target: PREFIX, id = self.call.id(), account = self.call.account_name().unwrap_or("-"), target:% = self.assignment.target.id, end = end.name(),
       framing = self.framing.name(), ending = self.ending.map(Ending::name), events = self.cursor.event_count(), moves = self.migrations, runs = self.history.possible_runs,
       longest_pause_ms = self.timing.longest_pause.as_millis() as u64,
       first_event_ms = self.timing.first_event.map(|at| at.saturating_duration_since(self.call.arrived).as_millis() as u64),
--- a/yuccarudder/src/placement/load_table.rs
+++ b/yuccarudder/src/placement/load_table.rs
@@ -1,6 +1,6 @@
 use {
   super::Load,
-  slotmap::{SlotMap, new_key_type},
+  slotmap::{SecondaryMap, SlotMap, new_key_type},
   std::{collections::HashMap, mem, net::SocketAddr},
 };
 
@@ -23,6 +23,10 @@
 /// Targets are identified by the fingerprint of their process.
 #[derive(Clone, Debug, Default)]
 pub struct LoadTable {
+  /// KV cache tokens that the requests of this host are expected to need, by client account.
+  account_tokens: HashMap<u64, u64>,
+  /// The client accounts of assignments.
+  accounts: SecondaryMap<AssignmentKey, u64>,
   /// Sums over the requests of this host, by target.
   local_totals: HashMap<u64, Load>,
   /// Loads reported by each other host, by target.
@@ -40,6 +44,32 @@
     self.assignments.insert(assignment)
   }
 
+  /// Adds an assignment of a request of a client account and its load.
+  pub fn add_for(&mut self, assignment: Assignment, account: Option<u64>) -> AssignmentKey {
+    let key = self.add(assignment);
+    if let Some(account) = account {
+      self.accounts.insert(key, account);
+      self.replace_account_tokens(key, 0, assignment.load.bounded().expected_tokens);
+    }
+    key
+  }
+
+  /// Returns the KV cache tokens that the requests of this host are expected to need, by client account.
+  pub fn account_tokens(&self) -> impl Iterator<Item = (u64, u64)> {
+    self.account_tokens.iter().map(|(account, tokens)| (*account, *tokens))
+  }
+
+  fn replace_account_tokens(&mut self, key: AssignmentKey, previous: u64, tokens: u64) {
+    let Some(account) = self.accounts.get(key) else {
+      return;
+    };
+    let total = self.account_tokens.entry(*account).or_default();
+    *total = (*total + tokens).saturating_sub(previous);
+    if *total == 0 {
+      self.account_tokens.remove(account);
+    }
+  }
+
   /// Removes the loads reported by another host.
   pub fn remove_host(&mut self, host: SocketAddr) {
     for (target, load) in self.peer_loads.remove(&host).unwrap_or_default() {
@@ -98,6 +128,8 @@
   pub fn remove(&mut self, key: AssignmentKey) {
     if let Some(assignment) = self.assignments.remove(key) {
       self.subtract(&assignment);
+      self.replace_account_tokens(key, assignment.load.expected_tokens, 0);
+      self.accounts.remove(key);
     }
   }
 
@@ -122,5 +154,6 @@
     let total = self.local_totals.entry(assignment.target).or_default();
     *total += load;
     *total -= previous;
+    self.replace_account_tokens(key, previous.expected_tokens, load.expected_tokens);
   }
 }
--- a/yuccarudder/src/placement/queue.rs
+++ b/yuccarudder/src/placement/queue.rs
@@ -12,6 +12,8 @@
   pub late: bool,
   /// Priority of the account and route; 0 is served first.
   pub priority: u32,
+  /// Whether the client account uses more than its share.
+  pub over_share: bool,
   /// When the request stops waiting for capacity.
   pub give_up_at: Instant,
 }
--- a/yuccarudder/src/placement/scheduler.rs
+++ b/yuccarudder/src/placement/scheduler.rs
@@ -43,9 +43,9 @@
     self.load_table.lock().unwrap_or_else(PoisonError::into_inner)
   }
 
-  /// Adds the load of a request to its target; dropping the result removes it.
-  pub fn reserve(&self, assignment: Assignment) -> Reservation {
-    let key = self.lock().add(assignment);
+  /// Adds the load of a request of a client account to its target; dropping the result removes it.
+  pub fn reserve(&self, assignment: Assignment, account: Option<u64>) -> Reservation {
+    let key = self.lock().add_for(assignment, account);
     Reservation {
       key,
       scheduler: self.clone(),
--- a/yuccarudder/src/placement/tests.rs
+++ b/yuccarudder/src/placement/tests.rs
@@ -164,10 +164,13 @@
 #[test]
 fn loads_of_all_hosts_add_up() {
   let scheduler = Scheduler::default();
-  let reservation = scheduler.reserve(Assignment {
-    load: load(10, 1, 100),
-    target: 7,
-  });
+  let reservation = scheduler.reserve(
+    Assignment {
+      load: load(10, 1, 100),
+      target: 7,
+    },
+    None,
+  );
   let peer = "10.0.0.2:1".parse().unwrap();
   scheduler.lock().set_peer_loads(peer, HashMap::from([(7, load(1, 2, 200))]));
   assert_eq!(scheduler.lock().total_load(7), load(11, 3, 300));
@@ -237,6 +240,7 @@
   let rank = |late, priority, give_up_at| Rank {
     late,
     priority,
+    over_share: false,
     give_up_at: now + Duration::from_secs(give_up_at),
   };
   let mut queue = Queue::default();
--- a/yuccarudder/src/share/mod.rs
+++ b/yuccarudder/src/share/mod.rs
@@ -3,4 +3,10 @@
 mod message;
 mod table;
 
-pub use {message::Message, table::Table};
+#[cfg(test)]
+mod tests;
+
+pub use {
+  message::Message,
+  table::{Table, fair_part},
+};
