--- a/yuccarudder/src/contention/deal.rs
+++ b/yuccarudder/src/contention/deal.rs
@@ -65,6 +65,7 @@
   own: u32,
   own_tokens: u64,
   max_prefill: u64,
+  reserved: u64,
   prefill: u64,
   slots: u32,
   target: u64,
@@ -77,6 +78,7 @@
       own: 0,
       own_tokens: 0,
       max_prefill: room.max_prefill,
+      reserved: room.reserved_tokens,
       prefill: room.free_prefill,
       slots: room.free_slots,
       target: room.target,
@@ -84,7 +86,20 @@
     }
   }
 
-  fn fits(&self, need: u64) -> bool {
+  fn fits(&self, request: &Request) -> bool {
+    let need = request.need;
+    let reserved = if request.is_urgent() {
+      0
+    } else {
+      self.reserved
+    };
+    self.slots > 0
+      && need.saturating_add(reserved) <= self.tokens
+      && need.min(self.max_prefill) <= self.prefill
+  }
+
+  /// Returns whether a request with a need may still fit.
+  fn may_fit(&self, need: u64) -> bool {
     self.slots > 0 && need <= self.tokens && need.min(self.max_prefill) <= self.prefill
   }
 
@@ -100,7 +115,8 @@
   }
 
   fn share(&self, mean_need: u64) -> Share {
-    let left = (self.tokens.min(self.prefill) / mean_need).min(self.slots.into());
+    let left = (self.tokens.saturating_sub(self.reserved).min(self.prefill) / mean_need)
+      .min(self.slots.into());
     Share {
       own: self.own,
       own_tokens: self.own_tokens,
@@ -138,12 +154,12 @@
   let interval_ms = u32::try_from(interval.as_millis()).unwrap_or(u32::MAX).max(1);
   let mut first_room = None;
   for claim in &claims {
-    if !rests.iter().any(|rest| rest.fits(smallest)) {
+    if !rests.iter().any(|rest| rest.may_fit(smallest)) {
       break;
     }
     let rotation = u64::from(claim.request.remaining_ms / interval_ms);
     let seed = mix(claim.host.wrapping_add(rotation));
-    let fitting = rests.iter_mut().enumerate().filter(|(_, rest)| rest.fits(claim.request.need));
+    let fitting = rests.iter_mut().enumerate().filter(|(_, rest)| rest.fits(&claim.request));
     if let Some((index, rest)) = fitting.min_by_key(|(_, rest)| mix(seed ^ rest.target)) {
       rest.take(claim);
       if claim.is_own && claim.request.sequence == first {
--- a/yuccarudder/src/contention/grant.rs
+++ b/yuccarudder/src/contention/grant.rs
@@ -15,9 +15,10 @@
 }
 
 impl Grant {
-  /// Grants the rooms in which a need of KV cache tokens fits.
+  /// Grants the rooms in which a need of KV cache tokens fits beside what is reserved.
   pub fn fitting(rooms: &[Room], need: u64) -> Self {
-    let fitting = rooms.iter().filter(|room| need <= room.free_tokens);
+    let fitting =
+      rooms.iter().filter(|room| need.saturating_add(room.reserved_tokens) <= room.free_tokens);
     let mut granted: Vec<u64> = fitting.map(|room| room.target).collect();
     granted.sort_unstable();
     Self::Only {
@@ -34,6 +35,15 @@
     }
   }
 
+  /// Returns its name in metrics.
+  pub fn name(&self) -> &'static str {
+    match self {
+      Self::All => "all",
+      Self::Only { freed, granted } if freed.is_empty() && granted.is_empty() => "none",
+      Self::Only { .. } => "some",
+    }
+  }
+
   /// Returns whether the request takes the place of another one of this host there.
   pub fn is_freed(&self, target: u64) -> bool {
     match self {
--- a/yuccarudder/src/contention/reserve.rs
+++ b/yuccarudder/src/contention/reserve.rs
@@ -51,12 +51,12 @@
     self.tokens == 0
   }
 
-  /// Takes the reserve out of the free tokens of the rooms, in proportion to them.
+  /// Reserves tokens in the rooms, in proportion to their free tokens.
   pub fn set_aside(&self, rooms: &mut [Room]) {
     let free: f64 = rooms.iter().map(|room| room.free_tokens as f64).sum();
-    let rest = (1.0 - self.tokens as f64 / free.max(1.0)).max(0.0);
+    let share = (self.tokens as f64 / free.max(1.0)).min(1.0);
     for room in rooms {
-      room.free_tokens = (room.free_tokens as f64 * rest) as u64;
+      room.reserved_tokens = (room.free_tokens as f64 * share).ceil() as u64;
     }
   }
 }
--- a/yuccarudder/src/gateway/assignment.rs
+++ b/yuccarudder/src/gateway/assignment.rs
@@ -299,30 +299,36 @@
     let hosts = state.members.fleet_size();
     let cold_limit = state.cold_limit(&self.service_name);
     let service = ingress::hash(&self.service_name);
-    let grant = self.grant(&state, &load_table, tried_targets, waiter, demand, now);
-    let candidates = self.suitable_targets(&state).map(|(key, target)| {
-      let is_throttled = |limit| {
+    let is_cold_limited = |key, target: &Target| {
+      let cold_limit = cold_limit.as_ref().filter(|_| target.is_cold(now));
+      cold_limit.is_some_and(|limit| {
         let share = state.cold_share(target, limit, since_boot);
         !state.throttle.allows(key, limit, &share, now)
-      };
-      Candidate {
-        granted: grant.allows(target.fingerprint),
-        surcharge: 0.0,
-        cold_limited: cold_limit.as_ref().filter(|_| target.is_cold(now)).is_some_and(is_throttled),
-        ejected: state.health.is_ejected(key, now),
+      })
+    };
+    let is_usable = |key, target: &Target| {
+      !tried_targets.contains(&key)
+        && state.is_usable(key, now, since_boot)
+        && !is_cold_limited(key, target)
+    };
+    let grant = self.grant(&state, &load_table, is_usable, waiter, demand, now);
+    let candidates = self.suitable_targets(&state).map(|(key, target)| Candidate {
+      granted: grant.allows(target.fingerprint),
+      surcharge: 0.0,
+      cold_limited: is_cold_limited(key, target),
+      ejected: state.health.is_ejected(key, now),
+      key,
+      load: load_table.total_load(target.fingerprint),
+      local: target.listing.data_centre == own_data_centre,
+      paused_until: state.paused_until(key, now, since_boot),
+      room: state.brittleness.room(
+        service,
         key,
-        load: load_table.total_load(target.fingerprint),
-        local: target.listing.data_centre == own_data_centre,
-        paused_until: state.paused_until(key, now, since_boot),
-        room: state.brittleness.room(
-          service,
-          key,
-          load_table.local_load(target.fingerprint).requests,
-          now,
-        ),
-        slots: target.listing.slots,
-        tried: tried_targets.contains(&key),
-      }
+        load_table.local_load(target.fingerprint).requests,
+        now,
+      ),
+      slots: target.listing.slots,
+      tried: tried_targets.contains(&key),
     });
     let sample_fraction = placement::sample_fraction(hosts);
     let choice = placement::choose(candidates, demand, sample_fraction, || {
--- a/yuccarudder/src/gateway/contention.rs
+++ b/yuccarudder/src/gateway/contention.rs
@@ -4,14 +4,11 @@
     contention::{self, Grant, Message, Request, Reserve, Room},
     member,
     placement::{Demand, Load, LoadTable, Waiter},
-    roster::{Key, Status},
+    roster::{Key, Status, Target},
   },
   std::{collections::HashMap, net::SocketAddr, time::Instant},
 };
 
-/// The priority of requests that may use the room that is kept free for the runs of engines that leave.
-const HIGHEST_PRIORITY: u32 = 0;
-
 impl Gateway {
   /// Returns what the next heartbeat, which tells the given loads, tells of the requests that wait for engines.
   pub(super) fn tell_waiting(
@@ -60,7 +57,7 @@
     &self,
     state: &State,
     load_table: &LoadTable,
-    tried_targets: &[Key],
+    is_usable: impl Fn(Key, &Target) -> bool,
     waiter: &Waiter,
     demand: &Demand,
     now: Instant,
@@ -71,25 +68,17 @@
       return Grant::All;
     };
     let is_contended = state.contention.is_contended(service, now);
-    let is_urgent = waiter.entry().rank().priority == HIGHEST_PRIORITY;
-    let reserve = if is_urgent {
-      Reserve::default()
-    } else {
-      self.reserve_for_departures(state, load_table, now)
-    };
-    if !is_contended && reserve.is_empty() {
+    let reserve = self.reserve_for_departures(state, load_table, now);
+    let is_urgent = Request::new(&waiter.entry(), now).is_urgent();
+    if !is_contended && (is_urgent || reserve.is_empty()) {
       return Grant::All;
     }
-    let since_boot = self.gateway.clock.since_boot();
     let rooms = state.roster.accepting(&self.service_name).map(|(key, target)| {
       let loads = (
         load_table.total_load(target.fingerprint),
         load_table.local_load(target.fingerprint),
       );
-      let is_usable = !tried_targets.contains(&key)
-        && state.is_usable(key, now, since_boot)
-        && !state.health.is_ejected(key, now);
-      let demand = (demand.expected_tokens, is_usable);
+      let demand = (demand.expected_tokens, is_usable(key, target));
       let slots = target.listing.slots;
       state.contention.room(target.fingerprint, capacity_tokens, slots, loads, demand)
     });
@@ -104,7 +93,9 @@
     if waiting.iter().all(|request| request.sequence != waiter.entry().sequence()) {
       waiting.push(Request::new(&waiter.entry(), now));
     }
-    state.contention.grant(service, &waiting, &rooms, now)
+    let grant = state.contention.grant(service, &waiting, &rooms, now);
+    self.gateway.instruments.grants.with_label_values(&[grant.name()]).inc();
+    grant
   }
 
   /// Returns the room that is kept free for the runs of engines that leave.
--- a/yuccarudder/src/gateway/instruments.rs
+++ b/yuccarudder/src/gateway/instruments.rs
@@ -45,6 +45,8 @@
   pub target_crashes: IntCounter,
   /// Longest pause between two events of a stream, in seconds, by kind of route.
   pub longest_pause: HistogramVec,
+  /// Checks of waiting requests while other hosts wait, too, by whether targets were granted.
+  pub grants: IntCounterVec,
   /// Seconds that requests waited for capacity at a target, by kind of route.
   pub queue_wait: HistogramVec,
   registry: Registry,
@@ -139,6 +141,11 @@
         "yuccarudder_longest_pause_seconds",
         "Longest pause of a stream",
       ),
+      grants: counter(
+        "yuccarudder_grants_total",
+        "Checks of waiting requests while other hosts wait, too",
+        "targets",
+      ),
       queue_wait: histogram("yuccarudder_queue_seconds", "Wait for room at a target"),
       registry: Registry::new(),
       active_requests: IntGauge::new("yuccarudder_runs", "Requests at targets").expect(VALID_NAMES),
@@ -182,6 +189,7 @@
       Box::new(self.banned_features.clone()),
       Box::new(self.target_crashes.clone()),
       Box::new(self.longest_pause.clone()),
+      Box::new(self.grants.clone()),
       Box::new(self.queue_wait.clone()),
       Box::new(self.active_requests.clone()),
       Box::new(self.finished_streams.clone()),
