--- a/yuccarudder/src/contention/tests.rs
+++ b/yuccarudder/src/contention/tests.rs
@@ -611,4 +611,24 @@
     }
     prop_assert_eq!(room_of(&rest, &rooms, watched), before);
   }
+
+  /// Guards against ranks in messages that order requests in another way than the queue of a host does.
+  #[test]
+  fn ranks_in_messages_keep_the_order_of_the_queue(
+    first in (any::<bool>(), 0_u32..10, any::<bool>()),
+    second in (any::<bool>(), 0_u32..10, any::<bool>()),
+  ) {
+    let now = Instant::now();
+    let rank = |(late, priority, over_share)| Rank {
+      late,
+      priority,
+      over_share,
+      give_up_at: now,
+    };
+    let told = |rank: Rank| {
+      Request::new(&Queue::default().enqueue(SERVICE_NAME, rank, 1), now).rank
+    };
+    let (first, second) = (rank(first), rank(second));
+    prop_assert_eq!(told(first).cmp(&told(second)), first.cmp(&second));
+  }
 }
