--- a/yuccarudder/src/gateway/assignment.rs
+++ b/yuccarudder/src/gateway/assignment.rs
@@ -326,17 +326,25 @@
       }),
       ..*demand
     };
-    let grant = self.grant(&state, &load_table, tried_targets, waiter, demand, now);
-    let candidates = self.suitable_targets(&state).map(|(key, target)| {
-      let is_throttled = |limit| {
+    let is_cold_limited = |key, target: &Target| {
+      let cold_limit = cold_limit.as_ref().filter(|_| target.is_cold(now));
+      cold_limit.is_some_and(|limit| {
         let share = state.cold_share(target, limit, since_boot);
         !state.throttle.allows(key, limit, &share, now)
-      };
+      })
+    };
+    let is_usable = |key, target: &Target| {
+      !tried_targets.contains(&key)
+        && state.is_usable(key, now, since_boot)
+        && !is_cold_limited(key, target)
+    };
+    let grant = self.grant(&state, &load_table, is_usable, waiter, demand, now);
+    let candidates = self.suitable_targets(&state).map(|(key, target)| {
       let load = load_table.total_load(target.fingerprint);
       Candidate {
         granted: grant.allows(target.fingerprint),
         surcharge: estimator.estimate(&state, target, &load).surcharge,
-        cold_limited: cold_limit.as_ref().filter(|_| target.is_cold(now)).is_some_and(is_throttled),
+        cold_limited: is_cold_limited(key, target),
         ejected: state.health.is_ejected(key, now),
         key,
         load,
--- a/yuccarudder/src/gateway/instruments.rs
+++ b/yuccarudder/src/gateway/instruments.rs
@@ -50,6 +50,8 @@
   pub target_crashes: IntCounter,
   /// Longest pause between two events of a stream, in seconds, by kind of route.
   pub longest_pause: HistogramVec,
+  /// Checks of waiting requests while other hosts wait, too, by whether targets were granted.
+  pub grants: IntCounterVec,
   /// Seconds that requests waited for capacity at a target, by kind of route.
   pub queue_wait: HistogramVec,
   /// Targets whose pace is known.
@@ -155,6 +157,11 @@
         "yuccarudder_longest_pause_seconds",
         "Longest pause of a stream",
       ),
+      grants: counter(
+        "yuccarudder_grants_total",
+        "Checks of waiting requests while other hosts wait, too",
+        "targets",
+      ),
       queue_wait: histogram("yuccarudder_queue_seconds", "Wait for room at a target"),
       paced_targets: IntGauge::new("yuccarudder_paced_targets", "Targets whose pace is known")
         .expect(VALID_NAMES),
@@ -215,6 +222,7 @@
       Box::new(self.banned_features.clone()),
       Box::new(self.target_crashes.clone()),
       Box::new(self.longest_pause.clone()),
+      Box::new(self.grants.clone()),
       Box::new(self.queue_wait.clone()),
       Box::new(self.paced_targets.clone()),
       Box::new(self.pause_hazard.clone()),
