prompt: Only the messages that may count are looked up

A heartbeat with thousands of empty messages would have searched the roster for each. Only the first 64 are read now, as many as a host sends parts.

--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -226,7 +226,7 @@
   let roster = &state.roster;
   let is_known = |message: &&prompt::Message| roster.keys_of(message.target).next().is_some();
   let news: Vec<prompt::Message> =
-    heartbeat.held_prompts.iter().filter(is_known).cloned().collect();
+    heartbeat.held_prompts.iter().take(prompt::MAX_NEWS).filter(is_known).cloned().collect();
   state.prompts.merge(&news, received_at);
 }
 
