Memory is bounded against callers outside the limits

Cause: the budget for bodies counted bytes of content, while a body kept a piece for each of its chunks, and each piece kept the read buffer of its connection. Connections were bounded at 16,384 with 64 KiB each, whatever the memory of the host, and each held room for the state of a request. A call of another host reserved up to 4 MiB when its frame began, for as many calls as came.

Change: bodies are copied into one buffer that grows with its reservation; one without a length no longer reserves the whole limit. When a budget is used up, the reservations that wait for bytes of a caller are evicted, the one without 1 KiB of progress for longest first: bodies are refused with 408 body_stalled (not run), connections without a request in progress are closed and counted. Connections of callers share half of the memory of the host, those of the other ports a sixteenth; heads count with twice the bytes by which they exceed 8 KiB. Reads are smaller than the initial read buffer, so that it grows for heads only. A call of another host is at most 8 KiB.

--- a/yuccarudder/src/gateway/serve.rs
+++ b/yuccarudder/src/gateway/serve.rs
@@ -2,9 +2,10 @@
   super::{Gateway, engine_polling, heartbeats, ingress, reachability, scrape, supervision},
   crate::{
     http::Body,
+    limit::Memory,
     member,
     reader::{self, Area, Store},
-    server::connections,
+    server::connections::{self, Bound},
   },
   anyhow::Context,
   hyper::{Request, Response, body::Incoming},
@@ -28,6 +29,10 @@
 const ARRIVED_RESPONSE_PERIOD: Duration = Duration::from_millis(50);
 /// Time by which a late process may end later, while requests still have no answer.
 const LATENESS: Duration = Duration::from_millis(150);
+/// Share of the host's memory for connections of callers and the heads of their requests.
+const CONNECTION_MEMORY_SHARE: f64 = 0.5;
+/// Share of the host's memory for the connections to all other ports.
+const SIDE_MEMORY_SHARE: f64 = 0.0625;
 const PREFIX: &str = "serve";
 
 /// Request handler of an endpoint that the platform defines.
@@ -114,32 +119,47 @@
     panics("heartbeats"),
     exchange,
   ));
-  tasks.spawn(member::serve_calls(server.peers, handlers(&gateway)));
-  tasks.spawn(connections::serve(
+  let memory_bytes = gateway.settings().memory_bytes as f64;
+  let bound = |port, memory: &Memory| Bound {
+    closed: gateway.metrics.closed_connections.with_label_values(&[port]),
+    memory: memory.clone(),
+  };
+  let side_memory = Memory::new((memory_bytes * SIDE_MEMORY_SHARE) as u64);
+  tasks.spawn(member::serve_calls_within(
+    server.peers,
+    handlers(&gateway),
+    side_memory.clone(),
+  ));
+  tasks.spawn(connections::serve_within(
     server.directory,
     move |request| directory(request),
     never_cancelled.clone(),
+    bound("directory", &side_memory),
   ));
-  tasks.spawn(connections::serve(
+  tasks.spawn(connections::serve_within(
     server.readiness,
     move |request| readiness(request),
     never_cancelled.clone(),
+    bound("readiness", &side_memory),
   ));
   if let Some(listener) = server.metrics {
     let gateway = gateway.clone();
     let handler = move |request| scrape::handle(gateway.clone(), request);
-    tasks.spawn(connections::serve(
+    tasks.spawn(connections::serve_within(
       listener,
       handler,
       never_cancelled.clone(),
+      bound("metrics", &side_memory),
     ));
   }
   let stop_accepting = CancellationToken::new();
   let ingress_gateway = gateway.clone();
-  let serving = tokio::spawn(connections::serve(
+  let connection_memory = Memory::new((memory_bytes * CONNECTION_MEMORY_SHARE) as u64);
+  let serving = tokio::spawn(connections::serve_within(
     server.callers,
     move |request| ingress::handle(ingress_gateway.clone(), request),
     stop_accepting.clone(),
+    bound("callers", &connection_memory),
   ));
   let settings = gateway.settings();
   log::info!(target: PREFIX, host = settings.name.as_str(), callers:% = settings.callers; "Started.");
--- a/yuccarudder/src/http/mod.rs
+++ b/yuccarudder/src/http/mod.rs
@@ -17,7 +17,7 @@
     header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
   },
   memchr::memmem,
-  std::time::Duration,
+  std::{pin::pin, time::Duration},
 };
 
 /// An error while reading a body.
@@ -38,8 +38,15 @@
   B::Error: Into<BodyError>,
 {
   let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-  let buffered = Limited::new(body, limit).collect().await.ok()?;
-  Some(buffered.to_bytes())
+  let mut body = pin!(Limited::new(body, limit));
+  // A chunk that is kept would keep the whole read buffer of its connection.
+  let mut bytes = Vec::new();
+  while let Some(frame) = body.frame().await {
+    if let Ok(data) = frame.ok()?.into_data() {
+      bytes.extend_from_slice(&data);
+    }
+  }
+  Some(bytes.into())
 }
 
 /// Returns the `Content-Length` in bytes, or `default` if it is absent or malformed.
--- a/yuccarudder/src/limit/tests.rs
+++ b/yuccarudder/src/limit/tests.rs
@@ -46,7 +46,53 @@
   memory.reserve(3072).unwrap();
 }
 
+/// Guards against bodies that stop and keep the memory from others, and against evictions in vain.
+#[test]
+fn reservation_without_progress_for_longest_makes_room() {
+  let memory = Memory::new(4096);
+  let [first, second] = [(); 2].map(|()| memory.reserve_evictable(1024).unwrap());
+  first.record_progress();
+  let held = memory.reserve(2048).unwrap();
+  assert_eq!(
+    memory.reserve(2049).unwrap_err().reason,
+    Reason::HostBusy,
+    "too much even without both"
+  );
+  second.grow(1024).unwrap();
+  let third = memory.reserve(1024).unwrap();
+  assert_eq!(second.grow(2048).unwrap_err().reason, Reason::BodyStalled);
+  assert_eq!(second.hold().unwrap_err().reason, Reason::BodyStalled);
+  first.hold().unwrap();
+  assert_eq!(memory.reserve(1).unwrap_err().reason, Reason::HostBusy);
+  drop((first, second, third, held));
+  memory.reserve(4096).unwrap();
+}
+
 proptest! {
+  /// Guards against memory that is lost or given out twice.
+  #[test]
+  fn reservations_never_exceed_the_budget(steps in prop::collection::vec((0_u8..6, 0_usize..8, 0_u64..5000), 0..200)) {
+    const BUDGET: u64 = 8192;
+    let memory = Memory::new(BUDGET);
+    let mut reservations: Vec<Reservation> = Vec::new();
+    for (step, index, bytes) in steps {
+      let reservation = (!reservations.is_empty()).then(|| index % reservations.len());
+      match (step, reservation) {
+        (0, _) => reservations.extend(memory.reserve(bytes)),
+        (1, _) => reservations.extend(memory.reserve_evictable(bytes)),
+        (2, Some(at)) => drop(reservations[at].grow(bytes)),
+        (3, Some(at)) => reservations[at].shrink(bytes),
+        (4, Some(at)) => reservations[at].release(),
+        (5, Some(at)) => drop(reservations.remove(at)),
+        _ => {}
+      }
+      prop_assert!(memory.reserved() <= BUDGET);
+    }
+    drop(reservations);
+    prop_assert_eq!(memory.reserved(), 0);
+    prop_assert!(memory.reserve(BUDGET).is_ok());
+  }
+
   #[test]
   fn retries_are_limited_to_a_share_of_jobs(
     percent in 0_u64..100,
--- a/yuccarudder/src/member/mod.rs
+++ b/yuccarudder/src/member/mod.rs
@@ -22,7 +22,9 @@
 pub use phase::Phase;
 pub use table::{Member, Received, Recipient, Sent, Table};
 pub use timing::{failure_timeout, heartbeat_interval, min_heartbeat_interval};
-pub use transfer::{Handlers, ask_is_listening, compress_catalog, fetch_catalog, serve_calls};
+pub use transfer::{
+  Handlers, ask_is_listening, compress_catalog, fetch_catalog, serve_calls, serve_calls_within,
+};
 
 #[cfg(test)]
 mod tests;
--- a/yuccarudder/src/member/transfer.rs
+++ b/yuccarudder/src/member/transfer.rs
@@ -1,7 +1,8 @@
 //! Calls between hosts: transfer of the catalog, and questions whether a target can be reached.
 
 use {
-  anyhow::Context,
+  crate::limit::{Memory, Reservation},
+  anyhow::{Context, anyhow},
   bytes::Bytes,
   flate2::{Compression, read::ZlibDecoder, write::ZlibEncoder},
   futures::{SinkExt, StreamExt, future::BoxFuture},
@@ -26,6 +27,11 @@
 /// cannot exhaust the memory.
 const MAX_CATALOG_BYTES: u64 = 4 << 20;
 const MAX_FRAME_BYTES: usize = 4 << 20;
+/// Largest call, with room for fields of later builds; calls have two numbers. A frame reserves its length
+/// when it begins.
+const MAX_REQUEST_BYTES: usize = 8 << 10;
+/// Memory for calls where the caller of this module sets none: room for two of the largest responses.
+const CALL_MEMORY_BYTES: u64 = 4 * MAX_FRAME_BYTES as u64;
 const PREFIX: &str = "member";
 const TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -65,8 +71,8 @@
   }
 }
 
-fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
-  let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
+fn framed(stream: TcpStream, max_bytes: usize) -> Framed<TcpStream, LengthDelimitedCodec> {
+  let codec = LengthDelimitedCodec::builder().max_frame_length(max_bytes).new_codec();
   Framed::new(stream, codec)
 }
 
@@ -102,7 +108,7 @@
 
 async fn call(address: SocketAddr, request: &Request) -> anyhow::Result<Response> {
   let response = async {
-    let mut frames = framed(TcpStream::connect(address).await?);
+    let mut frames = framed(TcpStream::connect(address).await?, MAX_FRAME_BYTES);
     frames.send(Bytes::from(request.encode_to_vec())).await?;
     let frame = frames.next().await.context("the other host closed the connection")??;
     Ok(Response::decode(frame)?)
@@ -128,6 +134,11 @@
 
 /// Answers the calls of other hosts until the task is dropped.
 pub async fn serve_calls(listener: TcpListener, handlers: Arc<Handlers>) {
+  serve_calls_within(listener, handlers, Memory::new(CALL_MEMORY_BYTES)).await;
+}
+
+/// Does the same within a budget of memory: the oldest calls end when others need it.
+pub async fn serve_calls_within(listener: TcpListener, handlers: Arc<Handlers>, memory: Memory) {
   loop {
     let stream = match listener.accept().await {
       Ok((stream, _)) => stream,
@@ -137,17 +148,31 @@
         continue;
       }
     };
+    let Ok(reservation) = memory.reserve_evictable(2 * MAX_REQUEST_BYTES as u64) else {
+      continue;
+    };
     let handlers = Arc::clone(&handlers);
     tokio::spawn(time::timeout(TIMEOUT, async move {
-      if let Err(error) = respond(stream, &handlers).await {
+      let response = async {
+        tokio::select! {
+          biased;
+          () = reservation.evicted() => Err(anyhow!("other calls need the memory")),
+          result = respond(stream, &handlers, &reservation) => result,
+        }
+      };
+      if let Err(error) = response.await {
         log::debug!(target: PREFIX, error:% = error; "Failed to answer a call of another host.");
       }
     }));
   }
 }
 
-async fn respond(stream: TcpStream, handlers: &Handlers) -> anyhow::Result<()> {
-  let mut frames = framed(stream);
+async fn respond(
+  stream: TcpStream,
+  handlers: &Handlers,
+  reservation: &Reservation,
+) -> anyhow::Result<()> {
+  let mut frames = framed(stream, MAX_REQUEST_BYTES);
   let frame = frames.next().await.context("the other host closed the connection")??;
   let request = Request::decode(frame)?;
   let response = match request.target {
@@ -160,6 +185,12 @@
       is_listening: None,
     },
   };
+  let length = response.encoded_len();
+  // The response, and its copy in the write buffer.
+  reservation
+    .grow(2 * length as u64)
+    .map_err(|refusal| anyhow!("there is no room for the response: {refusal}"))?;
+  frames.codec_mut().set_max_frame_length(MAX_FRAME_BYTES);
   frames.send(Bytes::from(response.encode_to_vec())).await?;
   Ok(())
 }
--- a/yuccarudder/src/metrics.rs
+++ b/yuccarudder/src/metrics.rs
@@ -50,6 +50,8 @@
 /// The metrics of a host.
 #[derive(Debug)]
 pub struct Metrics {
+  /// Connections that were closed as others needed their memory, by port.
+  pub closed_connections: IntCounterVec,
   /// Responses that were sent to their caller in full.
   pub completed_requests: IntCounter,
   /// Seconds since the host list was last confirmed as current.
@@ -80,6 +82,14 @@
   pub fn new() -> Self {
     let registry = Registry::new();
     let metrics = Self {
+      closed_connections: IntCounterVec::new(
+        Opts::new(
+          "yuccarudder_closed_connections_total",
+          "Connections closed for want of memory",
+        ),
+        &["port"],
+      )
+      .expect(VALID_NAMES),
       completed_requests: IntCounter::new("yuccarudder_answered_total", "Jobs answered whole")
         .expect(VALID_NAMES),
       host_list_age: Gauge::new("yuccarudder_hosts_age_seconds", "Age of the host list")
@@ -131,7 +141,8 @@
 
   /// Registers the metrics and creates the counter of every reason.
   fn register(&self) {
-    let collectors: [Box<dyn prometheus::core::Collector>; 10] = [
+    let collectors: [Box<dyn prometheus::core::Collector>; 11] = [
+      Box::new(self.closed_connections.clone()),
       Box::new(self.completed_requests.clone()),
       Box::new(self.host_list_age.clone()),
       Box::new(self.active_requests.clone()),
--- a/yuccarudder/src/refusal/reason.rs
+++ b/yuccarudder/src/refusal/reason.rs
@@ -49,6 +49,9 @@
   /// The request is malformed.
   BadRequest, "bad_request", BAD_REQUEST,
     "The request cannot be read; mend it before sending it again.";
+  /// The request body made no progress for longer than others when the host needed memory.
+  BodyStalled, "body_stalled", REQUEST_TIMEOUT,
+    "The request body came too slowly for a host that needs its memory; send it again.";
   /// The request body is larger than its limit.
   BodyTooLarge, "body_too_large", PAYLOAD_TOO_LARGE,
     "The request body is too large; send a smaller one.";
--- a/yuccarudder/src/server/connection.rs
+++ b/yuccarudder/src/server/connection.rs
@@ -1,10 +1,11 @@
 use {
-  super::unmarked::Unmarked,
+  super::{occupancy::Occupancy, unmarked::Unmarked},
   socket2::SockRef,
   std::{
     io::{self, IoSlice},
     pin::Pin,
-    task::{Context, Poll},
+    sync::Arc,
+    task::{Context, Poll, ready},
     time::Duration,
   },
   tokio::{
@@ -13,12 +14,17 @@
   },
 };
 
+/// Bytes of one read, fewer than the server's read buffer has room for, so that it grows only while it holds
+/// a part of a head.
+const READ_BYTES: usize = (8 << 10) - 1;
+
 /// The connection of a caller, which is reset unless a response that ends with it is whole.
 ///
 /// The kernel resets it as well if this process is killed.
 #[derive(Debug)]
 pub struct Connection {
   is_reset_on_close: bool,
+  occupancy: Option<Arc<Occupancy>>,
   stream: TcpStream,
   unmarked: Unmarked,
 }
@@ -28,11 +34,25 @@
   pub fn new(stream: TcpStream, unmarked: Unmarked) -> Self {
     Self {
       is_reset_on_close: false,
+      occupancy: None,
       stream,
       unmarked,
     }
   }
 
+  /// Records what is read and written, which may need more memory.
+  #[must_use]
+  pub fn with_occupancy(mut self, occupancy: Arc<Occupancy>) -> Self {
+    self.occupancy = Some(occupancy);
+    self
+  }
+
+  fn record_write(&self) {
+    if let Some(occupancy) = &self.occupancy {
+      occupancy.record_write();
+    }
+  }
+
   /// Tells the kernel whether to reset the connection if it is closed.
   fn set_reset_on_close(&mut self, is_reset_on_close: bool) -> io::Result<()> {
     if self.is_reset_on_close != is_reset_on_close {
@@ -59,7 +79,15 @@
     cx: &mut Context<'_>,
     buffer: &mut ReadBuf<'_>,
   ) -> Poll<io::Result<()>> {
-    Pin::new(&mut self.stream).poll_read(cx, buffer)
+    // Read elsewhere first: only what arrived makes pages of the read buffer resident.
+    let mut bytes = [0; READ_BYTES];
+    let length = READ_BYTES.min(buffer.remaining());
+    let mut part = ReadBuf::new(&mut bytes[..length]);
+    ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
+    buffer.put_slice(part.filled());
+    let length = part.filled().len();
+    let recorded = self.occupancy.as_ref().map(|occupancy| occupancy.record_read(length as u64));
+    Poll::Ready(recorded.transpose().map(drop).map_err(io::Error::other))
   }
 }
 
@@ -70,7 +98,9 @@
     bytes: &[u8],
   ) -> Poll<io::Result<usize>> {
     self.begin_write()?;
-    Pin::new(&mut self.stream).poll_write(cx, bytes)
+    let result = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes));
+    self.record_write();
+    Poll::Ready(result)
   }
 
   fn poll_write_vectored(
@@ -79,7 +109,9 @@
     slices: &[IoSlice<'_>],
   ) -> Poll<io::Result<usize>> {
     self.begin_write()?;
-    Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+    let result = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, slices));
+    self.record_write();
+    Poll::Ready(result)
   }
 
   fn is_write_vectored(&self) -> bool {
--- a/yuccarudder/src/server/mod.rs
+++ b/yuccarudder/src/server/mod.rs
@@ -5,6 +5,7 @@
 mod connection;
 pub(crate) mod connections;
 mod models;
+mod occupancy;
 mod operators;
 mod run;
 mod status;
