The order of waiting requests is kept while many wait; room for runs to come is not kept free

Cause: with the order kept whenever one other host had a waiting request, requests waited for the place that was dealt to them although most targets had room. Room kept free for the runs of the next engines that leave held back far more requests than it saved runs.

Change: the order is kept while other hosts have at least one waiting request for four targets. The reserve and its test are out.

--- a/yuccarudder/src/contention/deal.rs
+++ b/yuccarudder/src/contention/deal.rs
@@ -65,7 +65,6 @@
   own: u32,
   own_tokens: u64,
   max_prefill: u64,
-  reserved: u64,
   prefill: u64,
   slots: u32,
   target: u64,
@@ -78,7 +77,6 @@
       own: 0,
       own_tokens: 0,
       max_prefill: room.max_prefill,
-      reserved: room.reserved_tokens,
       prefill: room.free_prefill,
       slots: room.free_slots,
       target: room.target,
@@ -88,14 +86,7 @@
 
   fn fits(&self, request: &Request) -> bool {
     let need = request.need;
-    let reserved = if request.is_urgent() {
-      0
-    } else {
-      self.reserved
-    };
-    self.slots > 0
-      && need.saturating_add(reserved) <= self.tokens
-      && need.min(self.max_prefill) <= self.prefill
+    self.slots > 0 && need <= self.tokens && need.min(self.max_prefill) <= self.prefill
   }
 
   /// Returns whether a request with a need may still fit.
@@ -115,8 +106,7 @@
   }
 
   fn share(&self, mean_need: u64) -> Share {
-    let left = (self.tokens.saturating_sub(self.reserved).min(self.prefill) / mean_need)
-      .min(self.slots.into());
+    let left = (self.tokens.min(self.prefill) / mean_need).min(self.slots.into());
     Share {
       own: self.own,
       own_tokens: self.own_tokens,
--- a/yuccarudder/src/contention/grant.rs
+++ b/yuccarudder/src/contention/grant.rs
@@ -1,5 +1,3 @@
-use super::Room;
-
 /// The targets at which a host may place its first waiting request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Grant {
@@ -15,18 +13,6 @@
 }
 
 impl Grant {
-  /// Grants the rooms in which a need of KV cache tokens fits beside what is reserved.
-  pub fn fitting(rooms: &[Room], need: u64) -> Self {
-    let fitting =
-      rooms.iter().filter(|room| need.saturating_add(room.reserved_tokens) <= room.free_tokens);
-    let mut granted: Vec<u64> = fitting.map(|room| room.target).collect();
-    granted.sort_unstable();
-    Self::Only {
-      freed: Vec::new(),
-      granted,
-    }
-  }
-
   /// Returns whether the request may be placed at a target.
   pub fn allows(&self, target: u64) -> bool {
     match self {
--- a/yuccarudder/src/contention/mod.rs
+++ b/yuccarudder/src/contention/mod.rs
@@ -4,7 +4,6 @@
 mod grant;
 mod message;
 mod request;
-mod reserve;
 mod room;
 mod table;
 
@@ -15,7 +14,6 @@
   grant::Grant,
   message::{Message, Waiter},
   request::Request,
-  reserve::Reserve,
   room::Room,
   table::{MAX_WAITERS, Table},
 };
--- a/yuccarudder/src/contention/request.rs
+++ b/yuccarudder/src/contention/request.rs
@@ -38,11 +38,6 @@
 }
 
 impl Request {
-  /// Returns whether it has the highest priority.
-  pub fn is_urgent(&self) -> bool {
-    self.rank >> PRIORITY_SHIFT & MAX_PRIORITY == 0
-  }
-
   /// Builds the request for an entry of the queue of this host.
   pub fn new(entry: &placement::Entry, now: Instant) -> Self {
     let rank = entry.rank();
--- a/yuccarudder/src/contention/room.rs
+++ b/yuccarudder/src/contention/room.rs
@@ -11,8 +11,6 @@
   pub target: u64,
   /// KV cache tokens that no known request is expected to need.
   pub free_tokens: u64,
-  /// Free tokens that are kept for the runs of engines that leave, and for requests of the highest priority.
-  pub reserved_tokens: u64,
   /// Prompt tokens that may still be added to those that await prefill.
   pub free_prefill: u64,
   /// Prompt tokens that may await prefill there at most; a larger prompt counts as this many.
@@ -36,7 +34,6 @@
       free_tokens: capacity_tokens.saturating_sub(known.expected_tokens),
       free_prefill: max_prefill.saturating_sub(known.prefill_tokens),
       max_prefill,
-      reserved_tokens: 0,
       free_slots: slots.saturating_sub(known.requests),
       is_usable: true,
       own_recent: 0,
--- a/yuccarudder/src/contention/table.rs
+++ b/yuccarudder/src/contention/table.rs
@@ -22,6 +22,9 @@
 /// Time after a heartbeat in which this host places nothing by the order: the others may not have received it yet
 /// and deal out another part of the room.
 const DELIVERY_TIME: Duration = Duration::from_millis(20);
+/// The order is kept while other hosts have at least one waiting request for so many targets. Fewer requests spread over
+/// the targets by chance, and the order would only delay them.
+const TARGETS_PER_WAITING_REQUEST: usize = 4;
 /// Heartbeat intervals after which the waiting requests of a silent host no longer count.
 const EXPIRY_INTERVALS: u32 = 3;
 
@@ -201,9 +204,13 @@
     self.len() == 0
   }
 
-  /// Returns whether another host has requests that wait for targets of a service.
-  pub fn is_contended(&self, service: u64, now: Instant) -> bool {
-    self.peer_lines(service, now).next().is_some()
+  /// Returns whether so many requests of other hosts wait for the targets of a service that the order is kept.
+  pub fn is_contended(&self, service: u64, targets: usize, now: Instant) -> bool {
+    let lines = self.peer_lines(service, now).map(|(_, line)| line);
+    let waiting = lines.fold(0_usize, |waiting, line| {
+      waiting.saturating_add(line.requests.len()).saturating_add(line.more as usize)
+    });
+    waiting > 0 && waiting.saturating_mul(TARGETS_PER_WAITING_REQUEST) >= targets
   }
 
   fn peer_lines(&self, service: u64, now: Instant) -> impl Iterator<Item = (u64, &Line)> {
--- a/yuccarudder/src/gateway/contention.rs
+++ b/yuccarudder/src/gateway/contention.rs
@@ -1,10 +1,10 @@
 use {
   super::{Gateway, call::Call, gateway::State, ingress},
   crate::{
-    contention::{self, Grant, Message, Request, Reserve, Room},
+    contention::{self, Grant, Message, Request, Room},
     member,
     placement::{Demand, Load, LoadTable, Waiter},
-    roster::{Key, Status, Target},
+    roster::{Key, Target},
   },
   std::{collections::HashMap, net::SocketAddr, time::Instant},
 };
@@ -52,10 +52,11 @@
       && self.version.is_none()
   }
 
-  /// Returns whether requests of other hosts wait for engines that this request may be sent to.
+  /// Returns whether so many requests of other hosts wait for the engines that this one keeps to their order.
   pub(super) fn is_contended(&self, state: &State, demand: &Demand, now: Instant) -> bool {
+    let targets = || state.roster.accepting(&self.service_name).count();
     self.keeps_order(state, demand)
-      && state.contention.is_contended(ingress::hash(&self.service_name), now)
+      && state.contention.is_contended(ingress::hash(&self.service_name), targets(), now)
   }
 
   /// Returns the targets that the order of the waiting requests of all hosts leaves to this one.
@@ -69,16 +70,11 @@
     now: Instant,
   ) -> Grant {
     let service = ingress::hash(&self.service_name);
-    let keeps_order = self.keeps_order(state, demand);
-    let Some(capacity_tokens) = demand.capacity_tokens.filter(|_| keeps_order) else {
+    let Some(capacity_tokens) =
+      demand.capacity_tokens.filter(|_| self.is_contended(state, demand, now))
+    else {
       return Grant::All;
     };
-    let is_contended = state.contention.is_contended(service, now);
-    let reserve = self.reserve_for_departures(state, load_table, now);
-    let is_urgent = Request::new(&waiter.entry(), now).is_urgent();
-    if !is_contended && (is_urgent || reserve.is_empty()) {
-      return Grant::All;
-    }
     let rooms = state.roster.accepting(&self.service_name).map(|(key, target)| {
       let loads = (
         load_table.total_load(target.fingerprint),
@@ -88,11 +84,7 @@
       let slots = target.listing.slots;
       state.contention.room(target.fingerprint, capacity_tokens, slots, loads, demand)
     });
-    let mut rooms: Vec<Room> = rooms.collect();
-    reserve.set_aside(&mut rooms);
-    if !is_contended {
-      return Grant::fitting(&rooms, demand.expected_tokens);
-    }
+    let rooms: Vec<Room> = rooms.collect();
     let entries =
       self.gateway.scheduler.first_waiting(&self.service_name, contention::MAX_WAITERS).0;
     let mut waiting: Vec<Request> = entries.iter().map(|entry| Request::new(entry, now)).collect();
@@ -104,35 +96,6 @@
     grant
   }
 
-  /// Returns the room that is kept free for the runs of engines that leave.
-  fn reserve_for_departures(&self, state: &State, load_table: &LoadTable, now: Instant) -> Reserve {
-    let targets = state.roster.all().map(|(_, target)| target);
-    let leaving = targets.filter(|target| {
-      target.listing.service == self.service_name && target.leaving_since.is_some()
-    });
-    let mut leaving_tokens = 0_u64;
-    let mut departures = Vec::new();
-    for target in leaving {
-      departures.extend(target.leaving_since);
-      if matches!(target.status, Status::Leaving) {
-        let load = load_table.total_load(target.fingerprint);
-        leaving_tokens = leaving_tokens.saturating_add(load.expected_tokens);
-      }
-    }
-    let mut copied_tokens = 0_u64;
-    let mut used_tokens = 0_u64;
-    let mut count = 0_u64;
-    for (_, target) in state.roster.accepting(&self.service_name) {
-      let load = load_table.total_load(target.fingerprint);
-      copied_tokens = copied_tokens.saturating_add(load.transfer_tokens);
-      used_tokens = used_tokens.saturating_add(load.expected_tokens);
-      count += 1;
-    }
-    // Runs that are being copied count at both engines.
-    let to_move = leaving_tokens.saturating_sub(copied_tokens);
-    Reserve::new(departures, to_move, used_tokens / count.max(1), now)
-  }
-
   /// Records that the request was placed, until the other hosts are told its load.
   pub(super) fn record_placement(
     &self,
