--- a/yuccarudder/src/contention/grant.rs
+++ b/yuccarudder/src/contention/grant.rs
@@ -4,7 +4,12 @@
   /// All targets: no other host competes for them.
   All,
   /// The targets with these fingerprints, in ascending order.
-  Only(Vec<u64>),
+  Only {
+    /// Targets at which requests of this host ended that the other hosts still count.
+    freed: Vec<u64>,
+    /// Targets at which free room fell to this host.
+    granted: Vec<u64>,
+  },
 }
 
 impl Grant {
@@ -12,7 +17,24 @@
   pub fn allows(&self, target: u64) -> bool {
     match self {
       Self::All => true,
-      Self::Only(targets) => targets.binary_search(&target).is_ok(),
+      Self::Only { granted, .. } => granted.binary_search(&target).is_ok() || self.is_freed(target),
+    }
+  }
+
+  /// Returns its name in metrics.
+  pub fn name(&self) -> &'static str {
+    match self {
+      Self::All => "all",
+      Self::Only { freed, granted } if freed.is_empty() && granted.is_empty() => "none",
+      Self::Only { .. } => "some",
+    }
+  }
+
+  /// Returns whether the request takes the place of another one of this host there.
+  pub fn is_freed(&self, target: u64) -> bool {
+    match self {
+      Self::All => false,
+      Self::Only { freed, .. } => freed.binary_search(&target).is_ok(),
     }
   }
 }
--- a/yuccarudder/src/contention/mod.rs
+++ b/yuccarudder/src/contention/mod.rs
@@ -7,6 +7,9 @@
 mod room;
 mod table;
 
+#[cfg(test)]
+mod tests;
+
 pub use {
   grant::Grant,
   message::{Message, Waiter},
--- a/yuccarudder/src/gateway/assignment.rs
+++ b/yuccarudder/src/gateway/assignment.rs
@@ -167,6 +167,7 @@
     Rank {
       give_up_at,
       late,
+      over_share: self.is_over_share(),
       priority: self.engine_priority().into(),
     }
   }
@@ -325,17 +326,25 @@
       }),
       ..*demand
     };
-    let grant = self.grant(&state, &load_table, waiter, demand, now);
-    let candidates = self.suitable_targets(&state).map(|(key, target)| {
-      let is_throttled = |limit| {
+    let is_cold_limited = |key, target: &Target| {
+      let cold_limit = cold_limit.as_ref().filter(|_| target.is_cold(now));
+      cold_limit.is_some_and(|limit| {
         let share = state.cold_share(target, limit, since_boot);
         !state.throttle.allows(key, limit, &share, now)
-      };
+      })
+    };
+    let is_usable = |key, target: &Target| {
+      !tried_targets.contains(&key)
+        && state.is_usable(key, now, since_boot)
+        && !is_cold_limited(key, target)
+    };
+    let grant = self.grant(&state, &load_table, is_usable, waiter, demand, now);
+    let candidates = self.suitable_targets(&state).map(|(key, target)| {
       let load = load_table.total_load(target.fingerprint);
       Candidate {
         granted: grant.allows(target.fingerprint),
         surcharge: estimator.estimate(&state, target, &load).surcharge,
-        cold_limited: cold_limit.as_ref().filter(|_| target.is_cold(now)).is_some_and(is_throttled),
+        cold_limited: is_cold_limited(key, target),
         ejected: state.health.is_ejected(key, now),
         key,
         load,
@@ -363,7 +372,7 @@
     let estimate = estimator.estimate(&state, target, &load);
     drop(load_table);
     state.throttle.record(key, now);
-    self.record_placement(&mut state, key, waiter, demand, now);
+    self.record_placement(&mut state, key, &grant, waiter, demand, now);
     (choice, estimate)
   }
 
@@ -404,16 +413,17 @@
     let load_before = self.gateway.scheduler.lock().total_load(target.fingerprint);
     self.gateway.instruments.held_prompt_tokens.inc_by(estimate.held_tokens);
     log::info!(
-      target: PREFIX, id = self.id(), target:% = target.id, software = target.listing.version.as_str(), runs = load_before.requests, tokens = load_before.expected_tokens,
+      target: PREFIX, id = self.id(), account = self.account_name().unwrap_or("-"), target:% = target.id, software = target.listing.version.as_str(), runs = load_before.requests, tokens = load_before.expected_tokens,
       arriving = load_before.prefill_tokens, copying = load_before.transfer_tokens, need = load.expected_tokens,
       held_tokens = estimate.held_tokens, surcharge = (estimate.surcharge * 1e3).round() / 1e3,
       waited_ms = self.elapsed().as_millis() as u64;
       "Chose a target."
     );
-    let reservation = self.gateway.scheduler.reserve(placement::Assignment {
+    let assignment = placement::Assignment {
       load,
       target: target.fingerprint,
-    });
+    };
+    let reservation = self.gateway.scheduler.reserve(assignment, self.account_hash());
     if load.expected_tokens > 0 {
       // Announces the load to the other hosts, which include it in their choices.
       self.gateway.heartbeat_trigger.notify_one();
--- a/yuccarudder/src/gateway/contention.rs
+++ b/yuccarudder/src/gateway/contention.rs
@@ -1,10 +1,10 @@
 use {
   super::{Gateway, call::Call, gateway::State, ingress},
   crate::{
-    contention::{self, Grant, Message, Request},
+    contention::{self, Grant, Message, Request, Room},
     member,
     placement::{Demand, Load, LoadTable, Waiter},
-    roster::Key,
+    roster::{Key, Target},
   },
   std::{collections::HashMap, net::SocketAddr, time::Instant},
 };
@@ -30,7 +30,7 @@
       let requests = entries.iter().map(|entry| Request::new(entry, now)).collect();
       (ingress::hash(&service.name), requests, count)
     });
-    state.contention.tell(waiting, loads.clone(), interval)
+    state.contention.tell(waiting, loads.clone(), interval, now)
   }
 }
 
@@ -52,10 +52,11 @@
       && self.version.is_none()
   }
 
-  /// Returns whether requests of other hosts wait for engines that this request may be sent to.
+  /// Returns whether so many requests of other hosts wait for the engines that this one keeps to their order.
   pub(super) fn is_contended(&self, state: &State, demand: &Demand, now: Instant) -> bool {
+    let targets = || state.roster.accepting(&self.service_name).count();
     self.keeps_order(state, demand)
-      && state.contention.is_contended(ingress::hash(&self.service_name), now)
+      && state.contention.is_contended(ingress::hash(&self.service_name), targets(), now)
   }
 
   /// Returns the targets that the order of the waiting requests of all hosts leaves to this one.
@@ -63,6 +64,7 @@
     &self,
     state: &State,
     load_table: &LoadTable,
+    is_usable: impl Fn(Key, &Target) -> bool,
     waiter: &Waiter,
     demand: &Demand,
     now: Instant,
@@ -73,45 +75,41 @@
     else {
       return Grant::All;
     };
-    let rooms = state.roster.accepting(&self.service_name).map(|(_, target)| {
+    let rooms = state.roster.accepting(&self.service_name).map(|(key, target)| {
       let loads = (
         load_table.total_load(target.fingerprint),
         load_table.local_load(target.fingerprint),
       );
+      let demand = (demand.expected_tokens, is_usable(key, target));
       let slots = target.listing.slots;
-      state.contention.room(
-        target.fingerprint,
-        capacity_tokens,
-        slots,
-        loads,
-        demand.expected_tokens,
-      )
+      state.contention.room(target.fingerprint, capacity_tokens, slots, loads, demand)
     });
-    let rooms: Vec<_> = rooms.collect();
+    let rooms: Vec<Room> = rooms.collect();
     let entries =
       self.gateway.scheduler.first_waiting(&self.service_name, contention::MAX_WAITERS).0;
     let mut waiting: Vec<Request> = entries.iter().map(|entry| Request::new(entry, now)).collect();
     if waiting.iter().all(|request| request.sequence != waiter.entry().sequence()) {
       waiting.push(Request::new(&waiter.entry(), now));
     }
-    state.contention.grant(service, &waiting, &rooms, now)
+    let grant = state.contention.grant(service, &waiting, &rooms, now);
+    self.gateway.instruments.grants.with_label_values(&[grant.name()]).inc();
+    grant
   }
 
-  /// Records that the request was placed, until the other hosts know of it.
+  /// Records that the request was placed, until the other hosts are told its load.
   pub(super) fn record_placement(
     &self,
     state: &mut State,
     key: Key,
+    grant: &Grant,
     waiter: &Waiter,
     demand: &Demand,
     now: Instant,
   ) {
-    if !self.keeps_order(state, demand) {
-      return;
-    }
-    if let Some(target) = state.roster.get(key).map(|target| target.fingerprint) {
-      let request = Request::new(&waiter.entry(), now);
-      state.contention.record(ingress::hash(&self.service_name), request, target);
+    let target = state.roster.get(key).map(|target| target.fingerprint);
+    let target = target.filter(|target| !grant.is_freed(*target));
+    if let Some(target) = target.filter(|_| self.keeps_order(state, demand)) {
+      state.contention.record(&Request::new(&waiter.entry(), now), target);
     }
   }
 
--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -129,6 +129,7 @@
   state.observe_versions(None, clock_now);
   state.confirm_versions(now);
   let paces = state.take_paces(clock_now);
+  let account_uses = gateway.tell_account_uses(&mut state);
   let waiting = gateway.tell_waiting(&mut state, &loads, clock_now);
   let held_prompts = held_prompts(&mut state);
   let versions = state.origins.versions(clock_now);
@@ -138,7 +139,7 @@
   let memory = state.origins.memory().filter(|_| is_complete);
   let age = state.freshness.age(now);
   let heartbeat = Heartbeat {
-    account_uses: Vec::new(),
+    account_uses,
     held_prompts,
     paces,
     waiting,
@@ -185,6 +186,7 @@
       .map(|coverage| milliseconds(now.saturating_sub(coverage.until())) + 1),
     weight: state.settings.weight,
   };
+  removed.iter().for_each(|host| state.shares.remove_host(*host));
   drop(state);
   for host in removed {
     log::info!(target: PREFIX, host:% = host; "Removed a host that was silent for too long.");
@@ -228,7 +230,7 @@
   let roster = &state.roster;
   let is_known = |message: &&prompt::Message| roster.keys_of(message.target).next().is_some();
   let news: Vec<prompt::Message> =
-    heartbeat.held_prompts.iter().filter(is_known).cloned().collect();
+    heartbeat.held_prompts.iter().take(prompt::MAX_NEWS).filter(is_known).cloned().collect();
   state.prompts.merge(&news, received_at);
 }
 
@@ -366,6 +368,7 @@
     }
   }
   merge_versions(&mut state, heartbeat, &received, received_at);
+  state.merge_account_uses(received.sender, &heartbeat.account_uses);
   state.merge_waiting(received.sender, &heartbeat.waiting, received_at);
   let departures = heartbeat.leaving.iter();
   let departing: Vec<_> = departures
--- a/yuccarudder/src/gateway/instruments.rs
+++ b/yuccarudder/src/gateway/instruments.rs
@@ -1,8 +1,8 @@
 use {
   crate::metrics::VALID_NAMES,
   prometheus::{
-    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder, core::Collector,
+    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder, core::Collector,
   },
 };
 
@@ -18,6 +18,10 @@
 /// Metrics of the gateway, in addition to those that are common to all modes of the program.
 #[derive(Debug)]
 pub struct Instruments {
+  /// Refused requests of client accounts.
+  pub account_refusals: IntCounterVec,
+  /// KV cache tokens that the requests of client accounts are expected to need.
+  pub account_tokens: IntGaugeVec,
   /// Seconds from the arrival of a request to the end of the response, by kind of route.
   pub response_duration: HistogramVec,
   /// Seconds since the catalog was last confirmed to be current.
@@ -46,6 +50,8 @@
   pub target_crashes: IntCounter,
   /// Longest pause between two events of a stream, in seconds, by kind of route.
   pub longest_pause: HistogramVec,
+  /// Checks of waiting requests while other hosts wait, too, by whether targets were granted.
+  pub grants: IntCounterVec,
   /// Seconds that requests waited for capacity at a target, by kind of route.
   pub queue_wait: HistogramVec,
   /// Targets whose pace is known.
@@ -77,6 +83,19 @@
   /// Panics when two metrics have the same name, which is a bug in this module.
   pub fn new() -> Self {
     let instruments = Self {
+      account_refusals: counter(
+        "yuccarudder_account_refusals_total",
+        "Refused requests by client account",
+        "account",
+      ),
+      account_tokens: IntGaugeVec::new(
+        Opts::new(
+          "yuccarudder_account_tokens",
+          "KV cache tokens in use by client account",
+        ),
+        &["account"],
+      )
+      .expect(VALID_NAMES),
       response_duration: histogram(
         "yuccarudder_answer_seconds",
         "Arrival to the end of the answer",
@@ -138,6 +157,11 @@
         "yuccarudder_longest_pause_seconds",
         "Longest pause of a stream",
       ),
+      grants: counter(
+        "yuccarudder_grants_total",
+        "Checks of waiting requests while other hosts wait, too",
+        "targets",
+      ),
       queue_wait: histogram("yuccarudder_queue_seconds", "Wait for room at a target"),
       paced_targets: IntGauge::new("yuccarudder_paced_targets", "Targets whose pace is known")
         .expect(VALID_NAMES),
@@ -182,6 +206,8 @@
 
   fn register(&self) {
     let collectors: Vec<Box<dyn Collector>> = vec![
+      Box::new(self.account_refusals.clone()),
+      Box::new(self.account_tokens.clone()),
       Box::new(self.response_duration.clone()),
       Box::new(self.catalog_age.clone()),
       Box::new(self.ejections.clone()),
@@ -196,6 +222,7 @@
       Box::new(self.banned_features.clone()),
       Box::new(self.target_crashes.clone()),
       Box::new(self.longest_pause.clone()),
+      Box::new(self.grants.clone()),
       Box::new(self.queue_wait.clone()),
       Box::new(self.paced_targets.clone()),
       Box::new(self.pause_hazard.clone()),
