--- a/yuccarudder/src/placement/tests.rs
+++ b/yuccarudder/src/placement/tests.rs
@@ -469,3 +469,44 @@
   table.remove_host(host(1));
   assert_eq!(table.total_load(5), Load::default());
 }
+
+/// Guards against samples of a large fleet that hold none of the few targets at which a request does least harm: with
+/// 81 other hosts a host samples 5 of 64 targets, and one such sample in four holds none of 16.
+#[test]
+fn samples_hold_targets_with_a_low_surcharge() {
+  let keys = keys(64);
+  let candidates: Vec<Candidate> = keys
+    .iter()
+    .enumerate()
+    .map(|(index, key)| Candidate {
+      surcharge: if index % 4 == 0 { 0.0 } else { 1.0 },
+      ..candidate(*key, load(0, 1, 1_000))
+    })
+    .collect();
+  let demand = Demand {
+    last_resort: false,
+    capacity_tokens: Some(27_000),
+    expected_tokens: 3_500,
+  };
+  let mut seed = 1_u64;
+  let mut random = || {
+    seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+    (seed >> 11) as f64 / (1_u64 << 53) as f64
+  };
+  let mut chosen: HashMap<Key, usize> = HashMap::new();
+  for _ in 0..1_000 {
+    let Choice::Chosen(key) = choose(
+      candidates.clone(),
+      &demand,
+      sample_fraction(82),
+      &mut random,
+    ) else {
+      panic!("all targets have capacity");
+    };
+    *chosen.entry(key).or_default() += 1;
+  }
+  let low: usize = keys.iter().step_by(4).map(|key| chosen.get(key).copied().unwrap_or(0)).sum();
+  assert!(low >= 950, "{low}");
+  // Hosts with the same picture still choose different ones.
+  assert!(chosen.values().all(|count| *count < 250), "{chosen:?}");
+}
--- a/yuccarudder/src/relocation/tests.rs
+++ b/yuccarudder/src/relocation/tests.rs
@@ -121,6 +121,36 @@
   assert_eq!(cluster.data_centre(plans[0].1.destination), "west");
 }
 
+/// Guards against runs that are copied to an engine at which they are likely to pause for too long, although another
+/// one can take them slightly later.
+#[test]
+fn run_goes_where_it_risks_less() {
+  let cluster = Cluster::new(&[4_000, 4_000]);
+  let copies = |penalty| {
+    let candidates = cluster.candidates().enumerate().map(|(index, candidate)| Candidate {
+      penalty: if index == 0 { penalty } else { Duration::ZERO },
+      ..candidate
+    });
+    let position = Position {
+      index: 0,
+      fingerprint: 1,
+    };
+    let plan = plan(
+      &engine(),
+      &[source(1, "east", 1)],
+      candidates,
+      position,
+      RUN,
+    )
+    .unwrap();
+    cluster.data_centre(plan.destination)
+  };
+  assert_eq!(copies(Duration::ZERO), "east");
+  // The copy to the other data centre takes 200 ms longer and delays the next one by as much.
+  assert_eq!(copies(Duration::from_millis(300)), "east");
+  assert_eq!(copies(Duration::from_millis(500)), "north");
+}
+
 #[test]
 fn full_engines_take_no_run() {
   let cluster = Cluster::new(&[31_000, 31_000, 31_000]);
