Case 6: hosts send to draining servers after the loss of a zone

Broken: DRAIN at 75 hosts. Both hosts that watch the servers for the fleet are lost with their zone, and the others wait 3.5 s for them, longer than the drain bound of 3 s.

--- /dev/null
+++ b/review/stand2/hosts.rs
@@ -0,0 +1,182 @@
+//! The entry hosts, as processes with the command of the deploy file, and their clients.
+
+use {
+  crate::wire::{self, Message},
+  std::{
+    env, fs,
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    process::{self, Child, Command, Stdio},
+    time::{Duration, Instant},
+  },
+};
+
+const PROGRAM: &str = "target/release/yuccarudder-platform";
+pub const KEY: &str = "wa5xwyhks8nbkxxmibw6";
+const READY_TIMEOUT: Duration = Duration::from_secs(40);
+
+/// The first two bytes of the loopback addresses of a case, which differ between cases that run at a time.
+pub fn network() -> [u8; 2] {
+  [127, 16 + (process::id() % 200) as u8]
+}
+
+/// An entry host.
+pub struct Host {
+  child: Option<Child>,
+  ip: Ipv4Addr,
+  settings: PathBuf,
+  /// When its process was started last.
+  pub started: Option<Instant>,
+}
+
+/// The entry hosts of a case; their processes end with it.
+pub struct Fleet {
+  pub hosts: Vec<Host>,
+  folder: PathBuf,
+  zones: &'static [&'static str],
+  store: SocketAddr,
+}
+
+impl Fleet {
+  /// Prepares hosts that take turns in the zones. The seeds are the first host of each zone.
+  pub fn prepare(count: usize, zones: &'static [&'static str], store: SocketAddr) -> Self {
+    let folder = env::temp_dir().join(format!("review-{}", process::id()));
+    fs::create_dir_all(&folder).unwrap();
+    let [a, b] = network();
+    let hosts = (0..count).map(|index| Host {
+      child: None,
+      ip: Ipv4Addr::new(a, b, 1 + (index % zones.len()) as u8, 1 + (index / zones.len()) as u8),
+      settings: folder.join(format!("host-{index}.yaml")),
+      started: None,
+    });
+    Self { hosts: hosts.collect(), folder, zones, store }
+  }
+
+  /// Starts the processes of all hosts.
+  pub fn start(&mut self, is_first: bool) {
+    for index in 0..self.hosts.len() {
+      self.start_one(index, is_first);
+    }
+  }
+
+  pub fn start_one(&mut self, index: usize, is_first: bool) {
+    fs::write(&self.hosts[index].settings, self.settings(index, is_first)).unwrap();
+    let host = &mut self.hosts[index];
+    let output = match env::var("REVIEW_LOGS") {
+      Ok(logs) => {
+        let file = fs::File::options().create(true).append(true).open(format!("{logs}/host-{index}.log"));
+        Stdio::from(file.unwrap())
+      }
+      Err(_) => Stdio::null(),
+    };
+    let child = Command::new(PROGRAM)
+      .env_clear()
+      .env("YUCCARUDDER_SETTINGS", &host.settings)
+      .stdin(Stdio::null())
+      .stdout(output)
+      .stderr(Stdio::null())
+      .spawn();
+    host.child = Some(child.unwrap());
+    host.started = Some(Instant::now());
+  }
+
+  /// Kills the processes of all hosts.
+  pub fn kill(&mut self) {
+    for host in &mut self.hosts {
+      if let Some(child) = &mut host.child {
+        let _ = child.kill();
+      }
+    }
+    for host in &mut self.hosts {
+      if let Some(mut child) = host.child.take() {
+        let _ = child.wait();
+      }
+    }
+  }
+
+  /// Waits until all hosts say that they are ready.
+  pub fn wait_until_ready(&self) {
+    let end = Instant::now() + READY_TIMEOUT;
+    for host in &self.hosts {
+      while !host.is_ready() {
+        assert!(Instant::now() < end, "a host isn't ready in time");
+        std::thread::sleep(Duration::from_millis(50));
+      }
+    }
+  }
+
+  fn settings(&self, index: usize, is_first: bool) -> String {
+    let seeds: Vec<String> =
+      self.hosts.iter().take(self.zones.len()).map(|host| host.at(8180).to_string()).collect();
+    let host = &self.hosts[index];
+    let zone = self.zones[index % self.zones.len()];
+    let first_start = if is_first { "first_start: true\n" } else { "" };
+    format!(
+      "name: host-{index}\ndata_centre: {zone}\n{first_start}callers: {}\nreadiness: {}\ndirectory: {}\n\
+       peers: {}\nseeds: [{}]\nstore: {}\nmetrics: {}\ncores: 0.12\nlink_mbps: 10.0\nmemory_mb: 88\nlog: json\n\
+       placement:\n  account_shares: true\n  contention: true\n  held_prompts: true\n  pace: true\n\
+       promises:\n  catalog_applied_ms: 3000\n  cold_allowance: 5\n  cold_overage: 1.5\n  directory_keep_s: 5\n\
+       \x20 heartbeat_ms: 1200\n  grace_s: 8\n  retry_allowance: 190\n  retry_share: 0.2\n  retry_window_s: 10\n\
+       \x20 revocation_ms: 5000\n",
+      host.at(8185),
+      host.at(8187),
+      host.at(8184),
+      host.at(8180),
+      seeds.join(","),
+      self.store,
+      host.at(9464),
+    )
+  }
+}
+
+impl Drop for Fleet {
+  fn drop(&mut self) {
+    self.kill();
+    let _ = fs::remove_dir_all(&self.folder);
+  }
+}
+
+impl Host {
+  fn at(&self, port: u16) -> SocketAddr {
+    (self.ip, port).into()
+  }
+
+  /// The address at which callers reach it.
+  pub fn callers(&self) -> SocketAddr {
+    self.at(8185)
+  }
+
+  /// The address at which it answers look-ups.
+  pub fn directory(&self) -> SocketAddr {
+    self.at(8184)
+  }
+
+  fn is_ready(&self) -> bool {
+    let request = "GET /readyz HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    let answer = wire::exchange(self.at(8187), request, Duration::from_secs(1));
+    answer.is_ok_and(|answer| answer.status() == 200)
+  }
+}
+
+/// Asks a host for the addresses to which clients may connect.
+pub fn look_up(directory: SocketAddr) -> Option<Vec<SocketAddr>> {
+  let request = "GET /lookup?name=ficu95.example&region=hsinchu&zone=east-dist HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+  let answer = wire::exchange(directory, request, Duration::from_secs(1)).ok()?;
+  let body = String::from_utf8(answer.body).ok()?;
+  let list = body.split_once('[')?.1.split_once(']')?.0;
+  let addresses = list.split(',').filter_map(|text| text.trim().trim_matches('"').parse().ok());
+  Some(addresses.collect::<Vec<_>>()).filter(|list| !list.is_empty())
+}
+
+/// Sends a booking, which may run once at most.
+pub fn book(host: SocketAddr, id: &str) -> io::Result<Message> {
+  let body = "seat=12";
+  let request = format!(
+    "POST /pule252/2f HTTP/1.1\r\nHost: ficu95.example\r\nX-Yuccarudder-Request-Id: {id}\r\n\
+     X-Yuccarudder-Deadline-Ms: 1000\r\nAuthorization: Token {KEY}\r\nConnection: close\r\n\
+     Content-Length: {}\r\n\r\n{body}",
+    body.len()
+  );
+  wire::exchange(host, &request, Duration::from_secs(1))
+}
