Case 7: a server's removal goes unnoticed while its readers restart

Broken: DRAIN in a fleet of 6. The two hosts that watch the servers for the others are killed and start again; they never announce a server whose entry was removed meanwhile, and the others then read a stale list.

--- a/review/stand2/hosts.rs
+++ b/review/stand2/hosts.rs
@@ -21,26 +21,43 @@
   [127, 16 + (process::id() % 200) as u8]
 }
 
+/// What the sheet of a site gives for the settings of a host.
+#[derive(Clone, Copy)]
+pub struct Sheet {
+  pub config_apply_ms: u32,
+  pub cores: f64,
+  pub link_mbps: f64,
+  pub memory_mb: u32,
+  pub retry_allowance: u32,
+}
+
+/// The sheet of hcysu-rudder.
+pub const SMALL: Sheet =
+  Sheet { config_apply_ms: 2000, cores: 0.25, link_mbps: 1000.0, memory_mb: 110, retry_allowance: 52 };
+
+/// The sheet of hcysu-rudder-grown.
+pub const GROWN: Sheet =
+  Sheet { config_apply_ms: 3000, cores: 0.12, link_mbps: 10.0, memory_mb: 88, retry_allowance: 190 };
+
 /// An entry host.
 pub struct Host {
   child: Option<Child>,
   ip: Ipv4Addr,
   settings: PathBuf,
-  /// When its process was started last.
-  pub started: Option<Instant>,
 }
 
 /// The entry hosts of a case; their processes end with it.
 pub struct Fleet {
   pub hosts: Vec<Host>,
   folder: PathBuf,
-  zones: &'static [&'static str],
+  sheet: Sheet,
   store: SocketAddr,
+  zones: &'static [&'static str],
 }
 
 impl Fleet {
   /// Prepares hosts that take turns in the zones. The seeds are the first host of each zone.
-  pub fn prepare(count: usize, zones: &'static [&'static str], store: SocketAddr) -> Self {
+  pub fn prepare(count: usize, zones: &'static [&'static str], store: SocketAddr, sheet: Sheet) -> Self {
     let folder = env::temp_dir().join(format!("review-{}", process::id()));
     fs::create_dir_all(&folder).unwrap();
     let [a, b] = network();
@@ -48,9 +65,8 @@
       child: None,
       ip: Ipv4Addr::new(a, b, 1 + (index % zones.len()) as u8, 1 + (index / zones.len()) as u8),
       settings: folder.join(format!("host-{index}.yaml")),
-      started: None,
-    });
-    Self { hosts: hosts.collect(), folder, zones, store }
+      });
+    Self { hosts: hosts.collect(), folder, sheet, store, zones }
   }
 
   /// Starts the processes of all hosts.
@@ -78,18 +94,17 @@
       .stderr(Stdio::null())
       .spawn();
     host.child = Some(child.unwrap());
-    host.started = Some(Instant::now());
   }
 
-  /// Kills the processes of all hosts.
-  pub fn kill(&mut self) {
-    for host in &mut self.hosts {
-      if let Some(child) = &mut host.child {
+  /// Kills the processes of some hosts.
+  pub fn kill(&mut self, indices: impl Iterator<Item = usize> + Clone) {
+    for index in indices.clone() {
+      if let Some(child) = &mut self.hosts[index].child {
         let _ = child.kill();
       }
     }
-    for host in &mut self.hosts {
-      if let Some(mut child) = host.child.take() {
+    for index in indices {
+      if let Some(mut child) = self.hosts[index].child.take() {
         let _ = child.wait();
       }
     }
@@ -114,10 +129,10 @@
     let first_start = if is_first { "first_start: true\n" } else { "" };
     format!(
       "name: host-{index}\ndata_centre: {zone}\n{first_start}callers: {}\nreadiness: {}\ndirectory: {}\n\
-       peers: {}\nseeds: [{}]\nstore: {}\nmetrics: {}\ncores: 0.12\nlink_mbps: 10.0\nmemory_mb: 88\nlog: json\n\
+       peers: {}\nseeds: [{}]\nstore: {}\nmetrics: {}\ncores: {}\nlink_mbps: {:.1}\nmemory_mb: {}\nlog: json\n\
        placement:\n  account_shares: true\n  contention: true\n  held_prompts: true\n  pace: true\n\
-       promises:\n  catalog_applied_ms: 3000\n  cold_allowance: 5\n  cold_overage: 1.5\n  directory_keep_s: 5\n\
-       \x20 heartbeat_ms: 1200\n  grace_s: 8\n  retry_allowance: 190\n  retry_share: 0.2\n  retry_window_s: 10\n\
+       promises:\n  catalog_applied_ms: {}\n  cold_allowance: 5\n  cold_overage: 1.5\n  directory_keep_s: 5\n\
+       \x20 heartbeat_ms: 1200\n  grace_s: 8\n  retry_allowance: {}\n  retry_share: 0.2\n  retry_window_s: 10\n\
        \x20 revocation_ms: 5000\n",
       host.at(8185),
       host.at(8187),
@@ -126,13 +141,18 @@
       seeds.join(","),
       self.store,
       host.at(9464),
+      self.sheet.cores,
+      self.sheet.link_mbps,
+      self.sheet.memory_mb,
+      self.sheet.config_apply_ms,
+      self.sheet.retry_allowance,
     )
   }
 }
 
 impl Drop for Fleet {
   fn drop(&mut self) {
-    self.kill();
+    self.kill(0..self.hosts.len());
     let _ = fs::remove_dir_all(&self.folder);
   }
 }
--- a/review/stand2/main.rs
+++ b/review/stand2/main.rs
@@ -5,6 +5,8 @@
 
 mod hosts;
 mod reborn;
+mod server;
+mod unnoticed;
 mod store;
 mod wire;
 
@@ -17,9 +19,10 @@
   let trouble = env::var("TROUBLE").as_deref() != Ok("0");
   let result = panic::catch_unwind(|| match words[..] {
     ["reborn", record] => reborn::run(record, trouble),
+    ["unnoticed", record] => unnoticed::run(record, trouble),
     ["server", id, address] => reborn::serve(id, address),
     _ => {
-      eprintln!("stand2 reborn RECORD");
+      eprintln!("stand2 reborn | unnoticed RECORD");
       2
     }
   });
--- a/review/stand2/reborn.rs
+++ b/review/stand2/reborn.rs
@@ -273,7 +273,7 @@
       }
     });
   }
-  let mut fleet = Fleet::prepare(HOSTS, &ZONES, store.address);
+  let mut fleet = Fleet::prepare(HOSTS, &ZONES, store.address, hosts::GROWN);
   fleet.start(true);
   fleet.wait_until_ready();
   record.add("all hosts are ready");
