--- a/review/stand2/hosts.rs
+++ b/review/stand2/hosts.rs
@@ -3,8 +3,7 @@
 use {
   crate::wire::{self, Message},
   std::{
-    env, fs,
-    io,
+    env, fs, io,
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     process::{self, Child, Command, Stdio},
@@ -32,12 +31,22 @@
 }
 
 /// The sheet of hcysu-rudder.
-pub const SMALL: Sheet =
-  Sheet { config_apply_ms: 2000, cores: 0.25, link_mbps: 1000.0, memory_mb: 110, retry_allowance: 52 };
+pub const SMALL: Sheet = Sheet {
+  config_apply_ms: 2000,
+  cores: 0.25,
+  link_mbps: 1000.0,
+  memory_mb: 110,
+  retry_allowance: 52,
+};
 
 /// The sheet of hcysu-rudder-grown.
-pub const GROWN: Sheet =
-  Sheet { config_apply_ms: 3000, cores: 0.12, link_mbps: 10.0, memory_mb: 88, retry_allowance: 190 };
+pub const GROWN: Sheet = Sheet {
+  config_apply_ms: 3000,
+  cores: 0.12,
+  link_mbps: 10.0,
+  memory_mb: 88,
+  retry_allowance: 190,
+};
 
 /// An entry host.
 pub struct Host {
@@ -57,16 +66,32 @@
 
 impl Fleet {
   /// Prepares hosts that take turns in the zones. The seeds are the first host of each zone.
-  pub fn prepare(count: usize, zones: &'static [&'static str], store: SocketAddr, sheet: Sheet) -> Self {
+  pub fn prepare(
+    count: usize,
+    zones: &'static [&'static str],
+    store: SocketAddr,
+    sheet: Sheet,
+  ) -> Self {
     let folder = env::temp_dir().join(format!("review-{}", process::id()));
     fs::create_dir_all(&folder).unwrap();
     let [a, b] = network();
     let hosts = (0..count).map(|index| Host {
       child: None,
-      ip: Ipv4Addr::new(a, b, 1 + (index % zones.len()) as u8, 1 + (index / zones.len()) as u8),
+      ip: Ipv4Addr::new(
+        a,
+        b,
+        1 + (index % zones.len()) as u8,
+        1 + (index / zones.len()) as u8,
+      ),
       settings: folder.join(format!("host-{index}.yaml")),
-      });
-    Self { hosts: hosts.collect(), folder, sheet, store, zones }
+    });
+    Self {
+      hosts: hosts.collect(),
+      folder,
+      sheet,
+      store,
+      zones,
+    }
   }
 
   /// Starts the processes of all hosts.
@@ -81,7 +106,8 @@
     let host = &mut self.hosts[index];
     let output = match env::var("REVIEW_LOGS") {
       Ok(logs) => {
-        let file = fs::File::options().create(true).append(true).open(format!("{logs}/host-{index}.log"));
+        let file =
+          fs::File::options().create(true).append(true).open(format!("{logs}/host-{index}.log"));
         Stdio::from(file.unwrap())
       }
       Err(_) => Stdio::null(),
--- a/review/stand2/main.rs
+++ b/review/stand2/main.rs
@@ -6,11 +6,10 @@
 mod hosts;
 mod reborn;
 mod server;
-mod unnoticed;
 mod store;
+mod unnoticed;
 mod wire;
 
-
 use std::{env, panic, process};
 
 fn main() {
--- a/review/stand2/reborn.rs
+++ b/review/stand2/reborn.rs
@@ -40,7 +40,11 @@
 
 /// The whole answer of a server to a request.
 fn whole_body(id: &str) -> String {
-  format!("booked {id} {:.<width$} end of {id}", "", width = ANSWER_BYTES - 2 * id.len() - 16)
+  format!(
+    "booked {id} {:.<width$} end of {id}",
+    "",
+    width = ANSWER_BYTES - 2 * id.len() - 16
+  )
 }
 
 /// Serves as one process of a plain server. Its answers have no length and end with their connections; it
@@ -140,7 +144,8 @@
     // The head of a request arrives at once.
     let mut head = [0; 4096];
     let length = from_caller.read(&mut head).ok()?;
-    let is_of_cut_host = host_of(&String::from_utf8_lossy(&head[..length])).is_some_and(|host| host < CUT_HOSTS);
+    let is_of_cut_host =
+      host_of(&String::from_utf8_lossy(&head[..length])).is_some_and(|host| host < CUT_HOSTS);
     if is_of_cut_host {
       self.wait();
     }
@@ -265,7 +270,10 @@
       while let Some(server) = server.upgrade() {
         // The store can't be reached while the path is cut.
         if !*server.path.is_cut.0.lock().unwrap() {
-          store.write(&format!("servers/{}", server.id), Some(&server.entry(sequence)));
+          store.write(
+            &format!("servers/{}", server.id),
+            Some(&server.entry(sequence)),
+          );
         }
         drop(server);
         sequence += 1;
@@ -292,11 +300,17 @@
           record.add(&format!("client: sends {id}"));
           let answer = hosts::book(host, &id);
           let (status, length, is_whole) = match &answer {
-            Ok(answer) => (answer.status(), answer.body.len(), answer.body == whole_body(&id).as_bytes()),
+            Ok(answer) => (
+              answer.status(),
+              answer.body.len(),
+              answer.body == whole_body(&id).as_bytes(),
+            ),
             Err(_) => (0, 0, false),
           };
           let signed = answer.is_ok_and(|it| it.header("x-yuccarudder-server-signature").is_some());
-          record.add(&format!("client: {id} answered {status}, {length} bytes, signed {signed}, whole {is_whole}"));
+          record.add(&format!(
+            "client: {id} answered {status}, {length} bytes, signed {signed}, whole {is_whole}"
+          ));
           (status, is_whole)
         })
       })
@@ -306,7 +320,10 @@
       server.path.set_cut(true);
       server.kill();
       server.path.close();
-      record.add(&format!("driver: the path from {CUT_HOSTS} hosts and the store to {} is cut, and it crashes", server.id));
+      record.add(&format!(
+        "driver: the path from {CUT_HOSTS} hosts and the store to {} is cut, and it crashes",
+        server.id
+      ));
       thread::sleep(RESTART);
       *server.child.lock().unwrap() = spawn(&server.id, server.address);
       *server.born.lock().unwrap() = now_ms();
@@ -328,6 +345,8 @@
   drop(fleet);
   drop(servers);
   assert!(whole > CLIENTS, "hardly a request was served");
-  println!("{whole} whole answers, {broken} answers that look complete and are not the server's whole body");
+  println!(
+    "{whole} whole answers, {broken} answers that look complete and are not the server's whole body"
+  );
   i32::from(broken > 0)
 }
--- a/review/stand2/server.rs
+++ b/review/stand2/server.rs
@@ -70,7 +70,10 @@
     thread::spawn(move || {
       let mut sequence = 1;
       while beating.is_listed.load(Ordering::SeqCst) {
-        store.write(&format!("servers/{}", beating.id), Some(&beating.entry(sequence)));
+        store.write(
+          &format!("servers/{}", beating.id),
+          Some(&beating.entry(sequence)),
+        );
         sequence += 1;
         thread::sleep(HEARTBEAT);
       }
@@ -107,7 +110,10 @@
       } else if request.target() == "/healthz" {
         wire::respond(&mut writer, 200, &[named], b"")
       } else {
-        self.arrivals.lock().unwrap().push(Arrival { at: Instant::now(), request: id.clone() });
+        self.arrivals.lock().unwrap().push(Arrival {
+          at: Instant::now(),
+          request: id.clone(),
+        });
         self.record.add(&format!("server {}: runs {id}", self.id));
         thread::sleep(WORK);
         let signature = format!("{}.{id}", self.id);
--- a/review/stand2/store.rs
+++ b/review/stand2/store.rs
@@ -24,7 +24,13 @@
 
 impl Change {
   fn json(&self) -> String {
-    let Change { created, data, key, revision, .. } = self;
+    let Change {
+      created,
+      data,
+      key,
+      revision,
+      ..
+    } = self;
     match data {
       Some(data) => format!(
         r#"{{"key":"{key}","data":"{data}","revision":{revision},"created":{created},"lease_id":0}}"#
@@ -105,7 +111,13 @@
     let created = state.items(revision).get(key).map_or(revision, |item| item.created);
     let at = Instant::now();
     let data = data.map(|data| base64(data.as_bytes()));
-    state.history.push(Change { at, created, data, key: key.to_owned(), revision });
+    state.history.push(Change {
+      at,
+      created,
+      data,
+      key: key.to_owned(),
+      revision,
+    });
     self.changed.notify_all();
     at
   }
@@ -143,7 +155,10 @@
       .filter(|(key, _)| key.starts_with(prefix))
       .map(|(_, change)| change.json())
       .collect();
-    format!(r#"{{"entries":[{}],"has_more":false,"at":{revision}}}"#, entries.join(","))
+    format!(
+      r#"{{"entries":[{}],"has_more":false,"at":{revision}}}"#,
+      entries.join(",")
+    )
   }
 
   fn watch(&self, prefix: &str, after: u64, wait: Duration) -> String {
@@ -161,7 +176,11 @@
       let now = Instant::now();
       if !events.is_empty() || now >= deadline {
         let events: Vec<String> = events.into_iter().rev().collect();
-        return format!(r#"{{"events":[{}],"at":{}}}"#, events.join(","), state.revision);
+        return format!(
+          r#"{{"events":[{}],"at":{}}}"#,
+          events.join(","),
+          state.revision
+        );
       }
       state = self.changed.wait_timeout(state, deadline - now).unwrap().0;
     }
--- a/review/stand2/unnoticed.rs
+++ b/review/stand2/unnoticed.rs
@@ -90,7 +90,10 @@
     thread::sleep(REMOVAL);
     leaving.is_listed.store(false, Ordering::SeqCst);
     let acknowledged = store.write(&format!("servers/{}", leaving.id), None);
-    record.add(&format!("store: the entry of {} is removed; it serves on", leaving.id));
+    record.add(&format!(
+      "store: the entry of {} is removed; it serves on",
+      leaving.id
+    ));
     thread::sleep(RESTART - REMOVAL);
     if trouble {
       KILLED.into_iter().for_each(|index| fleet.start_one(index, false));
--- a/review/stand2/wire.rs
+++ b/review/stand2/wire.rs
@@ -17,7 +17,10 @@
 
 impl Record {
   pub fn create(path: &str) -> Self {
-    Self { file: Arc::new(Mutex::new(File::create(path).unwrap())), started: Instant::now() }
+    Self {
+      file: Arc::new(Mutex::new(File::create(path).unwrap())),
+      started: Instant::now(),
+    }
   }
 
   /// Time since the start of the case.
@@ -42,7 +45,9 @@
 impl Message {
   pub fn header(&self, name: &str) -> Option<&str> {
     let mut headers = self.headers.iter();
-    headers.find(|(other, _)| other.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
+    headers
+      .find(|(other, _)| other.eq_ignore_ascii_case(name))
+      .map(|(_, value)| value.as_str())
   }
 
   /// The status of a response.
@@ -75,8 +80,11 @@
     let (name, value) = line.split_once(':').unwrap_or((line, ""));
     headers.push((name.to_owned(), value.trim().to_owned()));
   }
-  let mut message =
-    Message { first_line: first_line.trim_end().to_owned(), headers, body: Vec::new() };
+  let mut message = Message {
+    first_line: first_line.trim_end().to_owned(),
+    headers,
+    body: Vec::new(),
+  };
   if message.header("transfer-encoding").is_some() {
     loop {
       let mut line = String::new();
@@ -152,7 +160,8 @@
   const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
   let mut text = String::new();
   for chunk in bytes.chunks(3) {
-    let value = chunk.iter().fold(0_u32, |value, byte| value << 8 | u32::from(*byte)) << (8 * (3 - chunk.len()));
+    let value = chunk.iter().fold(0_u32, |value, byte| value << 8 | u32::from(*byte))
+      << (8 * (3 - chunk.len()));
     for digit in 0..4 {
       text.push(if digit <= chunk.len() {
         DIGITS[(value >> (18 - 6 * digit)) as usize & 63] as char
