--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc -O --edition 2024 -o target/review-2/stand2 review/stand2/main.rs
+rustc -O --edition 2024 -o target/review-2/stand2 review/6/stand2/main.rs
