Server: a caller that left is noticed behind bytes that follow its request

Cause of what was found: the HTTP server notices that a connection was closed by reading, which it does not while it holds bytes that follow the request. The request waits on and reaches a target for a caller that has left.

Change: while a request is in progress, the task of the connection watches the socket's readiness, which shows the closing whatever is unread.

--- a/yuccarudder/src/server/connections.rs
+++ b/yuccarudder/src/server/connections.rs
@@ -15,7 +15,7 @@
     server::graceful::GracefulShutdown,
   },
   prometheus::IntCounter,
-  std::{convert::Infallible, pin::Pin, sync::Arc, time::Duration},
+  std::{convert::Infallible, future, pin::Pin, sync::Arc, task::Poll, time::Duration},
   tokio::{net::TcpListener, time},
   tokio_util::sync::CancellationToken,
 };
@@ -91,6 +91,7 @@
     let occupancy = Arc::new(Occupancy::new(reservation));
     let connection =
       Connection::new(stream, unmarked.clone()).with_occupancy(Arc::clone(&occupancy));
+    let mut departure = connection.departure();
     let occupant = Arc::clone(&occupancy);
     let service = service_fn(move |request| {
       let unmarked = Unmarked::applies_to(&request).then(|| unmarked.clone());
@@ -120,7 +121,12 @@
         () = occupancy.evicted() => closed.inc(),
         result = connection => if let Err(error) = result {
           log::debug!(target: PREFIX, "An HTTP connection failed: {error}.");
-        }
+        },
+        () = future::poll_fn(|cx| match occupancy.has_request() {
+          true => departure.poll(cx),
+          // The server reads the connection itself.
+          false => Poll::Pending,
+        }) => log::debug!(target: PREFIX, "A caller left during its request."),
       }
     });
   }
--- a/yuccarudder/src/server/occupancy.rs
+++ b/yuccarudder/src/server/occupancy.rs
@@ -1,6 +1,6 @@
 use {
   crate::{limit::Reservation, refusal::Refusal},
-  std::sync::atomic::{AtomicU64, Ordering},
+  std::sync::atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
 /// Memory that a connection without a long head takes up with its buffers and its state: 23 kB as measured with
@@ -13,6 +13,8 @@
 /// The memory that a connection takes up. Between two requests, it may be closed to make room for others.
 #[derive(Debug)]
 pub struct Occupancy {
+  /// Whether a request is in progress.
+  has_request: AtomicBool,
   /// Bytes that were read since the last request began.
   head_bytes: AtomicU64,
   reservation: Reservation,
@@ -22,13 +24,20 @@
   /// Takes over the reservation of a connection.
   pub fn new(reservation: Reservation) -> Self {
     Self {
+      has_request: AtomicBool::new(false),
       head_bytes: AtomicU64::new(0),
       reservation,
     }
   }
 
+  /// Returns whether a request is in progress.
+  pub fn has_request(&self) -> bool {
+    self.has_request.load(Ordering::Relaxed)
+  }
+
   /// Records the begin of a request, whose head is no longer in the read buffer.
   pub fn begin_request(&self) {
+    self.has_request.store(true, Ordering::Relaxed);
     // A connection that has been closed in the meantime gets no response.
     let _ = self.reservation.hold();
     self.head_bytes.store(0, Ordering::Relaxed);
@@ -37,6 +46,7 @@
 
   /// Records that the response to a request has been passed on.
   pub fn end_request(&self) {
+    self.has_request.store(false, Ordering::Relaxed);
     self.head_bytes.store(0, Ordering::Relaxed);
     self.reservation.release();
   }
