Upstream: a status that HTTP does not have is no answer

What callers saw: a target that answered with status 600 or 999 had that passed on, as the answer to a booking and to a stream (reported from another system with 000, which the HTTP client refuses). A health check counted as answered with these and with 101.

Cause: the HTTP client takes any three digits from 100 on, and nothing after it looked at the class.

Change: upstream::Pool, which reads all answers, fails for a status outside 200 to 599 as it does without an answer.

--- a/yuccarudder/src/upstream/pool.rs
+++ b/yuccarudder/src/upstream/pool.rs
@@ -8,7 +8,7 @@
     socket,
   },
   hyper::{
-    Request, Response,
+    Request, Response, StatusCode,
     body::Incoming,
     client::conn::http1::{self, SendRequest},
     header::{HOST, HeaderValue},
@@ -120,8 +120,8 @@
   ///
   /// # Errors
   ///
-  /// Fails when no response head arrives; the error indicates whether bytes of the request
-  /// may have reached the target.
+  /// Fails when no response head arrives, or one whose status is none of a final response; the error
+  /// indicates whether bytes of the request may have reached the target.
   pub async fn send(&self, call: Call) -> Result<Response<Incoming>, Error> {
     let reused = if call.new_connection {
       None
@@ -158,6 +158,12 @@
     match response {
       Ok(response) => {
         send_guard.record_head();
+        if !is_final(response.status()) {
+          return Err(Error::Sent(format!(
+            "{} is no status of a final response",
+            response.status().as_u16()
+          )));
+        }
         if call.reusable {
           self.return_idle(call.address, connection);
         }
@@ -195,6 +201,11 @@
   }
 }
 
+/// Returns whether a status is of one of the classes of final responses (RFC 9110, section 15).
+fn is_final(status: StatusCode) -> bool {
+  (200..600).contains(&status.as_u16())
+}
+
 fn denied(refusal: Refusal) -> Error {
   Error::Denied(Box::new(refusal))
 }
