Upstream: the bytes of a body are bounded, whatever its framing

What callers saw: nothing yet; another operator reported a host that kept the bytes without end of a faulty server until it ran out of memory.

Cause: heads, contents and events were bounded, but the HTTP client takes any number of zeros in the size of a chunk and of spaces after it, and a stream of sound events had no bound but its deadline. The host read on at full speed for up to 60 s for each request.

Change: each call states how long a body is of use, and the guard of the connection bounds what arrives for it, with a part for the framing.

--- a/yuccarudder/src/gateway/buffered.rs
+++ b/yuccarudder/src/gateway/buffered.rs
@@ -18,7 +18,7 @@
 };
 
 /// Maximum size of a response, which is buffered before it is sent to the caller.
-const MAX_RESPONSE_BYTES: u64 = 1 << 20;
+pub(super) const MAX_RESPONSE_BYTES: u64 = 1 << 20;
 const PREFIX: &str = "plain";
 
 /// The outcome of a failed attempt, and the response of the target if the target itself failed
--- a/yuccarudder/src/gateway/call.rs
+++ b/yuccarudder/src/gateway/call.rs
@@ -1,11 +1,11 @@
 use {
-  super::Gateway,
+  super::{Gateway, buffered},
   crate::{
     dialect::RequestMetadata,
     limit::BufferedBody,
     origin, prompt,
     quarantine::Feature,
-    routing::{AccountKey, Catalog, Route, RouteKey, Service},
+    routing::{AccountKey, Catalog, Kind, Route, RouteKey, Service},
   },
   hyper::{HeaderMap, Method, Uri},
   std::{
@@ -15,6 +15,12 @@
   tokio::sync::OwnedSemaphorePermit,
 };
 
+/// Bytes of the events of a stream for each of its tokens, more than targets send.
+const MAX_BYTES_PER_TOKEN: u64 = 1 << 10;
+/// Number of tokens of a stream whose request states none.
+const DEFAULT_MAX_TOKENS: u64 = 1 << 16;
+/// Largest number of tokens of a stream that bounds the bytes of its events.
+const MAX_TOKENS: u64 = 1 << 20;
 /// Share of its remaining growth that a run has made when the runs of an engine together need
 /// the most memory; they do not peak at the same time, as some end before others reach their
 /// full length.
@@ -55,6 +61,19 @@
 }
 
 impl Call {
+  /// Returns the most bytes that the body of a response to the request has.
+  pub fn max_response_bytes(&self) -> u64 {
+    let Kind::Stream { .. } = self.route().kind else {
+      return buffered::MAX_RESPONSE_BYTES;
+    };
+    let tokens = match self.metadata.max_tokens {
+      0 => DEFAULT_MAX_TOKENS,
+      tokens => tokens.min(MAX_TOKENS),
+    };
+    // A short stream may end with a failure, whose body is read like that of any other request.
+    buffered::MAX_RESPONSE_BYTES + tokens * MAX_BYTES_PER_TOKEN
+  }
+
   /// Returns the name of the client account, if the request has one.
   pub fn account_name(&self) -> Option<&str> {
     self.account_key.map(|key| self.catalog.accounts[key].name.as_str())
--- a/yuccarudder/src/gateway/forwarding.rs
+++ b/yuccarudder/src/gateway/forwarding.rs
@@ -257,10 +257,10 @@
       &[]
     };
     let request = self.build_handover(history, last_event_id, unstopped_at);
-    let response = self
-      .gateway
-      .pool
-      .send(upstream::Call::new(host, CONNECT_TIMEOUT, request).on_dedicated_connection());
+    let call = upstream::Call::new(host, CONNECT_TIMEOUT, request)
+      .with_max_body_bytes(self.max_response_bytes())
+      .on_dedicated_connection();
+    let response = self.gateway.pool.send(call);
     let timeout = self.time_left() + ANSWER_MARGIN;
     self.may_have_run.store(true, Ordering::Relaxed);
     let result = match time::timeout(timeout, response).await {
--- a/yuccarudder/src/gateway/sending.rs
+++ b/yuccarudder/src/gateway/sending.rs
@@ -70,6 +70,7 @@
       CONNECT_TIMEOUT,
       self.build_request(assignment, resume),
     )
+    .with_max_body_bytes(self.max_response_bytes())
     .on_dedicated_connection();
     let assigned_at = assignment.assigned_at;
     if assignment.target.is_cold(assigned_at) {
--- a/yuccarudder/src/plain/dispatch.rs
+++ b/yuccarudder/src/plain/dispatch.rs
@@ -161,6 +161,7 @@
       address: chosen.address,
       admission: None,
       connect_timeout: settings.connect_timeout,
+      max_body_bytes: None,
       new_connection: !dispatch.repeatable,
       reusable: true,
       send_check: dispatch.send_check(host, &chosen, send_permit),
--- a/yuccarudder/src/platform/client.rs
+++ b/yuccarudder/src/platform/client.rs
@@ -80,6 +80,7 @@
 
   /// Sends a read and parses its response.
   async fn fetch(&self, call: Call) -> anyhow::Result<Document> {
+    let call = call.with_max_body_bytes(MAX_DOCUMENT_BYTES);
     let response = match self.pool.send(call).await {
       Ok(response) => response,
       Err(error) => bail!("the platform cannot be reached: {error:?}"),
--- a/yuccarudder/src/upstream/call.rs
+++ b/yuccarudder/src/upstream/call.rs
@@ -25,6 +25,9 @@
   pub admission: Option<Admission>,
   /// Time limit for connecting, and for the report of the target.
   pub connect_timeout: Duration,
+  /// Most bytes of the response's body that are of use; `None` if any number is. It bounds what is read on the
+  /// connection, and so the processor time for a body whose framing or content has no end.
+  pub max_body_bytes: Option<u64>,
   /// Whether to open a new connection instead of reusing an idle one.
   pub new_connection: bool,
   /// Whether the connection returns to the pool after the response.
@@ -42,6 +45,7 @@
       address,
       admission: None,
       connect_timeout,
+      max_body_bytes: None,
       new_connection: false,
       reusable: true,
       send_check: Box::new(|| Ok(())),
@@ -49,6 +53,13 @@
     }
   }
 
+  /// Bounds the body of the response.
+  #[must_use]
+  pub fn with_max_body_bytes(mut self, bytes: u64) -> Self {
+    self.max_body_bytes = Some(bytes);
+    self
+  }
+
   /// Sends the call on a new connection that no other call uses.
   #[must_use]
   pub fn on_dedicated_connection(mut self) -> Self {
--- a/yuccarudder/src/upstream/pool.rs
+++ b/yuccarudder/src/upstream/pool.rs
@@ -151,7 +151,7 @@
         }
       }
     }
-    connection.send_guard.arm(call.send_check);
+    connection.send_guard.arm(call.send_check, call.max_body_bytes);
     let request = with_host_header(call.request, call.address);
     let response = connection.sender.try_send_request(request).await;
     let send_guard = connection.send_guard.clone();
@@ -212,7 +212,7 @@
 
 /// Fetches the load report of a target; returns `None` when it is missing or invalid.
 async fn probe(connection: &mut Connection, address: SocketAddr) -> Option<Report> {
-  connection.send_guard.arm(Box::new(|| Ok(())));
+  connection.send_guard.arm(Box::new(|| Ok(())), Some(MAX_REPORT_BYTES));
   let request = Request::get(LOAD_PATH).body(http::empty()).ok()?;
   let response = connection.sender.send_request(with_host_header(request, address)).await.ok()?;
   connection.send_guard.record_head();
--- a/yuccarudder/src/upstream/send_guard.rs
+++ b/yuccarudder/src/upstream/send_guard.rs
@@ -12,29 +12,39 @@
 
 /// Most bytes that may arrive before the head of a response, or before what follows it is read: far
 /// more than interim responses, a head and the buffer of the client take.
-const MAX_BYTES_BEFORE_HEAD: usize = 1 << 20;
+const MAX_BYTES_BEFORE_HEAD: u64 = 1 << 20;
+/// Bytes that may arrive for one byte of a body, and more: a chunk of one byte takes up six.
+const BYTES_PER_BODY_BYTE: u64 = 8;
+/// Most bytes of framing for the bytes of a body.
+const MAX_FRAMING_BYTES: u64 = 8 << 20;
+/// Bytes that may arrive beyond those of a body: trailers, and what the client reads ahead.
+const EXTRA_BODY_BYTES: u64 = 1 << 20;
 
 #[derive(Default)]
 struct State {
-  /// Bytes that may still arrive before the head of the response; `None` once it is there.
-  head_allowance: Option<usize>,
+  /// Bytes that may still arrive in the current part of the response: until its head is there, and then in its
+  /// body; `None` if there is no bound.
+  allowance: Option<u64>,
+  /// The same for the body until the head is there.
+  body_allowance: Option<u64>,
   refusal: Option<Refusal>,
   send_check: Option<SendCheck>,
   may_have_sent: bool,
 }
 
 /// A guard that runs the check of each request on one connection before its first write, and bounds
-/// the bytes before the head of its response.
+/// the bytes of its response.
 #[derive(Clone, Default)]
 pub struct SendGuard {
   state: Arc<Mutex<State>>,
 }
 
 impl SendGuard {
-  /// Sets the check for the next request.
-  pub fn arm(&self, send_check: SendCheck) {
+  /// Sets the check for the next request, and the most bytes that the body of its response may have.
+  pub fn arm(&self, send_check: SendCheck, max_body_bytes: Option<u64>) {
     *self.lock() = State {
-      head_allowance: Some(MAX_BYTES_BEFORE_HEAD),
+      allowance: Some(MAX_BYTES_BEFORE_HEAD),
+      body_allowance: max_body_bytes.map(max_bytes_with_framing),
       refusal: None,
       send_check: Some(send_check),
       may_have_sent: false,
@@ -43,22 +53,23 @@
 
   /// Records that the head of the response has arrived.
   pub fn record_head(&self) {
-    self.lock().head_allowance = None;
+    let mut state = self.lock();
+    state.allowance = state.body_allowance;
   }
 
-  /// Records that bytes have arrived; fails when there are too many without a head.
+  /// Records that bytes have arrived; fails when there are too many for a head or a body.
   fn record_read(&self, count: usize) -> io::Result<()> {
     let mut state = self.lock();
-    let Some(allowance) = state.head_allowance else {
+    let Some(allowance) = state.allowance else {
       return Ok(());
     };
-    let Some(left) = allowance.checked_sub(count) else {
+    let Some(left) = allowance.checked_sub(count as u64) else {
       return Err(io::Error::new(
         io::ErrorKind::InvalidData,
-        "too many bytes without the head of a response",
+        "too many bytes for the head or the body of a response",
       ));
     };
-    state.head_allowance = Some(left);
+    state.allowance = Some(left);
     Ok(())
   }
 
@@ -98,7 +109,13 @@
   }
 }
 
-/// A stream that writes only what its guard permits, and ends if a response has no end of its head.
+/// Returns how many bytes may arrive for a body of up to `body_bytes`, however it is framed.
+fn max_bytes_with_framing(body_bytes: u64) -> u64 {
+  let framing = body_bytes.saturating_mul(BYTES_PER_BODY_BYTE - 1).min(MAX_FRAMING_BYTES);
+  body_bytes.saturating_add(framing).saturating_add(EXTRA_BODY_BYTES)
+}
+
+/// A stream that writes only what its guard permits, and fails if a response has no end.
 pub struct GuardedStream<S> {
   send_guard: SendGuard,
   stream: S,
--- a/yuccarudder/src/upstream/tests.rs
+++ b/yuccarudder/src/upstream/tests.rs
@@ -25,6 +25,7 @@
     address,
     admission: None,
     connect_timeout: Duration::from_secs(5),
+    max_body_bytes: None,
     new_connection: true,
     reusable: true,
     send_check,
