Gateway: what is kept of all unfinished answers together is bounded

Cause: an answer may take up 1 MiB while it arrives and an event as much, and nothing bounded how many do so at a time. A stream whose caller does not read kept 64 chunks, each as large as a read.

Change: answers that have not arrived completely, and events of more than 16 KiB, have an eighth of the host's memory; the ones without progress for longest are given up for others. Of a stream, 64 KiB are kept beside the last chunk.

--- a/yuccarudder/src/gateway/buffered.rs
+++ b/yuccarudder/src/gateway/buffered.rs
@@ -3,6 +3,7 @@
   crate::{
     attempt::{History, Outcome},
     http::{self, Body, Framing},
+    limit::BufferedBody,
     plain,
     refusal::Refusal,
   },
@@ -112,7 +113,7 @@
   ) -> (Option<Response<Body>>, Instant) {
     let clock = &self.gateway.clock;
     let answered_at = clock.now();
-    let response = read_body(response, timeout).await;
+    let response = self.read_body(response, timeout).await;
     let ended_at = clock.now();
     let Some(response) = response else {
       return (None, ended_at);
@@ -125,6 +126,23 @@
     }
     (Some(response), ended_at)
   }
+
+  /// Reads a response to its end; returns `None` when it is cut off, is too large, takes too long or does not
+  /// fit into the memory left. Its framing is among the extensions of the result.
+  async fn read_body(
+    &self,
+    response: Response<Incoming>,
+    timeout: Duration,
+  ) -> Option<Response<Body>> {
+    let framing = Framing::of_response(&response);
+    let (mut head, body) = response.into_parts();
+    head.extensions.insert(framing);
+    let body = self.gateway.response_memory.read_response_body(body, MAX_RESPONSE_BYTES);
+    let BufferedBody { bytes, reservation } = tokio::time::timeout(timeout, body).await.ok()??;
+    plain::strip_response(&mut head.headers);
+    let body = http::keeping(http::full(bytes), reservation);
+    Some(Response::from_parts(head, body))
+  }
 }
 
 /// Passes a request on to another host and reads the response.
@@ -135,7 +153,7 @@
 ) -> Result<Response<Body>, Failure> {
   match call.hand_over(host, history, None, &[]).await {
     Ok(response) => {
-      let whole = read_body(response, call.time_left()).await;
+      let whole = call.read_body(response, call.time_left()).await;
       whole.ok_or_else(|| Outcome::Lost.into())
     }
     Err(failure) => Err(Failure {
@@ -144,15 +162,3 @@
     }),
   }
 }
-
-/// Reads a response to its end; returns `None` when it is cut off, is too large or takes too long. Its
-/// framing is among the extensions of the result.
-async fn read_body(response: Response<Incoming>, timeout: Duration) -> Option<Response<Body>> {
-  let framing = Framing::of_response(&response);
-  let (mut head, body) = response.into_parts();
-  head.extensions.insert(framing);
-  let bytes =
-    tokio::time::timeout(timeout, http::collect(body, MAX_RESPONSE_BYTES)).await.ok()??;
-  plain::strip_response(&mut head.headers);
-  Some(Response::from_parts(head, http::full(bytes)))
-}
--- a/yuccarudder/src/gateway/gateway.rs
+++ b/yuccarudder/src/gateway/gateway.rs
@@ -43,6 +43,8 @@
 
 /// Share of the memory of the host that buffered request bodies may take.
 const BODY_MEMORY_SHARE: f64 = 0.25;
+/// Share of the memory of the host that responses of targets may take which have not arrived completely.
+const RESPONSE_MEMORY_SHARE: f64 = 0.125;
 /// Time after an outage of the platform during which the entry of a live target may be removed
 /// because its heartbeats were lost.
 const RECOVERY_PERIOD: Duration = Duration::from_millis(2500);
@@ -148,6 +150,8 @@
   pub(super) in_hand: TaskTracker,
   /// The memory budget for buffered request bodies.
   pub(super) memory: Memory,
+  /// The memory budget for responses of targets that have not arrived completely.
+  pub(super) response_memory: Memory,
   /// Metrics of the gateway.
   pub(super) instruments: Arc<Instruments>,
   /// Metrics that are common to all modes of the program.
@@ -286,6 +290,7 @@
       origins.begin(origin::Coverage::new(Duration::ZERO, now, now));
     }
     let body_bytes = settings.memory_bytes as f64 * BODY_MEMORY_SHARE;
+    let response_bytes = settings.memory_bytes as f64 * RESPONSE_MEMORY_SHARE;
     let state = State {
       catalog: None,
       contention: contention::Table::new(ingress::hash(&settings.peers.to_string())),
@@ -332,6 +337,7 @@
       dialect,
       in_hand: TaskTracker::new(),
       memory: Memory::new(body_bytes as u64),
+      response_memory: Memory::new(response_bytes as u64),
       instruments: Arc::default(),
       metrics: Arc::default(),
       heartbeat_trigger: Arc::default(),
--- a/yuccarudder/src/gateway/session.rs
+++ b/yuccarudder/src/gateway/session.rs
@@ -12,6 +12,7 @@
     attempt::{History, Outcome},
     dialect::Resume,
     http::{Body, BodyError, Framing},
+    limit::Reservation,
     links, pace,
     placement::Load,
     quarantine::SOUND_AFTER,
@@ -32,11 +33,18 @@
     sync::Arc,
     time::{Duration, Instant},
   },
-  tokio::{sync::mpsc, time},
+  tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore, mpsc},
+    time,
+  },
 };
 
 /// Number of response body chunks that are buffered for a caller that reads slowly.
 const BODY_CHUNK_CAPACITY: usize = 64;
+/// Number of bytes that are buffered for such a caller, beside the last chunk.
+const BODY_BYTES_CAPACITY: usize = 64 << 10;
+/// Largest part of an event that is kept without a reservation of memory, more than events usually have.
+const MAX_UNRESERVED_BYTES: usize = 16 << 10;
 /// A run with at most this many events left finishes before its leaving engine is gone, so
 /// it is not migrated.
 const MAX_UNMIGRATED_EVENTS: u64 = 10;
@@ -90,14 +98,25 @@
   }
 }
 
+/// Events for a caller that has not read them.
+struct Chunk {
+  bytes: Bytes,
+  /// Their part of `BODY_BYTES_CAPACITY`.
+  _permit: OwnedSemaphorePermit,
+}
+
 /// A stream that is relayed to its caller, across all runs on different targets. A run is one
 /// execution of the request.
 pub struct Session {
   /// When the head of the current run's response arrived.
   answered_at: Instant,
   call: Call,
-  chunk_sender: mpsc::Sender<Result<Bytes, BodyError>>,
+  /// Counts the bytes that may still be buffered for the caller.
+  chunk_bytes: Arc<Semaphore>,
+  chunk_sender: mpsc::Sender<Result<Chunk, BodyError>>,
   cursor: Cursor,
+  /// The memory for an incomplete event; `None` for a short one.
+  event_memory: Option<Reservation>,
   /// Targets that lost the stream. An order to stop its run there may still be under way.
   lost_at: Vec<Key>,
   /// Fingerprints of the targets that may still run the stream, as they did not confirm that they stopped.
@@ -138,7 +157,9 @@
       answered_at: call.gateway.clock.now(),
       cursor: Cursor::new(call.metadata.last_event_id),
       call,
+      chunk_bytes: Arc::new(Semaphore::new(BODY_BYTES_CAPACITY)),
       chunk_sender,
+      event_memory: None,
       lost_at: unstopped.iter().map(|(key, _)| *key).collect(),
       unstopped_at: unstopped.into_iter().map(|(_, fingerprint)| fingerprint).collect(),
       ending: None,
@@ -156,7 +177,7 @@
     tokio::spawn(session.run());
     let chunks = futures::stream::poll_fn(move |cx| chunk_receiver.poll_recv(cx));
     StreamBody::new(futures::StreamExt::map(chunks, |chunk| {
-      chunk.map(body::Frame::data)
+      chunk.map(|chunk| body::Frame::data(chunk.bytes))
     }))
     .boxed_unsync()
   }
@@ -277,6 +298,7 @@
           None
         }
         Ok(()) = link_losses.changed() => self.recover_if_cut().await,
+        () = evicted(&self.event_memory) => Some(End::InvalidEvents),
       };
       if let Some(end) = end {
         return end;
@@ -350,6 +372,10 @@
         return Some(End::InvalidEvents);
       }
     };
+    if let Err(refusal) = self.reserve_partial_event() {
+      log::warn!(target: PREFIX, id = self.call.id(), target:% = self.assignment.target.id, bytes = self.cursor.partial_bytes(), reason = refusal.reason.name(); "There is no memory for the rest of an event.");
+      return Some(End::InvalidEvents);
+    }
     if events.is_empty() {
       return None;
     }
@@ -367,7 +393,8 @@
     let now = self.call.gateway.clock.now();
     self.timing.record_event(now);
     if !self.is_at_other_host {
-      let is_caller_slow = self.chunk_sender.capacity() == 0;
+      let is_caller_slow =
+        self.chunk_sender.capacity() == 0 || self.chunk_bytes.available_permits() == 0;
       let target = self.assignment.target.fingerprint;
       self.call.measure_pace(
         &mut self.meter,
@@ -383,10 +410,38 @@
       self.is_sound = true;
       self.call.report_sound(self.answered_at);
     }
-    let result = self.chunk_sender.send(Ok(events)).await;
+    let permits = u32::try_from(events.len().min(BODY_BYTES_CAPACITY)).unwrap_or(u32::MAX);
+    let permit = Arc::clone(&self.chunk_bytes).acquire_many_owned(permits).await;
+    let chunk = Chunk {
+      bytes: events,
+      _permit: permit.ok()?,
+    };
+    let result = self.chunk_sender.send(Ok(chunk)).await;
     result.err().map(|_| End::CallerDisconnected)
   }
 
+  /// Reserves memory for an incomplete event if it is long.
+  ///
+  /// # Errors
+  ///
+  /// Refuses when there is none left, or when others needed that of this event.
+  fn reserve_partial_event(&mut self) -> Result<(), Refusal> {
+    let bytes = self.cursor.partial_bytes();
+    if bytes <= MAX_UNRESERVED_BYTES {
+      self.event_memory = None;
+      return Ok(());
+    }
+    let reservation = match self.event_memory.take() {
+      Some(reservation) => reservation,
+      None => self.call.gateway.response_memory.reserve_evictable(0)?,
+    };
+    // The buffer grows by doubling.
+    reservation.grow(bytes.next_power_of_two() as u64)?;
+    reservation.record_progress();
+    self.event_memory = Some(reservation);
+    Ok(())
+  }
+
   /// Records which software version began the stream, before its first event is sent.
   fn record_origin(&mut self) {
     let version = &self.assignment.target.listing.version;
@@ -663,6 +718,14 @@
   }
 }
 
+/// Waits until others need the memory of a reservation; never resolves without one.
+async fn evicted(reservation: &Option<Reservation>) {
+  match reservation {
+    Some(reservation) => reservation.evicted().await,
+    None => future::pending().await,
+  }
+}
+
 /// Returns the next frame of a response body; never resolves without a body.
 async fn next_frame(
   body: &mut Option<Incoming>,
--- a/yuccarudder/src/limit/body.rs
+++ b/yuccarudder/src/limit/body.rs
@@ -6,7 +6,7 @@
   },
   bytes::Bytes,
   http_body_util::BodyExt,
-  hyper::HeaderMap,
+  hyper::{HeaderMap, body::Body},
 };
 
 /// Initial size of the buffer of a body, that of a read: smaller ones leave more gaps between buffers.
@@ -59,10 +59,35 @@
   }
 }
 
+impl Memory {
+  /// Reads the body of a response of up to `limit` bytes into memory that is reserved as it grows. While it is
+  /// incomplete, the reservation may be evicted for others.
+  ///
+  /// Returns `None` for a body that is larger, cannot be read to its end, does not fit into the memory left, or
+  /// has made no progress for longer than others when memory is needed.
+  pub async fn read_response_body<B>(&self, body: B, limit: u64) -> Option<BufferedBody>
+  where
+    B: Body<Data = Bytes> + Unpin,
+  {
+    let reservation = self.reserve_evictable(0).ok()?;
+    let bytes = tokio::select! {
+      biased;
+      () = reservation.evicted() => return None,
+      bytes = read(body, &reservation, usize::try_from(limit).unwrap_or(usize::MAX)) => bytes.ok()?,
+    };
+    reservation.hold().ok()?;
+    reservation.shrink(bytes.len() as u64);
+    Some(BufferedBody {
+      bytes: bytes.into(),
+      reservation,
+    })
+  }
+}
+
 /// Copies a body into one buffer that grows with its reservation. A chunk that is kept would keep the whole
 /// read buffer of its connection.
-async fn read(
-  mut body: LingeringBody,
+async fn read<B: Body<Data = Bytes> + Unpin>(
+  mut body: B,
   reservation: &Reservation,
   limit: usize,
 ) -> Result<Vec<u8>, Refusal> {
--- a/yuccarudder/src/relay/cursor.rs
+++ b/yuccarudder/src/relay/cursor.rs
@@ -154,6 +154,11 @@
     !self.has_unnumbered_event
   }
 
+  /// Returns the number of bytes of an incomplete event.
+  pub fn partial_bytes(&self) -> usize {
+    self.buffer.len()
+  }
+
   /// Returns whether the buffer holds an incomplete event.
   pub fn has_partial_event(&self) -> bool {
     !self.buffer.is_empty()
