Roster: a stale list adds no target that was removed before the first list

Cause: a host that makes its first list after an entry was removed doesn't know the target, so there is no removed one with which a later, stale list is compared, and the list puts the target into service.

Evidence: list_older_than_the_first_one_does_not_add_a_removed_target failed before the change (1 accepting target, not 0).

Change: a host remembers the newest state of which it applied all entries, and ignores unknown entries that are not newer, from lists and from other hosts.

--- a/yuccarudder/src/gateway/updates.rs
+++ b/yuccarudder/src/gateway/updates.rs
@@ -311,6 +311,9 @@
     } else {
       state.roster.apply_snapshot(entries, snapshot.version, recovering, now)
     };
+    if !snapshot.is_cut && snapshot.unreadable == 0 {
+      state.roster.record_complete_list(snapshot.version);
+    }
     state.targets_listed_at = Some(now);
     drop(state);
     self.announce_departures(&departing, "platform");
--- a/yuccarudder/src/roster/roster.rs
+++ b/yuccarudder/src/roster/roster.rs
@@ -135,6 +135,8 @@
   held_evacuations: HashMap<String, Instant>,
   /// Whether a snapshot was applied.
   is_listed: bool,
+  /// The newest state of the platform of which all entries were applied.
+  listed: Version,
   /// Targets that are listed now, by the IDs of their entries.
   keys: HashMap<Arc<str>, Key>,
   targets: SlotMap<Key, Target>,
@@ -367,6 +369,10 @@
   ) -> Option<Key> {
     let listed_key = self.keys.get(id).copied();
     let last_key = listed_key.or_else(|| self.last_removed(id));
+    if last_key.is_none() && version <= self.listed {
+      // Its entry was removed before the list that lacks it.
+      return None;
+    }
     let last_version = last_key.map(|key| self.targets[key].newest_version());
     if last_version.is_some_and(|last| version <= last) {
       return None;
@@ -478,6 +484,12 @@
     leaving
   }
 
+  /// Records that all entries of a state of the platform were applied, so that an unknown one which is not newer
+  /// was removed before.
+  pub fn record_complete_list(&mut self, version: Version) {
+    self.listed = self.listed.max(version);
+  }
+
   /// Records when the process of a leaving target will stop.
   pub fn set_leaves_at(&mut self, key: Key, at: Instant) {
     if let Some(target) = self.targets.get_mut(key) {
--- a/yuccarudder/src/roster/tests.rs
+++ b/yuccarudder/src/roster/tests.rs
@@ -286,6 +286,19 @@
   assert_eq!(fixture.accepting_count(), 1);
 }
 
+/// Guards against a stale list that brings back a target whose entry was removed before this process made its first
+/// list, so that it has never known of it.
+#[test]
+fn list_older_than_the_first_one_does_not_add_a_removed_target() {
+  let now = Instant::now();
+  let mut roster = Roster::default();
+  roster.apply_snapshot(Vec::new(), version(9), false, now);
+  roster.record_complete_list(version(9));
+  let entry = ("a".into(), version(3), available(7));
+  roster.apply_snapshot(vec![entry], version(8), false, now);
+  assert_eq!(roster.accepting("llm").count(), 0);
+}
+
 #[test]
 fn departure_known_for_too_long_is_not_relayed() {
   let mut fixture = Fixture::new();
