Limits: one way to read a body into reserved memory

Memory::read_response_body repeated the end of read_body: the race with the eviction, holding and shrinking the reservation. Both call fill now. Behaviour is the same; the tests are untouched.

--- a/yuccarudder/src/limit/body.rs
+++ b/yuccarudder/src/limit/body.rs
@@ -45,21 +45,9 @@
     }
     let reservation = self.reserve_evictable(announced)?;
     let limit = if announced > 0 { announced } else { limit };
-    let bytes = tokio::select! {
-      biased;
-      () = reservation.evicted() => return Err(memory::stalled()),
-      bytes = read(body, &reservation, usize::try_from(limit).unwrap_or(usize::MAX)) => bytes?,
-    };
-    reservation.hold()?;
-    reservation.shrink(bytes.len() as u64);
-    Ok(BufferedBody {
-      bytes: bytes.into(),
-      reservation,
-    })
+    fill(body, reservation, limit).await
   }
-}
 
-impl Memory {
   /// Reads the body of a response of up to `limit` bytes into memory that is reserved as it grows. While it is
   /// incomplete, the reservation may be evicted for others.
   ///
@@ -70,20 +58,29 @@
     B: Body<Data = Bytes> + Unpin,
   {
     let reservation = self.reserve_evictable(0).ok()?;
-    let bytes = tokio::select! {
-      biased;
-      () = reservation.evicted() => return None,
-      bytes = read(body, &reservation, usize::try_from(limit).unwrap_or(usize::MAX)) => bytes.ok()?,
-    };
-    reservation.hold().ok()?;
-    reservation.shrink(bytes.len() as u64);
-    Some(BufferedBody {
-      bytes: bytes.into(),
-      reservation,
-    })
+    fill(body, reservation, limit).await.ok()
   }
 }
 
+/// Reads a body of up to `limit` bytes into the memory of an evictable reservation, which grows with it, and holds
+/// the reservation once the body is complete.
+async fn fill<B>(body: B, reservation: Reservation, limit: u64) -> Result<BufferedBody, Refusal>
+where
+  B: Body<Data = Bytes> + Unpin,
+{
+  let bytes = tokio::select! {
+    biased;
+    () = reservation.evicted() => return Err(memory::stalled()),
+    bytes = read(body, &reservation, usize::try_from(limit).unwrap_or(usize::MAX)) => bytes?,
+  };
+  reservation.hold()?;
+  reservation.shrink(bytes.len() as u64);
+  Ok(BufferedBody {
+    bytes: bytes.into(),
+    reservation,
+  })
+}
+
 /// Copies a body into one buffer that grows with its reservation. A chunk that is kept would keep the whole
 /// read buffer of its connection.
 async fn read<B: Body<Data = Bytes> + Unpin>(
