--- a/yuccarudder/src/gateway/heartbeats.rs
+++ b/yuccarudder/src/gateway/heartbeats.rs
@@ -10,6 +10,7 @@
     quarantine::Ledger,
     reader,
     roster::{self, Roster},
+    span,
   },
   bytes::Bytes,
   futures::{SinkExt, StreamExt, stream::SplitSink},
@@ -159,7 +160,7 @@
     bans: bans(&state.ledger, clock_now),
     brittle: brittle_services(&state, clock_now),
     callers: state.settings.callers.to_string(),
-    catalog_age_ms: age.map(|age| milliseconds(age) + 1),
+    catalog_age_ms: age.map(|age| span::milliseconds(age) + 1),
     catalog_version: state.catalog_version(),
     crashes: crashes(&state.ledger, clock_now),
     echo: None,
@@ -181,18 +182,18 @@
     protocol: member::PROTOCOL,
     reads: state.reads_platform(),
     rooms: rooms(&state, clock_now),
-    restore_age_ms: state.era.restore_age(now).map(milliseconds),
+    restore_age_ms: state.era.restore_age(now).map(span::milliseconds),
     sender: state.settings.peers.to_string(),
     sequence,
     sounds: sounds(&state.ledger, clock_now),
-    targets_age_ms: targets_age.map(|age| milliseconds(age) + 1),
+    targets_age_ms: targets_age.map(|age| span::milliseconds(age) + 1),
     targets_digest: reads_targets.then(|| state.roster.digest(clock_now)),
     unreachable_services,
     versions: version_list(versions),
-    versions_known_for_ms: coverage.map(|coverage| milliseconds(coverage.age(now))),
-    versions_remembered_for_ms: memory.map(|memory| milliseconds(memory.age(now))),
+    versions_known_for_ms: coverage.map(|coverage| span::milliseconds(coverage.age(now))),
+    versions_remembered_for_ms: memory.map(|memory| span::milliseconds(memory.age(now))),
     versions_known_until_ms: coverage
-      .map(|coverage| milliseconds(now.saturating_sub(coverage.until())) + 1),
+      .map(|coverage| span::milliseconds(now.saturating_sub(coverage.until())) + 1),
     weight: state.settings.weight,
   };
   removed.iter().for_each(|host| state.shares.remove_host(*host));
@@ -457,10 +458,6 @@
   is_current
 }
 
-fn milliseconds(duration: Duration) -> u64 {
-  u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Records the load that another host has at the targets; a host that shuts down and has none
 /// left is removed.
 fn record_loads(gateway: &Gateway, heartbeat: &Heartbeat, sender: SocketAddr) {
--- a/yuccarudder/src/member/heartbeat.rs
+++ b/yuccarudder/src/member/heartbeat.rs
@@ -2,7 +2,7 @@
   crate::{
     contention, origin, pace, placement, prompt,
     quarantine::{self, Feature},
-    reader, roster, share,
+    reader, roster, share, span,
   },
   std::time::{Duration, Instant},
 };
@@ -55,11 +55,10 @@
 
 impl From<roster::Departure> for Leaving {
   fn from(departure: roster::Departure) -> Self {
-    let milliseconds = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
     Self {
       era: departure.version.era,
       is_own_statement: departure.is_own_statement,
-      leaves_in_ms: departure.leaves_in.map(milliseconds),
+      leaves_in_ms: departure.leaves_in.map(span::milliseconds),
       revision: departure.version.revision,
       target: departure.fingerprint,
     }
@@ -520,7 +519,7 @@
   pub fn new(version: &origin::ServiceVersion, age: Duration) -> Self {
     let (service, version) = version;
     Self {
-      age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+      age_ms: span::milliseconds(age),
       service: *service,
       version: version.as_ref().to_owned(),
     }
--- a/yuccarudder/src/member/table.rs
+++ b/yuccarudder/src/member/table.rs
@@ -1,6 +1,6 @@
 use {
   super::{Echo, Heartbeat, Phase, timing},
-  crate::origin::Coverage,
+  crate::{origin::Coverage, span},
   siphasher::sip::SipHasher13,
   std::{
     cmp::Reverse,
@@ -214,7 +214,7 @@
     let recipients = addresses.into_iter().map(|address| Recipient {
       address,
       echo: self.members.get(&address).map(|member| Echo {
-        held_ms: Some(milliseconds(now.saturating_sub(member.last_heard))),
+        held_ms: Some(span::milliseconds(now.saturating_sub(member.last_heard))),
         incarnation: member.incarnation,
         sequence: member.sequence,
       }),
@@ -453,10 +453,6 @@
   coverage.begins_by(coverage.until()).then_some(coverage)
 }
 
-fn milliseconds(duration: Duration) -> u64 {
-  u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn position_hash(seed: u64, address: SocketAddr) -> u64 {
   let mut hasher = SipHasher13::new();
   (seed, address).hash(&mut hasher);
--- a/yuccarudder/src/span/mod.rs
+++ b/yuccarudder/src/span/mod.rs
@@ -10,6 +10,11 @@
   instant + time.min(MAX)
 }
 
+/// Returns the whole milliseconds of a time.
+pub fn milliseconds(time: Duration) -> u64 {
+  u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Converts seconds to a duration of at most [`MAX`]; returns `None` when they are negative or no number.
 pub fn from_seconds(seconds: f64) -> Option<Duration> {
   let is_time = seconds >= 0.0;
