--- a/yuccarudder/src/gateway/mod.rs
+++ b/yuccarudder/src/gateway/mod.rs
@@ -51,6 +51,8 @@
 #[cfg(test)]
 mod run_life_tests;
 #[cfg(test)]
+mod silent_dialect;
+#[cfg(test)]
 mod supervision_tests;
 #[cfg(test)]
 mod target_age_tests;
--- a/yuccarudder/src/gateway/out_of_step_tests.rs
+++ b/yuccarudder/src/gateway/out_of_step_tests.rs
@@ -2,14 +2,13 @@
 //! platform's store.
 
 use {
-  super::{Gateway, heartbeats},
+  super::{Gateway, heartbeats, silent_dialect},
   crate::{
     clock::Clock,
-    dialect::Dialect,
     member::Heartbeat,
     origin::{self, Decision},
     reader::{Area, Change, Changes, Mode, Subject, Version},
-    relocation, roster, settings,
+    roster, settings,
     upstream::Pool,
   },
   proptest::prelude::*,
@@ -110,21 +109,6 @@
   refused: usize,
 }
 
-fn dialect() -> Dialect {
-  Dialect {
-    identify: Arc::new(|_, _, _| Box::pin(async { None })),
-    inspect: Arc::new(|_| Box::pin(async { None })),
-    ping: Arc::new(|_, _| Box::pin(async { false })),
-    read_catalog: |_| anyhow::bail!("there is none"),
-    read_request: |_| Default::default(),
-    read_response: |_, _| Default::default(),
-    release: Arc::new(|_, _| Box::pin(async {})),
-    copy: Arc::new(|_| Box::pin(async { Err(relocation::Failure::Busy) })),
-    write_handover: |_, _| {},
-    write_request: |_, _| {},
-  }
-}
-
 fn start_host(host: usize, clock: &Clock, first_start: bool) -> Host {
   let own = address(host);
   let text = format!(
@@ -138,7 +122,12 @@
   );
   let settings = settings::Gateway::parse("test", &text).unwrap();
   Host {
-    gateway: Gateway::new(settings, dialect(), Pool::new(clock.clone()), clock.clone()),
+    gateway: Gateway::new(
+      settings,
+      silent_dialect::dialect(),
+      Pool::new(clock.clone()),
+      clock.clone(),
+    ),
     inbox: VecDeque::new(),
     is_frozen: false,
     is_store_cut: false,
--- a/yuccarudder/src/gateway/paces_tests.rs
+++ b/yuccarudder/src/gateway/paces_tests.rs
@@ -1,12 +1,11 @@
 use {
-  super::{Gateway, heartbeats},
+  super::{Gateway, heartbeats, silent_dialect},
   crate::{
     clock::Clock,
-    dialect::Dialect,
     member::Heartbeat,
     pace::{Message, Sample},
     reader::Version,
-    relocation, roster, settings,
+    roster, settings,
     upstream::Pool,
   },
   std::{
@@ -20,21 +19,6 @@
   ([127, 0, 0, 1], 7_000 + host).into()
 }
 
-fn dialect() -> Dialect {
-  Dialect {
-    identify: Arc::new(|_, _, _| Box::pin(async { None })),
-    inspect: Arc::new(|_| Box::pin(async { None })),
-    ping: Arc::new(|_, _| Box::pin(async { false })),
-    read_catalog: |_| anyhow::bail!("there is none"),
-    read_request: |_| Default::default(),
-    read_response: |_, _| Default::default(),
-    release: Arc::new(|_, _| Box::pin(async {})),
-    copy: Arc::new(|_| Box::pin(async { Err(relocation::Failure::Busy) })),
-    write_handover: |_, _| {},
-    write_request: |_, _| {},
-  }
-}
-
 /// Two hosts and their clock.
 struct Pair {
   hosts: [Gateway; 2],
@@ -60,7 +44,12 @@
         pace[usize::from(host)]
       );
       let settings = settings::Gateway::parse("test", &text).unwrap();
-      Gateway::new(settings, dialect(), Pool::new(clock.clone()), clock.clone())
+      Gateway::new(
+        settings,
+        silent_dialect::dialect(),
+        Pool::new(clock.clone()),
+        clock.clone(),
+      )
     };
     Self {
       hosts: [0, 1].map(start_host),
--- a/yuccarudder/src/gateway/target_age_tests.rs
+++ b/yuccarudder/src/gateway/target_age_tests.rs
@@ -2,13 +2,12 @@
 //! real but for their sockets; they share a store and run on a paused clock.
 
 use {
-  super::{Gateway, heartbeats},
+  super::{Gateway, heartbeats, silent_dialect},
   crate::{
     clock::Clock,
-    dialect::Dialect,
     member,
     reader::{self, Area, Change, Changes, Consistency, Subject, Version},
-    relocation, roster, settings,
+    roster, settings,
     upstream::Pool,
   },
   std::{
@@ -185,21 +184,6 @@
   store: Arc<Store>,
 }
 
-fn dialect() -> Dialect {
-  Dialect {
-    identify: Arc::new(|_, _, _| Box::pin(async { None })),
-    inspect: Arc::new(|_| Box::pin(async { None })),
-    ping: Arc::new(|_, _| Box::pin(async { false })),
-    read_catalog: |_| anyhow::bail!("there is none"),
-    read_request: |_| Default::default(),
-    read_response: |_, _| Default::default(),
-    release: Arc::new(|_, _| Box::pin(async {})),
-    copy: Arc::new(|_| Box::pin(async { Err(relocation::Failure::Busy) })),
-    write_handover: |_, _| {},
-    write_request: |_, _| {},
-  }
-}
-
 fn gateway(host: usize, hosts: usize, drain: Duration, first_start: bool) -> Gateway {
   let own = address(host);
   let seeds: Vec<String> = (0..hosts).map(|seed| address(seed).to_string()).collect();
@@ -215,7 +199,12 @@
   );
   let clock = Clock::new(|| Instant::now().into_std(), || UNIX_EPOCH);
   let settings = settings::Gateway::parse("test", &text).unwrap();
-  Gateway::new(settings, dialect(), Pool::new(clock.clone()), clock)
+  Gateway::new(
+    settings,
+    silent_dialect::dialect(),
+    Pool::new(clock.clone()),
+    clock,
+  )
 }
 
 impl Fleet {
