--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/stand-3 review/stand-3/main.rs
+rustc --edition 2024 -O -o target/review/stand-3 review/11/stand-3/main.rs
